--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -14,23 +14,27 @@
 inline constexpr Duration kTickPeriod = 100ms;
 
 // Membership
-inline constexpr std::size_t kTreeDegree = 3;
-inline constexpr Duration kMinRound = 1000ms;
-inline constexpr Duration kMaxRound = 2000ms;
+inline constexpr std::size_t kTreeDegree = 2;
+inline constexpr Duration kMinRound = 1500ms;
+inline constexpr Duration kMaxRound = 3000ms;
 inline constexpr Duration kRoundPerPeer = 60ms;
 inline constexpr int kMissedRounds = 3;
-inline constexpr Duration kRejoinProbePeriod = 3000ms;
+inline constexpr Duration kJoinProbePeriod = 500ms;
+inline constexpr Duration kRejoinProbePeriod = 6000ms;
 inline constexpr std::size_t kWatchersPerZone = 2;
 inline constexpr Duration kPauseLimit = 1500ms;
 
 // Leases on slots
+//! A router that hears no other for so long goes on alone.
+inline constexpr Duration kJoinWait = 4000ms;
 inline constexpr int kLeaseRounds = 4;         //!< rounds between renewals
 inline constexpr int kLeaseExpiryRenewals = 3; //!< renewals missed
 inline constexpr Duration kClaimWindow = 2500ms;
+inline constexpr Duration kPressurePeriod = 2000ms;
 inline constexpr Duration kAskPeriod = 1000ms;
 inline constexpr std::size_t kAskWidth = 4;
 inline constexpr double kOverdraftPart = 0.05;
-inline constexpr std::size_t kMaxHints = 8;
+inline constexpr std::size_t kMaxHints = 4;
 
 // Shares
 inline constexpr double kBackloggedFactor = 1.02;
@@ -57,7 +61,8 @@
 inline constexpr double kSendBurstBytes = 4000.0;
 //! TCP and IP headers of a frame and of the packet that confirms it.
 inline constexpr std::size_t kPacketOverheadBytes = 109;
-inline constexpr std::size_t kMaxEntriesPerFrame = 40;
+//! The part that heartbeats with their view may take; leases have the rest.
+inline constexpr double kHeartbeatPart = 0.6;
 inline constexpr double kDemandDeadBand = 0.1;
 
 }
--- a/src/decision/decisioncore.cpp
+++ b/src/decision/decisioncore.cpp
@@ -125,6 +125,9 @@
   status.draining = m_state.draining;
   status.documents = m_state.configuration.Versions();
   status.counters = m_state.counters;
+  for (const auto& hint : m_state.owner.FreeSlots()) {
+    status.freeSlotsOwned += hint.free;
+  }
   for (const auto& [poolId, pool] : m_state.pools) {
     for (const auto& [id, queue] : pool.Workspaces()) {
       status.queued += queue.Waiting();
--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -126,8 +126,9 @@
   RouterId sender{};
   std::uint32_t incarnation = 0;
   std::uint32_t sequence = 0;
-  std::uint32_t digest = 0;   //!< over documents and hosts known
-  bool wantsSnapshot = false; //!< asks for all that the receiver knows
+  std::uint32_t digest = 0;        //!< over documents and hosts known
+  std::uint32_t membersDigest = 0; //!< over the members known
+  bool wantsSnapshot = false;      //!< asks for all that the receiver knows
   std::vector<MemberNotice> members;
   std::vector<HostEntry> hosts;
   std::vector<DocumentVersion> versions;
@@ -423,6 +424,7 @@
   bool draining = false;
   std::uint32_t queued = 0;
   std::uint32_t running = 0;
+  std::uint32_t freeSlotsOwned = 0; //!< not lent, of upstreams owned here
   std::vector<DocumentVersion> documents;
   std::vector<WorkspaceStatus> workspaces;
   std::vector<MemberStatus> members;
--- a/src/decision/internal/hosttable.cpp
+++ b/src/decision/internal/hosttable.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
+//! NOTE over what the entry says, not its revision: a router knows its own
+//! entry before any list gave it one.
 std::uint32_t
 DigestOf(const HostEntry& aEntry)
 {
-  return base::HashName(aEntry.name + "#" + std::to_string(aEntry.revision));
+  return base::HashName(aEntry.name + "#" +
+                        std::to_string(static_cast<int>(aEntry.state)) +
+                        aEntry.zone + aEntry.address.Text() +
+                        aEntry.peerAddress.Text() + aEntry.pool);
 }
 
 template<typename Id>
--- a/src/decision/internal/lagtracker.cpp
+++ b/src/decision/internal/lagtracker.cpp
@@ -41,6 +41,23 @@
   record.at = aTotal.at;
 }
 
+void
+LagTracker::Centre(const std::map<WorkspaceId, double>& aEntitled)
+{
+  double sum = 0;
+  double weights = 0;
+  for (const auto& [workspace, entitled] : aEntitled) {
+    sum += entitled * m_records[workspace].secondsBehind;
+    weights += entitled;
+  }
+  if (weights <= 0) {
+    return;
+  }
+  for (const auto& [workspace, entitled] : aEntitled) {
+    m_records[workspace].secondsBehind -= sum / weights;
+  }
+}
+
 double
 LagTracker::SecondsBehind(WorkspaceId aWorkspace) const
 {
--- a/src/decision/internal/lagtracker.h
+++ b/src/decision/internal/lagtracker.h
@@ -18,6 +18,9 @@
                double aEntitled,
                double aCapacity,
                bool aBacklogged);
+  //! Takes off what all have in common, weighted by their parts: only the
+  //! differences between workspaces count.
+  void Centre(const std::map<WorkspaceId, double>& aEntitled);
   //! Seconds of its share; above 0 is behind.
   double SecondsBehind(WorkspaceId aWorkspace) const;
 
--- a/src/decision/internal/membership.cpp
+++ b/src/decision/internal/membership.cpp
@@ -7,6 +7,13 @@
 
 namespace hemlockgauge::decision {
 
+namespace {
+
+//! A broken connection counts as this many missed heartbeats.
+constexpr int kRoundsOfLostLink = 2;
+
+}
+
 Membership::Membership(RouterId aSelf,
                        std::string aZone,
                        std::uint32_t aIncarnation)
@@ -79,8 +86,11 @@
 {
   const auto found = m_others.find(aRouter);
   if (found != m_others.end()) {
-    found->second.lastHeard -= aRound;
-    m_watchedSince[aRouter] -= aRound;
+    found->second.lastHeard -= aRound * kRoundsOfLostLink;
+  }
+  const auto watched = m_watchedSince.find(aRouter);
+  if (watched != m_watchedSince.end()) {
+    watched->second -= aRound * kRoundsOfLostLink;
   }
 }
 
@@ -146,6 +156,18 @@
   return notices;
 }
 
+std::uint32_t
+Membership::Digest() const
+{
+  std::uint32_t digest = 0;
+  for (const auto& notice : Notices()) {
+    const auto state = static_cast<std::uint32_t>(notice.state);
+    digest ^= static_cast<std::uint32_t>(
+      base::HashPair(base::Raw(notice.router), notice.incarnation * 4 + state));
+  }
+  return digest;
+}
+
 std::size_t
 Membership::KnownCount() const
 {
--- a/src/decision/internal/membership.h
+++ b/src/decision/internal/membership.h
@@ -64,6 +64,8 @@
   RouterId OwnerOf(UpstreamId aUpstream, const std::string& aZone) const;
   //! Whether this router is among the first few alive of its zone.
   bool WatchesPlatform() const;
+  //! The same on two routers that know the same of all members.
+  std::uint32_t Digest() const;
   std::uint64_t Version() const { return m_version; }
 
 private:
--- a/src/decision/internal/outbox.cpp
+++ b/src/decision/internal/outbox.cpp
@@ -3,12 +3,14 @@
 #include "decision/decisionconstants.h"
 #include "decision/decisioncore.h"
 
+#include <algorithm>
+
 namespace hemlockgauge::decision {
 
 namespace {
 
 // What FlatBuffers takes for each part; a test holds these against it.
-constexpr std::size_t kFrameBytes = 56;
+constexpr std::size_t kFrameBytes = 60;
 constexpr std::size_t kVectorBytes = 16;
 constexpr std::size_t kMemberBytes = 12;
 constexpr std::size_t kHostBytes = 90;
@@ -69,11 +71,34 @@
 {
 }
 
+Frame&
+Outbox::For(RouterId aRouter)
+{
+  auto& pending = m_waiting[aRouter];
+  if (pending.order == 0) {
+    pending.order = m_nextOrder++;
+  }
+  return pending.frame;
+}
+
+void
+Outbox::Drop(RouterId aRouter)
+{
+  m_waiting.erase(aRouter);
+  m_heartbeats.erase(aRouter);
+  m_deferred.erase(aRouter);
+}
+
 std::vector<RouterId>
 Outbox::Waiting() const
 {
+  std::vector<std::pair<std::uint64_t, RouterId>> ordered;
+  for (const auto& [router, pending] : m_waiting) {
+    ordered.emplace_back(pending.order, router);
+  }
+  std::sort(ordered.begin(), ordered.end());
   std::vector<RouterId> routers;
-  for (const auto& [router, frame] : m_waiting) {
+  for (const auto& [order, router] : ordered) {
     routers.push_back(router);
   }
   return routers;
@@ -83,22 +108,26 @@
 Outbox::Take(RouterId aRouter,
              std::uint32_t aIncarnation,
              std::uint32_t aDigest,
+             std::uint32_t aMembersDigest,
              Frame& aFrame)
 {
   const auto found = m_waiting.find(aRouter);
   if (found == m_waiting.end()) {
     return false;
   }
-  const auto bytes = EstimateFrameBytes(found->second);
-  if (!MustNotWait(found->second) && !m_budget.Allows(bytes)) {
-    m_counters.framesDeferred++;
+  const auto bytes = EstimateFrameBytes(found->second.frame);
+  const bool goes = m_heartbeats.contains(aRouter) ||
+                    MustNotWait(found->second.frame) || m_budget.Allows(bytes);
+  if (!goes) {
+    m_counters.framesDeferred += m_deferred.insert(aRouter).second ? 1 : 0;
     return false;
   }
-  aFrame = std::move(found->second);
-  m_waiting.erase(found);
+  aFrame = std::move(found->second.frame);
+  Drop(aRouter);
   aFrame.sender = m_self;
   aFrame.incarnation = aIncarnation;
   aFrame.digest = aDigest;
+  aFrame.membersDigest = aMembersDigest;
   aFrame.sequence = ++m_sequence;
   m_budget.Charge(bytes);
   Count(aFrame);
--- a/src/decision/internal/outbox.h
+++ b/src/decision/internal/outbox.h
@@ -4,6 +4,7 @@
 #include "decision/internal/bytebudget.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace hemlockgauge::decision {
@@ -18,15 +19,18 @@
 
   void Advance(TimePoint aNow) { m_budget.Advance(aNow); }
   //! The frame that waits for a peer; fill it in.
-  Frame& For(RouterId aRouter) { return m_waiting[aRouter]; }
-  void Drop(RouterId aRouter) { m_waiting.erase(aRouter); }
+  Frame& For(RouterId aRouter);
+  void Drop(RouterId aRouter);
   std::vector<RouterId> Waiting() const;
+  //! Lets the frame of a peer go even without room: silence would look
+  //! like death.
+  void MarkHeartbeat(RouterId aRouter) { m_heartbeats.insert(aRouter); }
   //! Takes the frame of one peer if it may go now.
   bool Take(RouterId aRouter,
             std::uint32_t aIncarnation,
             std::uint32_t aDigest,
+            std::uint32_t aMembersDigest,
             Frame& aFrame);
-  bool RoomFor(std::size_t aBytes) const { return m_budget.Allows(aBytes); }
   //! A frame to an address whose router is not known yet.
   Frame ToSeed(std::uint32_t aIncarnation);
 
@@ -36,7 +40,15 @@
   RouterId m_self;
   ControlCounters& m_counters;
   ByteBudget m_budget;
-  std::map<RouterId, Frame> m_waiting;
+  struct Pending
+  {
+    Frame frame;
+    std::uint64_t order = 0; //!< the longest waiting goes first
+  };
+  std::map<RouterId, Pending> m_waiting;
+  std::uint64_t m_nextOrder = 1;
+  std::set<RouterId> m_heartbeats;
+  std::set<RouterId> m_deferred;
   std::uint32_t m_sequence = 0;
 };
 
--- a/src/decision/internal/peerflow.cpp
+++ b/src/decision/internal/peerflow.cpp
@@ -11,8 +11,9 @@
 
 constexpr Duration kLeavingHold = 30000ms;
 constexpr Duration kLoadPollPeriod = 1000ms;
-constexpr int kDigestMissesToResync = 3;
-constexpr std::size_t kHeartbeatBytes = 250;
+constexpr int kMissesToResync = 3;
+constexpr double kBareHeartbeatBytes = 230;
+constexpr double kEntryBytes = 12;
 
 //! Platform revisions are even here; a sign of leaving that a router saw
 //! itself is the odd one above.
@@ -112,13 +113,21 @@
     const auto known = others.find(notice.router);
     const bool restarted =
       known != others.end() && known->second.incarnation < notice.incarnation;
+    const bool returned =
+      notice.router == aFrame.sender && notice.state == MemberState::Alive &&
+      (known == others.end() || known->second.state != MemberState::Alive);
     if (!m_state.membership.Take(notice, zone, m_state.now)) {
       continue;
     }
     if (notice.router == m_state.self) {
       Flood(m_state.membership.Own(), std::nullopt);
+      m_state.outbox.For(aFrame.sender)
+        .members.push_back(m_state.membership.Own());
       continue;
     }
+    if (returned) {
+      m_state.outbox.For(aFrame.sender).members = m_state.membership.Notices();
+    }
     if (restarted || notice.state != MemberState::Alive) {
       m_state.owner.ForgetRouter(notice.router);
     }
@@ -278,12 +287,20 @@
   const bool near =
     std::find(neighbours.begin(), neighbours.end(), aFrame.sender) !=
     neighbours.end();
-  if (!near || aFrame.digest == m_state.Digest()) {
+  if (!near) {
     m_digestMisses.erase(aFrame.sender);
     return;
   }
-  if (++m_digestMisses[aFrame.sender] >= kDigestMissesToResync) {
-    m_digestMisses.erase(aFrame.sender);
+  auto& misses = m_digestMisses[aFrame.sender];
+  misses.state = aFrame.digest == m_state.Digest() ? 0 : misses.state + 1;
+  const auto members = m_state.membership.Digest();
+  misses.members = aFrame.membersDigest == members ? 0 : misses.members + 1;
+  if (misses.members >= kMissesToResync) {
+    misses.members = 0;
+    m_state.outbox.For(aFrame.sender).members = m_state.membership.Notices();
+  }
+  if (misses.state >= kMissesToResync) {
+    misses.state = 0;
     SendSnapshot(aFrame.sender);
   }
 }
@@ -307,19 +324,15 @@
   if (m_state.now - m_lastRound >= round) {
     m_lastRound = m_state.now;
     for (const auto neighbour : Neighbours()) {
-      m_due.insert(neighbour);
+      Heartbeat(neighbour);
     }
   }
-  const auto due = m_due;
-  for (const auto neighbour : due) {
-    Heartbeat(neighbour);
-  }
   if (m_state.now - m_lastRenewal >= m_state.LeaseRound()) {
     m_lastRenewal = m_state.now;
     m_slots.Renew();
   }
   const bool alone = m_state.membership.AliveCount() == 1;
-  const auto probePeriod = alone ? kMinRound : kRejoinProbePeriod;
+  const auto probePeriod = alone ? kJoinProbePeriod : kRejoinProbePeriod;
   if (m_state.now - m_lastProbe >= probePeriod) {
     m_lastProbe = m_state.now;
     ProbeSomeone();
@@ -331,25 +344,27 @@
   ReportWatching();
 }
 
-//! NOTE a frame with the view waits for room in the budget, but one
-//! without it goes anyway, or silence would look like death.
 void
 PeerFlow::Heartbeat(RouterId aNeighbour)
 {
-  m_due.erase(aNeighbour);
   auto& frame = m_state.outbox.For(aNeighbour);
+  m_state.outbox.MarkHeartbeat(aNeighbour);
   frame.hints = m_slots.HintsFor(aNeighbour);
+  const auto round = m_state.Round();
+  const double seconds = std::chrono::duration<double>(round).count();
+  const auto links = static_cast<double>(Neighbours().size());
+  const double room = kSendBytesPerSecond * kHeartbeatPart * seconds / links;
+  const auto most = static_cast<std::size_t>(
+    std::max(1.0, (room - kBareHeartbeatBytes) / kEntryBytes));
   const bool toParent = m_state.membership.Place().parent == aNeighbour;
-  const std::size_t most =
-    m_state.outbox.RoomFor(kHeartbeatBytes) ? kMaxEntriesPerFrame : 0;
-  const auto refresh = m_state.Round() * 2;
   auto& entries = toParent ? frame.up : frame.down;
-  entries = m_state.view.PickFor(aNeighbour, m_state.now, refresh, most);
+  entries = m_state.view.PickFor(aNeighbour, m_state.now, 2 * round, most);
 }
 
 void
 PeerFlow::ProbeSomeone()
 {
+  const bool alone = m_state.membership.AliveCount() == 1;
   std::vector<RouterId> candidates;
   for (const auto& [router, host] : m_state.hosts.Routers()) {
     if (!m_state.membership.IsAlive(router) && host.state != HostState::Gone) {
@@ -359,13 +374,15 @@
   if (!candidates.empty()) {
     const auto router = candidates[m_state.random() % candidates.size()];
     auto& frame = m_state.outbox.For(router);
-    frame.wantsSnapshot = true;
     frame.hosts = { m_state.settings.self };
     frame.members = { m_state.membership.Own() };
-    frame.versions = m_state.configuration.Versions();
+    if (alone) {
+      frame.wantsSnapshot = true;
+      frame.versions = m_state.configuration.Versions();
+    }
     return;
   }
-  if (m_state.membership.AliveCount() > 1) {
+  if (!alone) {
     return;
   }
   for (const auto& seed : m_state.settings.seeds) {
@@ -415,6 +432,7 @@
     if (m_state.outbox.Take(router,
                             m_state.membership.Own().incarnation,
                             m_state.Digest(),
+                            m_state.membership.Digest(),
                             frame)) {
       m_state.Act(SendFrame{ router, host->peerAddress, std::move(frame) });
     }
--- a/src/decision/internal/peerflow.h
+++ b/src/decision/internal/peerflow.h
@@ -4,7 +4,6 @@
 #include "decision/internal/slotflow.h"
 
 #include <optional>
-#include <set>
 
 namespace hemlockgauge::decision {
 
@@ -53,9 +52,13 @@
   TimePoint m_lastRenewal{};
   TimePoint m_lastProbe{ -1000000 };
   TimePoint m_lastLoadPoll{ -1000000 };
-  std::map<RouterId, int> m_digestMisses;
+  struct Misses
+  {
+    int state = 0;
+    int members = 0;
+  };
+  std::map<RouterId, Misses> m_digestMisses;
   std::map<UpstreamId, TimePoint> m_seenLeaving;
-  std::set<RouterId> m_due;
   std::optional<bool> m_watching;
   bool m_heard = true;
 };
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -15,6 +15,11 @@
 //! under-guessed weight cannot lock it out.
 constexpr double kMaxLeadMs = 20000;
 constexpr double kCorrectionAtFullFairness = 2.0;
+//! Leases cover this part of the mean light demand, overdrafts the rest, up
+//! to so many standard deviations of a count of independent requests.
+constexpr double kLightLeasedPart = 0.8;
+constexpr double kLightPeaks = 2.0;
+constexpr double kLightSmoothingSeconds = 5.0;
 constexpr double kWidestBand = 0.15;
 constexpr double kNarrowestBand = 0.03;
 
@@ -150,12 +155,28 @@
   if (!IsPlain()) {
     CorrectByLag(active, aView);
   }
-  m_entitledHere = 0;
+  double full = 0;
+  double light = 0;
   for (auto* queue : active) {
     queue->entitledHere =
       IsPlain() ? queue->Spec().share : queue->entitledFleet * PartHere(*queue);
-    m_entitledHere += queue->entitledHere;
+    (queue->backlogged ? full : light) += queue->entitledHere;
   }
+  m_entitledFull = full;
+  SmoothLight(light, aNow);
+}
+
+//! NOTE the demand of workspaces under their share moves with every request;
+//! leases that followed it would cost a message a request. They follow its
+//! mean, and overdrafts take the peaks.
+void
+Pool::SmoothLight(double aLight, TimePoint aNow)
+{
+  const double seconds =
+    std::chrono::duration<double>(aNow - m_lightAt).count();
+  m_lightAt = aNow;
+  const double part = 1.0 - std::exp(-seconds / kLightSmoothingSeconds);
+  m_lightMean += (aLight - m_lightMean) * part;
 }
 
 double
@@ -172,14 +193,22 @@
 Pool::CorrectByLag(std::vector<WorkspaceQueue*>& aActive, FleetView& aView)
 {
   const double most = 1.0 + kCorrectionAtFullFairness * m_fairness;
+  std::map<WorkspaceId, double> entitled;
+  for (auto* queue : aActive) {
+    const auto id = queue->Spec().id;
+    m_lag.Observe(
+      id, aView.Total(id), queue->entitledFleet, m_capacity, queue->backlogged);
+    if (queue->backlogged) {
+      entitled[id] = queue->entitledFleet;
+    }
+  }
+  m_lag.Centre(entitled);
   double before = 0;
   double after = 0;
   std::vector<double> corrected(aActive.size(), 0);
   for (std::size_t i = 0; i < aActive.size(); ++i) {
     auto& queue = *aActive[i];
     const auto id = queue.Spec().id;
-    m_lag.Observe(
-      id, aView.Total(id), queue.entitledFleet, m_capacity, queue.backlogged);
     if (!queue.backlogged) {
       continue;
     }
@@ -233,10 +262,10 @@
 bool
 Pool::MayOverdraw() const
 {
-  const double limit = m_slots.TotalLimit();
-  const auto most =
-    std::max(1U, static_cast<std::uint32_t>(limit * kOverdraftPart));
-  return m_slots.Overdrafts() < most;
+  const double peaks = kLightPeaks * std::sqrt(m_lightMean);
+  const double most =
+    std::max(1.0, m_slots.TotalLimit() * kOverdraftPart + peaks);
+  return m_slots.Overdrafts() < static_cast<std::uint32_t>(most);
 }
 
 std::optional<Placement>
@@ -315,7 +344,7 @@
 Pool::Needs() const
 {
   SlotNeeds needs;
-  needs.entitled = m_entitledHere;
+  needs.entitled = m_entitledFull + kLightLeasedPart * m_lightMean;
   needs.contended = m_contended;
   needs.bandPart = kWidestBand - (kWidestBand - kNarrowestBand) * m_fairness;
   for (const auto& [id, queue] : m_queues) {
--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -76,6 +76,7 @@
 private:
   bool IsPlain() const;
   void CorrectByLag(std::vector<WorkspaceQueue*>& aActive, FleetView& aView);
+  void SmoothLight(double aLight, TimePoint aNow);
   double PartHere(const WorkspaceQueue& aQueue) const;
   WorkspaceQueue* NextQueue();
   std::optional<Placement> PickProbe(const RequestState& aState,
@@ -91,7 +92,9 @@
   std::uint32_t m_concurrency = 1;
   double m_fairness = 0.5;
   double m_capacity = 0;
-  double m_entitledHere = 0;
+  double m_entitledFull = 0;
+  double m_lightMean = 0;
+  TimePoint m_lightAt{};
   double m_systemTime = 0;
   bool m_contended = false;
 };
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -82,7 +82,7 @@
     return;
   }
   lease.renewed = aNow;
-  lease.pressure = aGrant.pressure;
+  lease.pressure = lease.pressure || aGrant.pressure;
   if (aGrant.sequence == lease.acked) {
     return;
   }
@@ -91,8 +91,10 @@
     aGrant.granted > slot.limit ? aGrant.granted - slot.limit : 0;
   lease.extra -= std::min(lease.extra, raised);
   lease.acked = aGrant.sequence;
+  //! NOTE only a lowered grant waits for its confirmation; the others are
+  //! confirmed with the next report.
+  lease.dirty = lease.dirty || aGrant.granted < slot.limit;
   slot.limit = aGrant.granted;
-  lease.dirty = true;
 }
 
 std::uint32_t
@@ -126,9 +128,6 @@
     ask =
       std::min(aNeeds.queued, static_cast<std::uint32_t>(std::ceil(missing)));
   }
-  if (aNeeds.sparseWaiting) {
-    ask = std::max(ask, 1U);
-  }
   const bool onlyHinted = ask == 0;
   if (onlyHinted && aNeeds.queued > 0 && !aHints.empty()) {
     ask = aNeeds.queued;
@@ -149,9 +148,8 @@
   if (aNeeds.queued > 0) {
     return;
   }
-  const auto inUse = aTable.TotalInUse();
-  const auto keep = static_cast<std::uint32_t>(
-    std::ceil(std::max<double>(aNeeds.entitled, inUse)));
+  const auto keep =
+    static_cast<std::uint32_t>(std::ceil(aNeeds.entitled + Band(aNeeds)));
   for (auto& [upstream, lease] : m_leases) {
     const auto idle = aTable.At(upstream).Free();
     const auto held = aTable.TotalLimit();
@@ -175,6 +173,7 @@
   }
   slot.limit -= count;
   m_leases[aUpstream].dirty = true;
+  m_leases[aUpstream].pressure = false;
   return count;
 }
 
--- a/src/decision/internal/slotflow.cpp
+++ b/src/decision/internal/slotflow.cpp
@@ -99,10 +99,16 @@
 void
 SlotFlow::RebuildIfStale()
 {
+  if (!m_startedAt) {
+    m_startedAt = m_state.now;
+  }
   const auto version = m_state.membership.Version();
-  if (!m_state.poolsStale && version == m_membershipSeen) {
+  const bool joined = HasJoined();
+  if (!m_state.poolsStale && version == m_membershipSeen &&
+      joined == m_joined) {
     return;
   }
+  m_joined = joined;
   m_state.poolsStale = false;
   m_membershipSeen = version;
   m_state.view.SetPlace(m_state.membership.Place());
@@ -140,6 +146,24 @@
   }
 }
 
+//! NOTE a router that starts believes itself alone until others answer, and
+//! would lend itself every slot there is.
+bool
+SlotFlow::HasJoined() const
+{
+  if (m_joined || m_state.membership.AliveCount() > 1) {
+    return true;
+  }
+  const auto& routers = m_state.hosts.Routers();
+  const bool others =
+    std::any_of(routers.begin(), routers.end(), [&](const auto& aOne) {
+      return aOne.first != m_state.self && aOne.second.state == HostState::Live;
+    });
+  const bool listed = !m_state.hosts.Upstreams().empty();
+  return (listed && !others) ||
+         m_state.now - m_startedAt.value_or(m_state.now) >= kJoinWait;
+}
+
 std::size_t
 SlotFlow::RankHere() const
 {
@@ -156,7 +180,7 @@
   std::map<UpstreamId, std::uint32_t> owned;
   for (const auto& [id, pool] : m_state.pools) {
     for (const auto& lent : pool.Upstreams()) {
-      if (lent.owner == m_state.self) {
+      if (m_joined && lent.owner == m_state.self) {
         owned[lent.upstream] = lent.capacity;
       }
     }
@@ -218,11 +242,7 @@
         m_state.owner.TakeReport(m_state.self, report, m_state.now);
         continue;
       }
-      auto& reports = m_state.outbox.For(owner).reports;
-      std::erase_if(reports, [&](const SlotReport& aOne) {
-        return aOne.upstream == report.upstream;
-      });
-      reports.push_back(report);
+      PutReport(owner, report);
     }
   }
 }
@@ -235,14 +255,35 @@
       TakeGrants(m_state.self, m_state.membership.Own().incarnation, { grant });
       continue;
     }
-    auto& grants = m_state.outbox.For(borrower).grants;
-    std::erase_if(grants, [&](const SlotGrant& aOne) {
-      return aOne.upstream == grant.upstream;
-    });
-    grants.push_back(grant);
+    PutGrant(borrower, grant);
   }
 }
 
+//! A later report on the same upstream replaces one that still waits.
+void
+SlotFlow::PutReport(RouterId aOwner, const SlotReport& aReport)
+{
+  auto& reports = m_state.outbox.For(aOwner).reports;
+  std::erase_if(reports, [&](const SlotReport& aOne) {
+    return aOne.upstream == aReport.upstream;
+  });
+  reports.push_back(aReport);
+}
+
+void
+SlotFlow::PutGrant(RouterId aBorrower, const SlotGrant& aGrant)
+{
+  auto& grants = m_state.outbox.For(aBorrower).grants;
+  auto pressure = aGrant.pressure;
+  std::erase_if(grants, [&](const SlotGrant& aOne) {
+    const bool same = aOne.upstream == aGrant.upstream;
+    pressure = pressure || (same && aOne.pressure);
+    return same;
+  });
+  grants.push_back(aGrant);
+  grants.back().pressure = pressure;
+}
+
 void
 SlotFlow::Renew()
 {
@@ -260,7 +301,9 @@
         TakeReports(m_state.self, reports);
         continue;
       }
-      m_state.outbox.For(owner).reports = reports;
+      for (const auto& report : reports) {
+        PutReport(owner, report);
+      }
     }
   }
   for (const auto borrower : m_state.owner.Borrowers()) {
@@ -272,7 +315,9 @@
       TakeGrants(m_state.self, m_state.membership.Own().incarnation, grants);
       continue;
     }
-    m_state.outbox.For(borrower).grants = grants;
+    for (const auto& grant : grants) {
+      PutGrant(borrower, grant);
+    }
   }
 }
 
--- a/src/decision/internal/slotflow.h
+++ b/src/decision/internal/slotflow.h
@@ -2,6 +2,8 @@
 
 #include "decision/internal/corestate.h"
 
+#include <optional>
+
 namespace hemlockgauge::decision {
 
 //! Which upstreams there are, who lends their slots, and the lending.
@@ -33,14 +35,19 @@
   void RebuildPools();
   void RebuildOwned();
   void ReviewBorrower(Pool& aPool, SlotBorrower& aBorrower);
+  void PutReport(RouterId aOwner, const SlotReport& aReport);
+  void PutGrant(RouterId aBorrower, const SlotGrant& aGrant);
   void DeliverReports();
   void DeliverGrants();
+  bool HasJoined() const;
   std::size_t RankHere() const;
   double SidePart() const;
 
   CoreState& m_state;
   std::map<RouterId, std::vector<FreeHint>> m_hints;
   std::uint64_t m_membershipSeen = 0;
+  bool m_joined = false;
+  std::optional<TimePoint> m_startedAt;
 };
 
 }
--- a/src/decision/internal/slotowner.cpp
+++ b/src/decision/internal/slotowner.cpp
@@ -12,6 +12,7 @@
 
 //! A borrower gives way only to one that has this much less of its part.
 constexpr std::uint32_t kPressureBandPercent = 10;
+constexpr std::uint32_t kFullPart = 100;
 
 }
 
@@ -23,10 +24,10 @@
 
 //! A sequence that may have gone out never changes its meaning.
 void
-SlotOwner::Lease::Change(std::uint32_t aGranted)
+SlotOwner::Lease::Change(std::uint32_t aGranted, std::uint32_t& aLastSequence)
 {
   if (sequence == told) {
-    sequence++;
+    sequence = ++aLastSequence;
   }
   granted = aGranted;
   dirty = true;
@@ -78,11 +79,11 @@
   }
   Book& book = found->second;
   Lease& lease = book.leases[aBorrower];
-  const bool claim = aReport.ackedGrant == 0 && lease.sequence == 0;
+  const bool claim = lease.sequence == 0;
   if (claim) {
     const auto committed = book.Committed();
     const auto left = book.capacity > committed ? book.capacity - committed : 0;
-    lease.Change(std::min<std::uint32_t>(aReport.held, left));
+    lease.Change(std::min<std::uint32_t>(aReport.held, left), m_lastSequence);
   } else if (aReport.ackedGrant == lease.sequence) {
     lease.granted = std::min<std::uint32_t>(lease.granted, aReport.held);
   } else {
@@ -139,7 +140,7 @@
     if (aNow >= book.claimsUntil) {
       HandOut(book);
     }
-    MarkPressure(book);
+    MarkPressure(book, aNow);
   }
 }
 
@@ -157,7 +158,7 @@
     if (neediest == nullptr) {
       return;
     }
-    neediest->Change(neediest->Committed() + 1);
+    neediest->Change(neediest->Committed() + 1, m_lastSequence);
     if (aBook.Committed() > aBook.capacity) {
       m_badRaises++;
     }
@@ -184,33 +185,48 @@
     if (fullest == nullptr) {
       return;
     }
-    fullest->Change(fullest->granted - 1);
+    fullest->Change(fullest->granted - 1, m_lastSequence);
     const auto step = 100 / std::max(1U, fullest->granted);
     fullest->urgency -= std::min(fullest->urgency, step);
     granted--;
   }
 }
 
+//! Asks as many borrowers for a slot as others wait for, the richest first,
+//! and none again before it had time to answer.
 void
-SlotOwner::MarkPressure(Book& aBook)
+SlotOwner::MarkPressure(Book& aBook, TimePoint aNow)
 {
-  constexpr auto kNoOne = UINT32_MAX;
-  std::uint32_t neediest = kNoOne;
+  std::uint32_t missing = 0;
+  std::uint32_t neediest = kFullPart;
   for (const auto& [router, lease] : aBook.leases) {
     if (lease.want > lease.Committed()) {
+      missing += lease.want - lease.Committed();
       neediest = std::min(neediest, lease.urgency);
     }
   }
+  std::vector<Lease*> givers;
   for (auto& [router, lease] : aBook.leases) {
-    const bool idle = lease.inUse < lease.granted;
-    const bool richer = neediest != kNoOne && neediest < 100 &&
-                        lease.urgency > neediest + kPressureBandPercent;
     const bool asks = lease.want > lease.Committed();
-    const bool pressure =
-      neediest != kNoOne && lease.granted > 0 && !asks && (idle || richer);
-    if (pressure != lease.pressure) {
-      lease.pressure = pressure;
-      lease.dirty = true;
+    const bool idle = lease.inUse < lease.granted;
+    const bool richer = lease.urgency > neediest + kPressureBandPercent;
+    if (lease.granted > 0 && !asks && (idle || richer)) {
+      givers.push_back(&lease);
+    }
+  }
+  std::sort(givers.begin(), givers.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->urgency > aRight->urgency;
+  });
+  for (auto* giver : givers) {
+    giver->pressure = false;
+    if (missing == 0) {
+      continue;
+    }
+    missing--;
+    if (aNow - giver->pressedAt >= kPressurePeriod) {
+      giver->pressedAt = aNow;
+      giver->pressure = true;
+      giver->dirty = true;
     }
   }
 }
@@ -231,6 +247,7 @@
                            lease.sequence,
                            static_cast<std::uint16_t>(lease.granted),
                            lease.pressure } });
+      lease.pressure = false;
     }
   }
   return grants;
--- a/src/decision/internal/slotowner.h
+++ b/src/decision/internal/slotowner.h
@@ -53,11 +53,12 @@
     std::uint32_t acked = 0;
     std::uint32_t told = 0; //!< last sequence that went out
     TimePoint heard{};
+    TimePoint pressedAt{};
     bool pressure = false;
     bool dirty = false;
 
     std::uint32_t Committed() const;
-    void Change(std::uint32_t aGranted);
+    void Change(std::uint32_t aGranted, std::uint32_t& aLastSequence);
   };
   struct Book
   {
@@ -74,9 +75,12 @@
 
   void HandOut(Book& aBook);
   void TakeBack(Book& aBook);
-  void MarkPressure(Book& aBook);
+  static void MarkPressure(Book& aBook, TimePoint aNow);
 
   std::map<UpstreamId, Book> m_books;
+  //! NOTE one count for all leases: a lease that was forgotten and is made
+  //! anew must not begin below what its borrower has confirmed.
+  std::uint32_t m_lastSequence = 0;
   std::uint64_t m_badRaises = 0;
 };
 
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -190,6 +190,7 @@
                                         aFrame.incarnation,
                                         aFrame.sequence,
                                         aFrame.digest,
+                                        aFrame.membersDigest,
                                         aFrame.wantsSnapshot,
                                         members,
                                         hosts,
@@ -221,6 +222,7 @@
   frame.incarnation = wire->incarnation();
   frame.sequence = wire->sequence();
   frame.digest = wire->digest();
+  frame.membersDigest = wire->members_digest();
   frame.wantsSnapshot = wire->wants_snapshot();
   frame.members =
     Get<decision::MemberNotice>(wire->members(), [](const fb::Member& aOne) {
