Slots move in bulk; asks end by themselves instead of being withdrawn

Change: a grant says how many slots are wanted back; owners forget an ask after 5 s, borrowers renew it every 4 s; leases renewed every 6 rounds. Conclusion: moves are now bounded by what entitlements change, not by asking.

--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -27,11 +27,12 @@
 // Leases on slots
 //! A router that hears no other for so long goes on alone.
 inline constexpr Duration kJoinWait = 4000ms;
-inline constexpr int kLeaseRounds = 4;         //!< rounds between renewals
+inline constexpr int kLeaseRounds = 6;         //!< rounds between renewals
 inline constexpr int kLeaseExpiryRenewals = 3; //!< renewals missed
 inline constexpr Duration kClaimWindow = 2500ms;
 inline constexpr Duration kPressurePeriod = 2000ms;
-inline constexpr Duration kAskPeriod = 1000ms;
+inline constexpr Duration kAskPeriod = 4000ms;
+inline constexpr Duration kAskExpiry = 5000ms;
 inline constexpr std::size_t kAskWidth = 4;
 inline constexpr double kOverdraftPart = 0.05;
 inline constexpr std::size_t kMaxHints = 4;
--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -104,7 +104,7 @@
   UpstreamId upstream{};
   std::uint32_t sequence = 0;
   std::uint16_t granted = 0;
-  bool pressure = false; //!< a router with less than its part is waiting
+  std::uint16_t wantedBack = 0; //!< slots that routers with less wait for
 };
 
 struct DocumentVersion
--- a/src/decision/internal/outbox.cpp
+++ b/src/decision/internal/outbox.cpp
@@ -116,9 +116,9 @@
     return false;
   }
   const auto bytes = EstimateFrameBytes(found->second.frame);
-  const bool goes = m_heartbeats.contains(aRouter) ||
-                    MustNotWait(found->second.frame) || m_budget.Allows(bytes);
-  if (!goes) {
+  const bool must =
+    m_heartbeats.contains(aRouter) || MustNotWait(found->second.frame);
+  if (!must && !m_budget.Allows(bytes)) {
     m_counters.framesDeferred += m_deferred.insert(aRouter).second ? 1 : 0;
     return false;
   }
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -82,7 +82,7 @@
     return;
   }
   lease.renewed = aNow;
-  lease.pressure = lease.pressure || aGrant.pressure;
+  lease.wantedBack = std::max<std::uint32_t>(lease.wantedBack, aGrant.wantedBack);
   if (aGrant.sequence == lease.acked) {
     return;
   }
@@ -133,11 +133,10 @@
     ask = aNeeds.queued;
   }
   if (ask == 0) {
-    WithdrawAsks();
     return;
   }
   if (aNow - m_askedAt >= kAskPeriod) {
-    WithdrawAsks();
+    ForgetAsks();
     Ask(ask, aHints, onlyHinted, aTable, aNow);
   }
 }
@@ -153,7 +152,7 @@
   for (auto& [upstream, lease] : m_leases) {
     const auto idle = aTable.At(upstream).Free();
     const auto held = aTable.TotalLimit();
-    if (lease.pressure) {
+    if (lease.wantedBack > 0) {
       ReturnUpTo(upstream, idle, aTable);
     } else if (aNeeds.contended && held > keep) {
       ReturnUpTo(upstream, std::min(idle, held - keep), aTable);
@@ -173,7 +172,8 @@
   }
   slot.limit -= count;
   m_leases[aUpstream].dirty = true;
-  m_leases[aUpstream].pressure = false;
+  auto& wanted = m_leases[aUpstream].wantedBack;
+  wanted -= std::min(wanted, count);
   return count;
 }
 
@@ -183,7 +183,7 @@
                         SlotTable& aTable)
 {
   const auto found = m_leases.find(aUpstream);
-  if (found == m_leases.end() || !found->second.pressure) {
+  if (found == m_leases.end() || found->second.wantedBack == 0) {
     return;
   }
   const double held = aTable.TotalLimit();
@@ -196,20 +196,19 @@
 void
 SlotBorrower::ReturnAll(SlotTable& aTable)
 {
-  WithdrawAsks();
+  ForgetAsks();
   for (auto& [upstream, lease] : m_leases) {
     ReturnUpTo(upstream, aTable.At(upstream).Free(), aTable);
   }
 }
 
+//! NOTE owners forget an ask that is not renewed; telling them would cost
+//! as many messages as asking.
 void
-SlotBorrower::WithdrawAsks()
+SlotBorrower::ForgetAsks()
 {
   for (auto& [upstream, lease] : m_leases) {
-    if (lease.extra > 0) {
-      lease.extra = 0;
-      lease.dirty = true;
-    }
+    lease.extra = 0;
   }
 }
 
--- a/src/decision/internal/slotborrower.h
+++ b/src/decision/internal/slotborrower.h
@@ -67,7 +67,7 @@
     std::uint32_t capacity = 0;
     std::uint32_t acked = 0;
     std::uint32_t extra = 0; //!< asked beyond what is held
-    bool pressure = false;
+    std::uint32_t wantedBack = 0;
     bool dirty = false;
     TimePoint renewed{};
   };
@@ -81,7 +81,7 @@
            bool aOnlyHinted,
            const SlotTable& aTable,
            TimePoint aNow);
-  void WithdrawAsks();
+  void ForgetAsks();
   std::uint32_t ReturnUpTo(UpstreamId aUpstream,
                            std::uint32_t aCount,
                            SlotTable& aTable);
--- a/src/decision/internal/slotflow.cpp
+++ b/src/decision/internal/slotflow.cpp
@@ -274,14 +274,14 @@
 SlotFlow::PutGrant(RouterId aBorrower, const SlotGrant& aGrant)
 {
   auto& grants = m_state.outbox.For(aBorrower).grants;
-  auto pressure = aGrant.pressure;
+  auto wantedBack = aGrant.wantedBack;
   std::erase_if(grants, [&](const SlotGrant& aOne) {
     const bool same = aOne.upstream == aGrant.upstream;
-    pressure = pressure || (same && aOne.pressure);
+    wantedBack = same ? std::max(wantedBack, aOne.wantedBack) : wantedBack;
     return same;
   });
   grants.push_back(aGrant);
-  grants.back().pressure = pressure;
+  grants.back().wantedBack = wantedBack;
 }
 
 void
--- a/src/decision/internal/slotowner.cpp
+++ b/src/decision/internal/slotowner.cpp
@@ -93,6 +93,7 @@
   lease.heldSeen = aReport.held;
   lease.inUse = aReport.inUse;
   lease.want = aReport.want;
+  lease.askedAt = aNow;
   lease.urgency = aReport.urgency;
   lease.heard = aNow;
 }
@@ -136,6 +137,10 @@
     std::erase_if(book.leases, [&](const auto& aOne) {
       return aNow - aOne.second.heard > aExpiry;
     });
+    for (auto& [router, lease] : book.leases) {
+      const bool old = aNow - lease.askedAt > kAskExpiry;
+      lease.want = old ? std::min(lease.want, lease.heldSeen) : lease.want;
+    }
     TakeBack(book);
     if (aNow >= book.claimsUntil) {
       HandOut(book);
@@ -218,14 +223,19 @@
     return aLeft->urgency > aRight->urgency;
   });
   for (auto* giver : givers) {
-    giver->pressure = false;
     if (missing == 0) {
-      continue;
+      break;
     }
-    missing--;
+    const auto idle = giver->granted - std::min(giver->granted, giver->inUse);
+    const auto surplus =
+      giver->urgency > kFullPart
+        ? giver->granted * (giver->urgency - kFullPart) / giver->urgency
+        : 0;
+    const auto back = std::min(missing, std::max({ idle, surplus, 1U }));
+    missing -= back;
     if (aNow - giver->pressedAt >= kPressurePeriod) {
       giver->pressedAt = aNow;
-      giver->pressure = true;
+      giver->wantedBack = back;
       giver->dirty = true;
     }
   }
@@ -246,8 +256,8 @@
                          { upstream,
                            lease.sequence,
                            static_cast<std::uint16_t>(lease.granted),
-                           lease.pressure } });
-      lease.pressure = false;
+                           static_cast<std::uint16_t>(lease.wantedBack) } });
+      lease.wantedBack = 0;
     }
   }
   return grants;
@@ -265,7 +275,7 @@
       grants.push_back({ upstream,
                          lease.sequence,
                          static_cast<std::uint16_t>(lease.granted),
-                         lease.pressure });
+                         0 });
     }
   }
   return grants;
--- a/src/decision/internal/slotowner.h
+++ b/src/decision/internal/slotowner.h
@@ -54,7 +54,8 @@
     std::uint32_t told = 0; //!< last sequence that went out
     TimePoint heard{};
     TimePoint pressedAt{};
-    bool pressure = false;
+    TimePoint askedAt{};
+    std::uint32_t wantedBack = 0;
     bool dirty = false;
 
     std::uint32_t Committed() const;
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -182,7 +182,7 @@
   const auto grants = PutStructs<fb::Grant>(
     builder, aFrame.grants, [](const decision::SlotGrant& aOne) {
       return fb::Grant(
-        base::Raw(aOne.upstream), aOne.sequence, aOne.granted, aOne.pressure);
+        base::Raw(aOne.upstream), aOne.sequence, aOne.granted, aOne.wantedBack);
     });
   fb::FinishFrameBuffer(builder,
                         fb::CreateFrame(builder,
@@ -262,7 +262,7 @@
       return decision::SlotGrant{ base::UpstreamId(aOne.upstream()),
                                   aOne.sequence(),
                                   aOne.granted(),
-                                  aOne.pressure() };
+                                  aOne.wanted_back() };
     });
   return frame;
 }
--- a/src/wire/tests/wiretests.cpp
+++ b/src/wire/tests/wiretests.cpp
@@ -27,7 +27,7 @@
     frame.down.push_back({ base::WorkspaceId(i), i * 5, i });
     frame.hints.push_back({ base::UpstreamId(i), 2 });
     frame.reports.push_back({ base::UpstreamId(i), i, 1, 2, 3, 4 });
-    frame.grants.push_back({ base::UpstreamId(i), i, 6, true });
+    frame.grants.push_back({ base::UpstreamId(i), i, 6, 9 });
     frame.versions.push_back({ "doc" + std::to_string(i), i });
   }
   decision::HostEntry host;
@@ -61,7 +61,7 @@
   const auto copy = wire::DecodeFrame(wire::EncodeFrame(frame));
   cr_assert(copy.members == frame.members);
   cr_assert(copy.reports[2].want == 3);
-  cr_assert(copy.grants[1].pressure);
+  cr_assert(copy.grants[1].wantedBack == 9);
   cr_assert(copy.hosts[0].peerAddress == frame.hosts[0].peerAddress);
   cr_assert(copy.documents[0].text == frame.documents[0].text);
   cr_assert(copy.down[2].demand == 10);
