Lag counts from the first news, not from the start of time

Printed: four of five routers held a lag of -31.8 s for a workspace four seconds after the other came back. A record began with a served count that no router had told yet, stamped 0, so its first news seemed to cover the whole run. Change: counting begins with the first news after a workspace is backlogged, and a step is held against the entitlement of that step, not the present one. Ruled out: the local order (its weights followed the false lag).

--- a/src/decision/internal/lagtracker.cpp
+++ b/src/decision/internal/lagtracker.cpp
@@ -6,39 +6,65 @@
 
 namespace hemlockgauge::decision {
 
+namespace {
+
+//! News of several seconds may come at once after a hop was late.
+constexpr double kStaleSeconds = 4.0;
+
+}
+
 void
 LagTracker::Observe(WorkspaceId aWorkspace,
                     const Demand& aTotal,
                     double aEntitled,
                     double aCapacity,
-                    bool aBacklogged)
+                    bool aBacklogged,
+                    TimePoint aNow)
 {
   Record& record = m_records[aWorkspace];
   if (!aBacklogged || aEntitled <= 0) {
     record = {};
     return;
   }
-  if (!record.counting) {
-    record = { true, aTotal.served, aTotal.at, 0 };
-    return;
+  if (!record.backlogged) {
+    record.backlogged = true;
+    record.since = aNow;
+    record.entitledAt = aNow;
   }
-  if (aTotal.at <= record.at || aTotal.served == record.served) {
+  const auto elapsed = static_cast<double>((aNow - record.entitledAt).count());
+  record.entitledSlotMs += elapsed * aEntitled;
+  record.entitledAt = aNow;
+  if (aTotal.at < record.since || aTotal.at <= record.at) {
     return;
   }
-  //! NOTE the counter wraps, and falls back when a router is lost with its
-  //! part of the sum; both show as an impossible step.
-  const auto step = static_cast<std::int32_t>(aTotal.served - record.served);
-  const double slotSeconds = step * (kServedUnitMs / 1000.0);
-  const double seconds =
-    std::chrono::duration<double>(aTotal.at - record.at).count();
-  const bool possible = step >= 0 && slotSeconds <= aCapacity * (seconds + 4);
-  if (possible) {
-    record.secondsBehind += seconds - slotSeconds / aEntitled;
-    record.secondsBehind =
-      std::clamp(record.secondsBehind, -kMaxLagSeconds, kMaxLagSeconds);
+  if (record.counting) {
+    CountStep(record, aTotal, aCapacity);
   }
+  record.counting = true;
   record.served = aTotal.served;
   record.at = aTotal.at;
+  record.entitledSlotMs = 0;
+}
+
+//! NOTE the counter wraps, and falls back when a router is lost with its
+//! part of the sum; both show as an impossible step.
+void
+LagTracker::CountStep(Record& aRecord, const Demand& aTotal, double aCapacity)
+{
+  const auto step = static_cast<std::int32_t>(aTotal.served - aRecord.served);
+  const double slotSeconds = step * (kServedUnitMs / 1000.0);
+  const auto millis = static_cast<double>((aTotal.at - aRecord.at).count());
+  const double seconds = millis / 1000.0;
+  const bool possible =
+    step >= 0 && slotSeconds <= aCapacity * (seconds + kStaleSeconds);
+  if (!possible || aRecord.entitledSlotMs <= 0) {
+    return;
+  }
+  const double entitled = aRecord.entitledSlotMs / millis;
+  aRecord.secondsBehind =
+    std::clamp(aRecord.secondsBehind + seconds - slotSeconds / entitled,
+               -kMaxLagSeconds,
+               kMaxLagSeconds);
 }
 
 void
--- a/src/decision/internal/lagtracker.h
+++ b/src/decision/internal/lagtracker.h
@@ -17,7 +17,8 @@
                const Demand& aTotal,
                double aEntitled,
                double aCapacity,
-               bool aBacklogged);
+               bool aBacklogged,
+               TimePoint aNow);
   //! Takes off what all have in common, weighted by their parts: only the
   //! differences between workspaces count.
   void Centre(const std::map<WorkspaceId, double>& aEntitled);
@@ -27,11 +28,19 @@
 private:
   struct Record
   {
-    bool counting = false;
+    bool backlogged = false;
+    bool counting = false; //!< from the first news since it is backlogged
+    TimePoint since{};
     std::uint32_t served = 0;
     TimePoint at{};
+    TimePoint entitledAt{};
+    double entitledSlotMs = 0; //!< since the last news
     double secondsBehind = 0;
   };
+  static void CountStep(Record& aRecord,
+                        const Demand& aTotal,
+                        double aCapacity);
+
   std::map<WorkspaceId, Record> m_records;
 };
 
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -134,7 +134,7 @@
     queue.entitledHere = 0;
     queue.backlogged = IsPlain();
     if (queue.demandFleet == 0) {
-      m_lag.Observe(id, aView.Total(id), 0, m_capacity, false);
+      m_lag.Observe(id, aView.Total(id), 0, m_capacity, false, aNow);
       continue;
     }
     double demand = queue.demandFleet;
@@ -153,7 +153,7 @@
     active[i]->backlogged = active[i]->backlogged || unmet;
   }
   if (!IsPlain()) {
-    CorrectByLag(active, aView);
+    CorrectByLag(active, aView, aNow);
   }
   double full = 0;
   double light = 0;
@@ -190,14 +190,16 @@
 //! Shifts entitlements towards workspaces that are behind their share; the
 //! sum over the backlogged stays what it was.
 void
-Pool::CorrectByLag(std::vector<WorkspaceQueue*>& aActive, FleetView& aView)
+Pool::CorrectByLag(std::vector<WorkspaceQueue*>& aActive,
+                   FleetView& aView,
+                   TimePoint aNow)
 {
   const double most = 1.0 + kCorrectionAtFullFairness * m_fairness;
   std::map<WorkspaceId, double> entitled;
   for (auto* queue : aActive) {
     const auto id = queue->Spec().id;
     m_lag.Observe(
-      id, aView.Total(id), queue->entitledFleet, m_capacity, queue->backlogged);
+      id, aView.Total(id), queue->entitledFleet, m_capacity, queue->backlogged, aNow);
     if (queue->backlogged) {
       entitled[id] = queue->entitledFleet;
     }
--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -75,7 +75,9 @@
 
 private:
   bool IsPlain() const;
-  void CorrectByLag(std::vector<WorkspaceQueue*>& aActive, FleetView& aView);
+  void CorrectByLag(std::vector<WorkspaceQueue*>& aActive,
+                    FleetView& aView,
+                    TimePoint aNow);
   void SmoothLight(double aLight, TimePoint aNow);
   double PartHere(const WorkspaceQueue& aQueue) const;
   WorkspaceQueue* NextQueue();
