A router that lacks many slots asks sooner and more widely

Printed every 4 s: at 8 s after a cold start utilisation was 0.53 with free slots at four owners, for a router that lacked 58 slots asked 4 upstreams every 4 s; the workspace on it fell 100 s of share behind, and paying that back overshot. Change: lacking over 3 slots and a quarter of its part it asks every second and an upstream for every two slots, at most 16.

--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -32,8 +32,10 @@
 inline constexpr Duration kClaimWindow = 2500ms;
 inline constexpr Duration kPressurePeriod = 2000ms;
 inline constexpr Duration kAskPeriod = 4000ms;
+inline constexpr Duration kUrgentAskPeriod = 1000ms;
 inline constexpr Duration kAskExpiry = 5000ms;
 inline constexpr std::size_t kAskWidth = 4;
+inline constexpr std::size_t kMaxAskWidth = 16;
 inline constexpr double kOverdraftPart = 0.05;
 inline constexpr std::size_t kMaxHints = 4;
 
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -13,6 +13,10 @@
 
 constexpr double kMinBandSlots = 0.6;
 constexpr double kMaxUrgency = 999;
+//! Lacking more than this part, a router asks sooner and more widely.
+constexpr double kUrgentPart = 0.25;
+constexpr double kUrgentSlots = 3;
+constexpr std::uint32_t kSlotsPerAsk = 2;
 
 double
 Band(const SlotNeeds& aNeeds)
@@ -135,7 +139,9 @@
   if (ask == 0) {
     return;
   }
-  if (aNow - m_askedAt >= kAskPeriod) {
+  const bool urgent =
+    missing > std::max(kUrgentSlots, kUrgentPart * aNeeds.entitled);
+  if (aNow - m_askedAt >= (urgent ? kUrgentAskPeriod : kAskPeriod)) {
     ForgetAsks();
     Ask(ask, aHints, onlyHinted, aTable, aNow);
   }
@@ -222,6 +228,8 @@
                   TimePoint aNow)
 {
   m_askedAt = aNow;
+  const auto width =
+    std::clamp<std::size_t>(aCount / kSlotsPerAsk, kAskWidth, kMaxAskWidth);
   std::vector<UpstreamId> chosen;
   const auto choose = [&](UpstreamId aUpstream) {
     const auto found = m_leases.find(aUpstream);
@@ -230,7 +238,7 @@
                       (slot == aTable.All().end() || !slot->second.closed);
     const bool isNew =
       std::find(chosen.begin(), chosen.end(), aUpstream) == chosen.end();
-    if (open && isNew && chosen.size() < kAskWidth) {
+    if (open && isNew && chosen.size() < width) {
       chosen.push_back(aUpstream);
     }
   };
@@ -238,7 +246,7 @@
     choose(hint.upstream);
   }
   for (std::size_t i = 0; !aOnlyHinted && i < m_rotation.size(); ++i) {
-    if (chosen.size() == kAskWidth) {
+    if (chosen.size() == width) {
       break;
     }
     choose(m_rotation[m_next++ % m_rotation.size()]);
