One router sums up who is behind, and tells the rest down the tree

Cause: printed side by side, seven routers held lags from -3.1 to +1.4 s for one workspace, each by what it had heard when; their entitlements added up to 225 slots of 192, everyone was short, and everyone asked. Change: the root integrates the lag and sends it down in place of the served count, which only the way up needs; a new root goes on from what it was told. Conclusion: kept; agreement is worth more than a fresher view.

--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -80,6 +80,14 @@
   std::uint32_t served = 0; //!< slot time in units of 10 ms, wraps around
 };
 
+//! What the root of the tree makes of it for the whole fleet.
+struct TotalEntry
+{
+  WorkspaceId workspace{};
+  std::uint32_t demand = 0;
+  std::int32_t behindMs = 0; //!< behind its share, in time of a share
+};
+
 //! Slots that the owner of an upstream has free.
 struct FreeHint
 {
@@ -134,7 +142,7 @@
   std::vector<DocumentVersion> versions;
   std::vector<DocumentBody> documents;
   std::vector<DemandEntry> up;
-  std::vector<DemandEntry> down;
+  std::vector<TotalEntry> down;
   std::vector<FreeHint> hints;
   std::vector<SlotReport> reports;
   std::vector<SlotGrant> grants;
--- a/src/decision/internal/fleetview.cpp
+++ b/src/decision/internal/fleetview.cpp
@@ -14,7 +14,8 @@
 
 struct Candidate
 {
-  DemandEntry entry;
+  WorkspaceId workspace{};
+  Demand now;
   double change = 0;
   Duration age{};
 };
@@ -34,7 +35,7 @@
                   std::uint32_t aServed,
                   TimePoint aNow)
 {
-  m_own[aWorkspace] = { aDemand, aServed, aNow };
+  m_own[aWorkspace] = { aDemand, aServed, 0, aNow };
 }
 
 void
@@ -65,30 +66,33 @@
 }
 
 void
-FleetView::Store(Table& aTable,
-                 const std::vector<DemandEntry>& aEntries,
-                 TimePoint aNow)
+FleetView::TakeUp(RouterId aChild,
+                  const std::vector<DemandEntry>& aEntries,
+                  TimePoint aNow)
 {
+  const auto& children = m_place.children;
+  if (std::find(children.begin(), children.end(), aChild) == children.end()) {
+    return;
+  }
+  auto& table = m_children[aChild];
   for (const auto& entry : aEntries) {
-    aTable[entry.workspace] = { entry.demand, entry.served, aNow };
+    table[entry.workspace] = { entry.demand, entry.served, 0, aNow };
   }
 }
 
 void
-FleetView::TakeUp(RouterId aChild,
-                  const std::vector<DemandEntry>& aEntries,
-                  TimePoint aNow)
+FleetView::TakeDown(const std::vector<TotalEntry>& aEntries, TimePoint aNow)
 {
-  const auto& children = m_place.children;
-  if (std::find(children.begin(), children.end(), aChild) != children.end()) {
-    Store(m_children[aChild], aEntries, aNow);
+  for (const auto& entry : aEntries) {
+    m_totals[entry.workspace] = { entry.demand, 0, entry.behindMs, aNow };
+    m_behind[entry.workspace] = entry.behindMs;
   }
 }
 
 void
-FleetView::TakeDown(const std::vector<DemandEntry>& aEntries, TimePoint aNow)
+FleetView::SetBehind(WorkspaceId aWorkspace, std::int32_t aMillis)
 {
-  Store(m_totals, aEntries, aNow);
+  m_behind[aWorkspace] = aMillis;
 }
 
 Demand
@@ -113,8 +117,11 @@
 Demand
 FleetView::Total(WorkspaceId aWorkspace) const
 {
-  if (!m_place.parent) {
-    return Subtree(aWorkspace);
+  const auto behind = m_behind.find(aWorkspace);
+  if (IsRoot()) {
+    Demand sum = Subtree(aWorkspace);
+    sum.behindMs = behind == m_behind.end() ? 0 : behind->second;
+    return sum;
   }
   const auto own = m_own.find(aWorkspace);
   const auto told = m_ownTold.find(aWorkspace);
@@ -147,17 +154,17 @@
   return { known.begin(), known.end() };
 }
 
-std::vector<DemandEntry>
-FleetView::PickFor(RouterId aNeighbour,
-                   TimePoint aNow,
-                   Duration aRefresh,
-                   std::size_t aMost)
+std::vector<WorkspaceId>
+FleetView::Pick(RouterId aNeighbour,
+                bool aUp,
+                TimePoint aNow,
+                Duration aRefresh,
+                std::size_t aMost)
 {
-  const bool toParent = m_place.parent == aNeighbour;
   Table& told = m_told[aNeighbour];
   std::vector<Candidate> candidates;
   for (const auto id : Known()) {
-    const Demand now = toParent ? Subtree(id) : Total(id);
+    const Demand now = aUp ? Subtree(id) : Total(id);
     const auto before = told.find(id);
     const bool isNew = before == told.end();
     if (isNew && now.demand == 0 && now.served == 0) {
@@ -168,35 +175,64 @@
       std::abs(static_cast<double>(now.demand) - last.demand) /
       std::max<double>(last.demand, kSmallDemand);
     const Duration age = isNew ? aRefresh : aNow - last.at;
-    const bool moved = now.demand != last.demand || now.served != last.served;
+    const bool moved = now.demand != last.demand ||
+                       (aUp ? now.served != last.served
+                            : now.behindMs != last.behindMs);
     const bool due = moved && age >= aRefresh;
     const bool emptied = now.demand == 0 && last.demand != 0;
     if (isNew || due || emptied || change > kDemandDeadBand) {
-      candidates.push_back({ { id, now.demand, now.served }, change, age });
+      candidates.push_back({ id, now, change, age });
     }
   }
   std::sort(candidates.begin(),
             candidates.end(),
             [](const Candidate& aLeft, const Candidate& aRight) {
               return std::tuple(aLeft.age + aLeft.change * 2000ms,
-                                aLeft.entry.workspace) >
+                                aLeft.workspace) >
                      std::tuple(aRight.age + aRight.change * 2000ms,
-                                aRight.entry.workspace);
+                                aRight.workspace);
             });
-  std::vector<DemandEntry> picked;
+  candidates.resize(std::min(candidates.size(), aMost));
+  std::vector<WorkspaceId> picked;
   for (const auto& candidate : candidates) {
-    if (picked.size() == aMost) {
-      break;
-    }
-    const auto& entry = candidate.entry;
-    picked.push_back(entry);
-    told[entry.workspace] = { entry.demand, entry.served, aNow };
-    const auto own = m_own.find(entry.workspace);
-    if (toParent && own != m_own.end()) {
-      m_ownTold[entry.workspace] = own->second;
-    }
+    picked.push_back(candidate.workspace);
+    auto& entry = told[candidate.workspace];
+    entry = candidate.now;
+    entry.at = aNow;
   }
   return picked;
 }
 
+std::vector<DemandEntry>
+FleetView::PickUp(RouterId aParent,
+                  TimePoint aNow,
+                  Duration aRefresh,
+                  std::size_t aMost)
+{
+  std::vector<DemandEntry> entries;
+  for (const auto id : Pick(aParent, true, aNow, aRefresh, aMost)) {
+    const auto& told = m_told[aParent][id];
+    entries.push_back({ id, told.demand, told.served });
+    const auto own = m_own.find(id);
+    if (own != m_own.end()) {
+      m_ownTold[id] = own->second;
+    }
+  }
+  return entries;
+}
+
+std::vector<TotalEntry>
+FleetView::PickDown(RouterId aChild,
+                    TimePoint aNow,
+                    Duration aRefresh,
+                    std::size_t aMost)
+{
+  std::vector<TotalEntry> entries;
+  for (const auto id : Pick(aChild, false, aNow, aRefresh, aMost)) {
+    const auto& told = m_told[aChild][id];
+    entries.push_back({ id, told.demand, told.behindMs });
+  }
+  return entries;
+}
+
 }
--- a/src/decision/internal/fleetview.h
+++ b/src/decision/internal/fleetview.h
@@ -12,7 +12,8 @@
 struct Demand
 {
   std::uint32_t demand = 0;
-  std::uint32_t served = 0;
+  std::uint32_t served = 0;  //!< known up the tree only
+  std::int32_t behindMs = 0; //!< told down the tree
   TimePoint at{}; //!< when it last changed
 };
 
@@ -29,10 +30,17 @@
   void TakeUp(RouterId aChild,
               const std::vector<DemandEntry>& aEntries,
               TimePoint aNow);
-  void TakeDown(const std::vector<DemandEntry>& aEntries, TimePoint aNow);
+  void TakeDown(const std::vector<TotalEntry>& aEntries, TimePoint aNow);
+  bool IsRoot() const { return !m_place.parent.has_value(); }
+  //! At the root: how far a workspace is behind, to be told down.
+  void SetBehind(WorkspaceId aWorkspace, std::int32_t aMillis);
 
-  //! What is worth telling a neighbour now, most urgent first.
-  std::vector<DemandEntry> PickFor(RouterId aNeighbour,
+  //! What is worth telling the parent or a child now, most urgent first.
+  std::vector<DemandEntry> PickUp(RouterId aParent,
+                                  TimePoint aNow,
+                                  Duration aRefresh,
+                                  std::size_t aMost);
+  std::vector<TotalEntry> PickDown(RouterId aChild,
                                    TimePoint aNow,
                                    Duration aRefresh,
                                    std::size_t aMost);
@@ -45,9 +53,11 @@
 private:
   using Table = std::map<WorkspaceId, Demand>;
   Demand Subtree(WorkspaceId aWorkspace) const;
-  static void Store(Table& aTable,
-                    const std::vector<DemandEntry>& aEntries,
-                    TimePoint aNow);
+  std::vector<WorkspaceId> Pick(RouterId aNeighbour,
+                                bool aUp,
+                                TimePoint aNow,
+                                Duration aRefresh,
+                                std::size_t aMost);
 
   TreePlace m_place;
   Table m_own;
@@ -55,6 +65,7 @@
   Table m_totals;
   std::map<RouterId, Table> m_told;
   Table m_ownTold;
+  std::map<WorkspaceId, std::int32_t> m_behind;
 };
 
 }
--- a/src/decision/internal/lagtracker.cpp
+++ b/src/decision/internal/lagtracker.cpp
@@ -67,6 +67,14 @@
                kMaxLagSeconds);
 }
 
+void
+LagTracker::Adopt(WorkspaceId aWorkspace, double aSecondsBehind)
+{
+  Record& record = m_records[aWorkspace];
+  record = {};
+  record.secondsBehind = aSecondsBehind;
+}
+
 void
 LagTracker::Centre(const std::map<WorkspaceId, double>& aEntitled)
 {
--- a/src/decision/internal/lagtracker.h
+++ b/src/decision/internal/lagtracker.h
@@ -19,6 +19,8 @@
                double aCapacity,
                bool aBacklogged,
                TimePoint aNow);
+  //! Takes over what another summed up; goes on from there if we have to.
+  void Adopt(WorkspaceId aWorkspace, double aSecondsBehind);
   //! Takes off what all have in common, weighted by their parts: only the
   //! differences between workspaces count.
   void Centre(const std::map<WorkspaceId, double>& aEntitled);
--- a/src/decision/internal/peerflow.cpp
+++ b/src/decision/internal/peerflow.cpp
@@ -357,8 +357,11 @@
   const auto most = static_cast<std::size_t>(
     std::max(1.0, (room - kBareHeartbeatBytes) / kEntryBytes));
   const bool toParent = m_state.membership.Place().parent == aNeighbour;
-  auto& entries = toParent ? frame.up : frame.down;
-  entries = m_state.view.PickFor(aNeighbour, m_state.now, 2 * round, most);
+  if (toParent) {
+    frame.up = m_state.view.PickUp(aNeighbour, m_state.now, 2 * round, most);
+    return;
+  }
+  frame.down = m_state.view.PickDown(aNeighbour, m_state.now, 2 * round, most);
 }
 
 void
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -18,8 +18,9 @@
 //! Leases cover this part of the mean light demand, overdrafts the rest, up
 //! to so many standard deviations of a count of independent requests.
 constexpr double kLightLeasedPart = 0.8;
-constexpr double kLightPeaks = 2.0;
+constexpr double kLightPeaks = 3.0;
 constexpr double kLightSmoothingSeconds = 5.0;
+constexpr double kFewestOverdrafts = 2.0;
 constexpr double kWidestBand = 0.15;
 constexpr double kNarrowestBand = 0.03;
 
@@ -187,24 +188,44 @@
   return fleet > 0 ? here / fleet : 0;
 }
 
-//! Shifts entitlements towards workspaces that are behind their share; the
-//! sum over the backlogged stays what it was.
+//! NOTE only the root of the tree sums up who is behind, and tells the
+//! others: sums of their own differ by what each heard when, and then the
+//! entitlements of all routers add up to more slots than there are.
 void
-Pool::CorrectByLag(std::vector<WorkspaceQueue*>& aActive,
-                   FleetView& aView,
-                   TimePoint aNow)
+Pool::FollowLag(const std::vector<WorkspaceQueue*>& aActive,
+                FleetView& aView,
+                TimePoint aNow)
 {
-  const double most = 1.0 + kCorrectionAtFullFairness * m_fairness;
   std::map<WorkspaceId, double> entitled;
-  for (auto* queue : aActive) {
+  for (const auto* queue : aActive) {
     const auto id = queue->Spec().id;
+    const auto total = aView.Total(id);
+    if (!aView.IsRoot()) {
+      m_lag.Adopt(id, total.behindMs / 1000.0);
+      continue;
+    }
     m_lag.Observe(
-      id, aView.Total(id), queue->entitledFleet, m_capacity, queue->backlogged, aNow);
+      id, total, queue->entitledFleet, m_capacity, queue->backlogged, aNow);
     if (queue->backlogged) {
       entitled[id] = queue->entitledFleet;
     }
   }
   m_lag.Centre(entitled);
+  for (const auto& [id, slots] : entitled) {
+    aView.SetBehind(
+      id, static_cast<std::int32_t>(1000 * m_lag.SecondsBehind(id)));
+  }
+}
+
+//! Shifts entitlements towards workspaces that are behind their share; the
+//! sum over the backlogged stays what it was.
+void
+Pool::CorrectByLag(std::vector<WorkspaceQueue*>& aActive,
+                   FleetView& aView,
+                   TimePoint aNow)
+{
+  const double most = 1.0 + kCorrectionAtFullFairness * m_fairness;
+  FollowLag(aActive, aView, aNow);
   double before = 0;
   double after = 0;
   std::vector<double> corrected(aActive.size(), 0);
@@ -266,7 +287,7 @@
 {
   const double peaks = kLightPeaks * std::sqrt(m_lightMean);
   const double most =
-    std::max(1.0, m_slots.TotalLimit() * kOverdraftPart + peaks);
+    std::max(kFewestOverdrafts, m_slots.TotalLimit() * kOverdraftPart + peaks);
   return m_slots.Overdrafts() < static_cast<std::uint32_t>(most);
 }
 
--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -75,6 +75,9 @@
 
 private:
   bool IsPlain() const;
+  void FollowLag(const std::vector<WorkspaceQueue*>& aActive,
+                 FleetView& aView,
+                 TimePoint aNow);
   void CorrectByLag(std::vector<WorkspaceQueue*>& aActive,
                     FleetView& aView,
                     TimePoint aNow);
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -130,6 +130,20 @@
   return { base::Raw(aEntry.workspace), aEntry.demand, aEntry.served };
 }
 
+fb::Total
+PutTotal(const decision::TotalEntry& aEntry)
+{
+  return { base::Raw(aEntry.workspace), aEntry.demand, aEntry.behindMs };
+}
+
+decision::TotalEntry
+GetTotal(const fb::Total& aEntry)
+{
+  return { base::WorkspaceId(aEntry.workspace()),
+           aEntry.demand(),
+           aEntry.behind_ms() };
+}
+
 decision::DemandEntry
 GetDemand(const fb::Demand& aEntry)
 {
@@ -165,7 +179,7 @@
       return fb::CreateDocument(builder, name, aOne.revision, text);
     });
   const auto up = PutStructs<fb::Demand>(builder, aFrame.up, PutDemand);
-  const auto down = PutStructs<fb::Demand>(builder, aFrame.down, PutDemand);
+  const auto down = PutStructs<fb::Total>(builder, aFrame.down, PutTotal);
   const auto hints = PutStructs<fb::Hint>(
     builder, aFrame.hints, [](const decision::FreeHint& aOne) {
       return fb::Hint(base::Raw(aOne.upstream), aOne.free);
@@ -243,7 +257,7 @@
                                      TextOf(aOne.text()) };
     });
   frame.up = Get<decision::DemandEntry>(wire->up(), GetDemand);
-  frame.down = Get<decision::DemandEntry>(wire->down(), GetDemand);
+  frame.down = Get<decision::TotalEntry>(wire->down(), GetTotal);
   frame
     .hints = Get<decision::FreeHint>(wire->hints(), [](const fb::Hint& aOne) {
     return decision::FreeHint{ base::UpstreamId(aOne.upstream()), aOne.free() };
--- a/src/wire/tests/wiretests.cpp
+++ b/src/wire/tests/wiretests.cpp
@@ -24,7 +24,7 @@
     frame.members.push_back(
       { base::RouterId(i), i, decision::MemberState::Left });
     frame.up.push_back({ base::WorkspaceId(i), i * 3, i * 7 });
-    frame.down.push_back({ base::WorkspaceId(i), i * 5, i });
+    frame.down.push_back({ base::WorkspaceId(i), i * 5, -7 });
     frame.hints.push_back({ base::UpstreamId(i), 2 });
     frame.reports.push_back({ base::UpstreamId(i), i, 1, 2, 3, 4 });
     frame.grants.push_back({ base::UpstreamId(i), i, 6, 9 });
@@ -64,7 +64,7 @@
   cr_assert(copy.grants[1].wantedBack == 9);
   cr_assert(copy.hosts[0].peerAddress == frame.hosts[0].peerAddress);
   cr_assert(copy.documents[0].text == frame.documents[0].text);
-  cr_assert(copy.down[2].demand == 10);
+  cr_assert(copy.down[2].demand == 10 && copy.down[2].behindMs == -7);
   cr_assert(wire::EncodeFrame(copy) == wire::EncodeFrame(frame));
 }
 
