--- a/src/decision/internal/fleetview.cpp
+++ b/src/decision/internal/fleetview.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double kSmallDemand = 4.0;
+constexpr double kUrgentDemand = 10.0;
+constexpr double kUrgentChange = 0.5;
 
 struct Candidate
 {
@@ -154,6 +156,27 @@
   return { known.begin(), known.end() };
 }
 
+bool
+FleetView::HasUrgentFor(RouterId aNeighbour) const
+{
+  const bool up = m_place.parent == aNeighbour;
+  const auto table = m_told.find(aNeighbour);
+  for (const auto id : Known()) {
+    const Demand now = up ? Subtree(id) : Total(id);
+    Demand last;
+    if (table != m_told.end()) {
+      const auto told = table->second.find(id);
+      last = told == table->second.end() ? Demand{} : told->second;
+    }
+    const double change =
+      std::abs(static_cast<double>(now.demand) - last.demand);
+    if (change >= std::max(kUrgentDemand, kUrgentChange * last.demand)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<WorkspaceId>
 FleetView::Pick(RouterId aNeighbour,
                 bool aUp,
--- a/src/decision/internal/fleetview.h
+++ b/src/decision/internal/fleetview.h
@@ -35,6 +35,8 @@
   //! At the root: how far a workspace is behind, to be told down.
   void SetBehind(WorkspaceId aWorkspace, std::int32_t aMillis);
 
+  //! Whether a neighbour should hear of something before its round.
+  bool HasUrgentFor(RouterId aNeighbour) const;
   //! What is worth telling the parent or a child now, most urgent first.
   std::vector<DemandEntry> PickUp(RouterId aParent,
                                   TimePoint aNow,
--- a/src/decision/internal/outbox.h
+++ b/src/decision/internal/outbox.h
@@ -25,6 +25,10 @@
   //! Lets the frame of a peer go even without room: silence would look
   //! like death.
   void MarkHeartbeat(RouterId aRouter) { m_heartbeats.insert(aRouter); }
+  bool HasRoom(double aBytes) const
+  {
+    return m_budget.Allows(static_cast<std::size_t>(aBytes));
+  }
   //! Takes the frame of one peer if it may go now.
   bool Take(RouterId aRouter,
             std::uint32_t aIncarnation,
--- a/src/decision/internal/peerflow.cpp
+++ b/src/decision/internal/peerflow.cpp
@@ -14,6 +14,7 @@
 constexpr int kMissesToResync = 3;
 constexpr double kBareHeartbeatBytes = 230;
 constexpr double kEntryBytes = 12;
+constexpr Duration kUrgentGap = 300ms;
 
 //! Platform revisions are even here; a sign of leaving that a router saw
 //! itself is the odd one above.
@@ -321,9 +322,12 @@
     Flood(notice, std::nullopt);
     NoteMember(notice);
   }
-  if (m_state.now - m_lastRound >= round) {
-    m_lastRound = m_state.now;
-    for (const auto neighbour : Neighbours()) {
+  for (const auto neighbour : Neighbours()) {
+    const auto silent = m_state.now - m_lastHeartbeat[neighbour];
+    const bool urgent = silent >= kUrgentGap &&
+                        m_state.outbox.HasRoom(kBareHeartbeatBytes) &&
+                        m_state.view.HasUrgentFor(neighbour);
+    if (silent >= round || urgent) {
       Heartbeat(neighbour);
     }
   }
@@ -349,6 +353,7 @@
 {
   auto& frame = m_state.outbox.For(aNeighbour);
   m_state.outbox.MarkHeartbeat(aNeighbour);
+  m_lastHeartbeat[aNeighbour] = m_state.now;
   frame.hints = m_slots.HintsFor(aNeighbour);
   const auto round = m_state.Round();
   const double seconds = std::chrono::duration<double>(round).count();
@@ -411,7 +416,7 @@
   m_heard = false;
   m_state.membership.ForgiveSilence(m_state.now);
   m_watching.reset();
-  m_lastRound = m_state.now - kMaxRound;
+  m_lastHeartbeat.clear();
   m_lastProbe = m_state.now - kRejoinProbePeriod;
 }
 
--- a/src/decision/internal/peerflow.h
+++ b/src/decision/internal/peerflow.h
@@ -48,7 +48,7 @@
 
   CoreState& m_state;
   SlotFlow& m_slots;
-  TimePoint m_lastRound{ -1000000 };
+  std::map<RouterId, TimePoint> m_lastHeartbeat;
   TimePoint m_lastRenewal{};
   TimePoint m_lastProbe{ -1000000 };
   TimePoint m_lastLoadPoll{ -1000000 };
--- /dev/null
+++ b/src/decision/tests/randomtests.cpp
@@ -0,0 +1,154 @@
+// Long randomised runs: kills, cuts, freezes, losses, outages and races, two
+// and more at once; the invariants that the program asserts of itself and
+// those that only the fakes can see must hold throughout.
+
+#include "fixture/corefleet.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace hemlockgauge;
+using fixture::CoreFleet;
+
+namespace {
+
+constexpr std::size_t kRouters = 6;
+constexpr std::size_t kUpstreams = 9;
+constexpr int kFaults = 24;
+constexpr int kKinds = 13;
+
+void
+DoFault(CoreFleet& aFleet, int aKind, std::size_t aWhich)
+{
+  const auto router = aWhich % kRouters;
+  const auto other = (aWhich / kRouters) % kRouters;
+  const auto upstream = aWhich % kUpstreams;
+  switch (aKind) {
+    case 0:
+      aFleet.Kill(router);
+      break;
+    case 1:
+      aFleet.Restart(router);
+      break;
+    case 2:
+      aFleet.Freeze(router);
+      break;
+    case 3:
+      aFleet.Thaw(router);
+      break;
+    case 4:
+      aFleet.Cut(router, other);
+      break;
+    case 5:
+      aFleet.CutOneWay(router, other);
+      break;
+    case 6:
+      aFleet.CutZone(aWhich % 3);
+      break;
+    case 7:
+      aFleet.Heal();
+      break;
+    case 8:
+      aFleet.SetPlatform(aWhich % 2 == 0, aWhich % 3 == 0);
+      break;
+    case 9:
+      aFleet.Publish(aWhich % 4 != 0);
+      break;
+    case 10:
+      aFleet.KillUpstream(upstream);
+      aFleet.Upstreams().Revive(upstream);
+      break;
+    case 11:
+      aFleet.Network().lossPart = aWhich % 2 == 0 ? 0.2 : 0;
+      aFleet.Network().copyPart = aWhich % 3 == 0 ? 0.2 : 0;
+      aFleet.Network().delayPart = aWhich % 5 == 0 ? 0.2 : 0;
+      break;
+    default:
+      aFleet.Drain(router);
+      break;
+  }
+}
+
+void
+MakeAllWell(CoreFleet& aFleet)
+{
+  aFleet.Heal();
+  aFleet.SetPlatform(true, false);
+  aFleet.Network().lossPart = 0;
+  aFleet.Network().copyPart = 0;
+  aFleet.Network().delayPart = 0;
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    aFleet.Thaw(i);
+    if (!aFleet.IsUp(i)) {
+      aFleet.Restart(i);
+    }
+  }
+}
+
+void
+CheckTruths(CoreFleet& aFleet)
+{
+  const auto& counts = aFleet.Counts();
+  RC_ASSERT(counts.invariantsBroken == 0U);
+  RC_ASSERT(counts.doubleEnds == 0U);
+  RC_ASSERT(counts.ranTwice == 0U);
+  RC_ASSERT(counts.liedNotRun == 0U);
+  RC_ASSERT(counts.revertedDocuments == 0U);
+}
+
+void
+RunOnce()
+{
+  fixture::FleetOptions options;
+  options.routers = kRouters;
+  options.zones = 3;
+  options.upstreams = kUpstreams;
+  options.slots = 4;
+  options.seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+  CoreFleet fleet(options);
+  const auto big = fleet.AddWorkspace({ "big", 3 });
+  const auto small = fleet.AddWorkspace({ "small", 1 });
+  const auto desk = fleet.AddWorkspace({ "desk", 1 });
+  fleet.Start();
+  fleet.AddCallers({ big, { 0, 1 }, 30 });
+  fleet.AddCallers({ small, {}, 8 });
+  fixture::CallerOptions booking;
+  booking.workspace = desk;
+  booking.rate = 8;
+  booking.costLow = base::Duration(100);
+  booking.costHigh = base::Duration(600);
+  booking.repeatable = false;
+  booking.deadline = base::Duration(15000);
+  fleet.AddCallers(booking);
+  for (int i = 0; i < kFaults; ++i) {
+    fleet.RunFor(base::Duration(*rc::gen::inRange(50, 4000)));
+    DoFault(fleet,
+            *rc::gen::inRange(0, kKinds),
+            *rc::gen::inRange<std::size_t>(0, 10000));
+  }
+  CheckTruths(fleet);
+  MakeAllWell(fleet);
+  fleet.RunFor(base::Duration(60000));
+  CheckTruths(fleet);
+  RC_ASSERT(fleet.FewestMembersSeen() == kRouters);
+  const auto revision = fleet.Publish(true);
+  fleet.RunFor(base::Duration(4000));
+  RC_ASSERT(fleet.IsInForceEverywhere(revision));
+  for (const auto workspace : { big, small, desk }) {
+    fleet.StopCallers(workspace);
+  }
+  fleet.RunFor(base::Duration(120000));
+  CheckTruths(fleet);
+  RC_ASSERT(fleet.StillOpen() == 0U);
+}
+
+}
+
+Test(random, NothingThatMustHoldIsEverBroken, .timeout = 1200)
+{
+  // More runs, other seeds: RC_PARAMS="max_success=1000 seed=7"
+  setenv("RC_PARAMS", "max_success=25 seed=20261202", 0);
+  cr_assert(rc::check("random faults over a fleet of cores", RunOnce));
+}
--- /dev/null
+++ b/src/decision/tests/scenariotests.cpp
@@ -0,0 +1,79 @@
+#include "base/error.h"
+#include "fixture/scenario.h"
+
+#include <criterion/criterion.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+using hemlockgauge::fixture::RunScenario;
+
+namespace {
+
+std::string
+ReadFile(const std::filesystem::path& aPath)
+{
+  std::ifstream stream(aPath);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+void
+ExpectHolds(const std::string& aName)
+{
+  const auto path = std::filesystem::path(SCENARIO_DIR) / aName;
+  const auto failures = RunScenario(aName, ReadFile(path));
+  for (const auto& failure : failures) {
+    cr_log_error("%s", failure.c_str());
+  }
+  cr_assert(failures.empty(), "%s", aName.c_str());
+}
+
+}
+
+// One test a file, so that a failing one names itself.
+#define SCENARIO(aName, aFile)                                                 \
+  Test(scenario, aName, .timeout = 300)                                        \
+  {                                                                            \
+    ExpectHolds(aFile ".scenario");                                            \
+  }
+
+SCENARIO(ColdStartOfAll, "cold-start-of-all")
+SCENARIO(ColdStartWithoutPlatform, "cold-start-without-platform")
+SCENARIO(FailingUpstream, "failing-upstream")
+SCENARIO(Flood, "flood")
+SCENARIO(Freeze, "freeze")
+SCENARIO(IdleReturn, "idle-return")
+SCENARIO(LeavingUpstream, "leaving-upstream")
+SCENARIO(LossyNetwork, "lossy-network")
+SCENARIO(OneWayCut, "one-way-cut")
+SCENARIO(Overload, "overload")
+SCENARIO(Partition, "partition")
+SCENARIO(RollingReplacement, "rolling-replacement")
+SCENARIO(Sharing, "sharing")
+SCENARIO(ZoneLoss, "zone-loss")
+
+Test(scenario, EveryFileHasItsTest)
+{
+  std::size_t files = 0;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(SCENARIO_DIR)) {
+    files += entry.path().extension() == ".scenario" ? 1 : 0;
+  }
+  constexpr std::size_t kTests = 14;
+  cr_assert(files == kTests, "%zu", files);
+}
+
+Test(scenario, AnUnknownWordIsRefusedWithItsLine)
+{
+  std::string why;
+  try {
+    RunScenario("s", "workspace a\nat 1s dance\n");
+  } catch (const hemlockgauge::base::Error& error) {
+    why = error.what();
+  }
+  cr_assert(why == "s:2: unknown word dance", "%s", why.c_str());
+}
