--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -99,6 +99,7 @@
 struct SlotReport
 {
   UpstreamId upstream{};
+  std::uint32_t ownerBoot = 0;  //!< which run of the owner granted
   std::uint32_t ackedGrant = 0; //!< 0: a claim, no grant seen yet
   std::uint16_t held = 0;
   std::uint16_t inUse = 0;
@@ -133,6 +134,7 @@
 {
   RouterId sender{};
   std::uint32_t incarnation = 0;
+  std::uint32_t boot = 0; //!< the incarnation that this run began with
   std::uint32_t sequence = 0;
   std::uint32_t digest = 0;        //!< over documents and hosts known
   std::uint32_t membersDigest = 0; //!< over the members known
--- a/src/decision/internal/configuration.cpp
+++ b/src/decision/internal/configuration.cpp
@@ -22,7 +22,8 @@
 Configuration::Offer(const DocumentBody& aBody)
 {
   const auto before = RevisionOf(aBody.name);
-  if (aBody.revision <= before || aBody.revision <= m_refused[aBody.name]) {
+  const bool refused = m_refused.contains({ aBody.name, aBody.revision });
+  if (aBody.revision <= before || refused) {
     return DocumentStale{};
   }
   try {
@@ -40,7 +41,7 @@
     m_inForce[aBody.name] = inForce;
     return inForce;
   } catch (const base::Error& error) {
-    m_refused[aBody.name] = aBody.revision;
+    m_refused.emplace(aBody.name, aBody.revision);
     return DocumentRefused{ aBody.name, aBody.revision, error.what() };
   }
 }
--- a/src/decision/internal/configuration.h
+++ b/src/decision/internal/configuration.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -34,7 +35,7 @@
 private:
   std::map<std::string, DocumentBody> m_bodies;
   std::map<std::string, DocumentInForce> m_inForce;
-  std::map<std::string, std::uint64_t> m_refused;
+  std::set<std::pair<std::string, std::uint64_t>> m_refused;
   std::uint32_t m_digest = 0;
 };
 
--- a/src/decision/internal/corestate.cpp
+++ b/src/decision/internal/corestate.cpp
@@ -11,7 +11,8 @@
   : settings(aSettings)
   , self(RouterId(base::HashName(aSettings.self.name)))
   , membership(self, aSettings.self.zone, aSettings.incarnation)
-  , outbox(self, counters)
+  , owner(aSettings.incarnation)
+  , outbox(self, aSettings.incarnation, counters)
   , random(aSettings.seed)
 {
   hosts.Merge(aSettings.self);
--- a/src/decision/internal/fleetview.cpp
+++ b/src/decision/internal/fleetview.cpp
@@ -198,23 +198,22 @@
       std::abs(static_cast<double>(now.demand) - last.demand) /
       std::max<double>(last.demand, kSmallDemand);
     const Duration age = isNew ? aRefresh : aNow - last.at;
-    const bool moved = now.demand != last.demand ||
-                       (aUp ? now.served != last.served
-                            : now.behindMs != last.behindMs);
+    const bool moved =
+      now.demand != last.demand ||
+      (aUp ? now.served != last.served : now.behindMs != last.behindMs);
     const bool due = moved && age >= aRefresh;
     const bool emptied = now.demand == 0 && last.demand != 0;
     if (isNew || due || emptied || change > kDemandDeadBand) {
       candidates.push_back({ id, now, change, age });
     }
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return std::tuple(aLeft.age + aLeft.change * 2000ms,
-                                aLeft.workspace) >
-                     std::tuple(aRight.age + aRight.change * 2000ms,
-                                aRight.workspace);
-            });
+  std::sort(
+    candidates.begin(),
+    candidates.end(),
+    [](const Candidate& aLeft, const Candidate& aRight) {
+      return std::tuple(aLeft.age + aLeft.change * 2000ms, aLeft.workspace) >
+             std::tuple(aRight.age + aRight.change * 2000ms, aRight.workspace);
+    });
   candidates.resize(std::min(candidates.size(), aMost));
   std::vector<WorkspaceId> picked;
   for (const auto& candidate : candidates) {
--- a/src/decision/internal/fleetview.h
+++ b/src/decision/internal/fleetview.h
@@ -14,7 +14,7 @@
   std::uint32_t demand = 0;
   std::uint32_t served = 0;  //!< known up the tree only
   std::int32_t behindMs = 0; //!< told down the tree
-  TimePoint at{}; //!< when it last changed
+  TimePoint at{};            //!< when it last changed
 };
 
 //! Demand and service of every workspace over the whole fleet, summed up
--- a/src/decision/internal/membership.cpp
+++ b/src/decision/internal/membership.cpp
@@ -32,10 +32,11 @@
   if (aNotice.router == m_self) {
     const bool wrong =
       aNotice.state != m_ownState && aNotice.incarnation >= m_incarnation;
-    if (wrong || aNotice.incarnation > m_incarnation) {
+    const bool overruled = wrong || aNotice.incarnation > m_incarnation;
+    if (overruled) {
       m_incarnation = aNotice.incarnation + 1;
     }
-    return wrong;
+    return overruled;
   }
   const auto [at, isNew] = m_others.try_emplace(aNotice.router);
   Member& member = at->second;
--- a/src/decision/internal/outbox.cpp
+++ b/src/decision/internal/outbox.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // What FlatBuffers takes for each part; a test holds these against it.
-constexpr std::size_t kFrameBytes = 60;
+constexpr std::size_t kFrameBytes = 64;
 constexpr std::size_t kVectorBytes = 16;
 constexpr std::size_t kMemberBytes = 12;
 constexpr std::size_t kHostBytes = 90;
@@ -18,7 +18,7 @@
 constexpr std::size_t kDocumentBytes = 84;
 constexpr std::size_t kDemandBytes = 12;
 constexpr std::size_t kHintBytes = 8;
-constexpr std::size_t kReportBytes = 16;
+constexpr std::size_t kReportBytes = 20;
 constexpr std::size_t kGrantBytes = 12;
 
 template<typename Vector>
@@ -65,8 +65,9 @@
   return bytes;
 }
 
-Outbox::Outbox(RouterId aSelf, ControlCounters& aCounters)
+Outbox::Outbox(RouterId aSelf, std::uint32_t aBoot, ControlCounters& aCounters)
   : m_self(aSelf)
+  , m_boot(aBoot)
   , m_counters(aCounters)
 {
 }
@@ -128,6 +129,7 @@
   aFrame.incarnation = aIncarnation;
   aFrame.digest = aDigest;
   aFrame.membersDigest = aMembersDigest;
+  aFrame.boot = m_boot;
   aFrame.sequence = ++m_sequence;
   m_budget.Charge(bytes);
   Count(aFrame);
@@ -140,6 +142,7 @@
   Frame frame;
   frame.sender = m_self;
   frame.incarnation = aIncarnation;
+  frame.boot = m_boot;
   frame.sequence = ++m_sequence;
   frame.wantsSnapshot = true;
   Count(frame);
--- a/src/decision/internal/outbox.h
+++ b/src/decision/internal/outbox.h
@@ -15,7 +15,7 @@
 class Outbox
 {
 public:
-  Outbox(RouterId aSelf, ControlCounters& aCounters);
+  Outbox(RouterId aSelf, std::uint32_t aBoot, ControlCounters& aCounters);
 
   void Advance(TimePoint aNow) { m_budget.Advance(aNow); }
   //! The frame that waits for a peer; fill it in.
@@ -42,6 +42,7 @@
   void Count(const Frame& aFrame);
 
   RouterId m_self;
+  std::uint32_t m_boot;
   ControlCounters& m_counters;
   ByteBudget m_budget;
   struct Pending
--- a/src/decision/internal/peerflow.cpp
+++ b/src/decision/internal/peerflow.cpp
@@ -15,6 +15,8 @@
 constexpr double kBareHeartbeatBytes = 230;
 constexpr double kEntryBytes = 12;
 constexpr Duration kUrgentGap = 300ms;
+//! What is costly, or makes the other side answer, is not said sooner again.
+constexpr Duration kRepeatGap = 1000ms;
 
 //! Platform revisions are even here; a sign of leaving that a router saw
 //! itself is the odd one above.
@@ -56,25 +58,17 @@
   for (const auto& body : frame.documents) {
     TakeBody(body, frame.sender);
   }
-  const auto& others = m_state.membership.Others();
-  const auto known = others.find(frame.sender);
-  const bool calledDead = known != others.end() &&
-                          known->second.state != MemberState::Alive &&
-                          known->second.incarnation == frame.incarnation;
-  if (calledDead) {
-    m_state.outbox.For(frame.sender)
-      .members.push_back(
-        { frame.sender, frame.incarnation, known->second.state });
+  if (TellIfOverruled(frame)) {
     return;
   }
-  if (frame.wantsSnapshot) {
-    SendSnapshot(frame.sender);
-  }
   const bool fresh = m_state.membership.Heard(
     frame.sender, frame.incarnation, frame.sequence, m_state.now);
   if (!fresh) {
     return;
   }
+  if (frame.wantsSnapshot) {
+    SendSnapshot(frame.sender);
+  }
   m_heard = true;
   TakeVersions(frame);
   m_state.view.TakeUp(frame.sender, frame.up, m_state.now);
@@ -83,10 +77,37 @@
   }
   m_slots.TakeHints(frame.sender, frame.hints);
   m_slots.TakeReports(frame.sender, frame.reports);
-  m_slots.TakeGrants(frame.sender, frame.incarnation, frame.grants);
+  m_slots.TakeGrants(frame.sender, frame.boot, frame.grants);
   CompareDigest(frame);
 }
 
+//! Tells a router that we hold a notice which overrules its frames: that it
+//! is gone, or a higher incarnation from an earlier run of it. It then takes
+//! a higher one still.
+bool
+PeerFlow::TellIfOverruled(const Frame& aFrame)
+{
+  const auto& others = m_state.membership.Others();
+  const auto known = others.find(aFrame.sender);
+  if (known == others.end()) {
+    return false;
+  }
+  const auto& member = known->second;
+  const bool calledDead = member.state != MemberState::Alive &&
+                          member.incarnation == aFrame.incarnation;
+  const bool outdated = member.incarnation > aFrame.incarnation;
+  if (!calledDead && !outdated) {
+    return false;
+  }
+  auto& told = m_toldOverruled[aFrame.sender];
+  if (m_state.now - told >= kRepeatGap) {
+    told = m_state.now;
+    m_state.outbox.For(aFrame.sender)
+      .members.push_back({ aFrame.sender, member.incarnation, member.state });
+  }
+  return true;
+}
+
 void
 PeerFlow::TakeNotices(const Frame& aFrame)
 {
@@ -275,6 +296,11 @@
 void
 PeerFlow::SendSnapshot(RouterId aRouter)
 {
+  auto& sent = m_snapshotSent[aRouter];
+  if (m_state.now - sent < kRepeatGap) {
+    return;
+  }
+  sent = m_state.now;
   auto& frame = m_state.outbox.For(aRouter);
   frame.members = m_state.membership.Notices();
   frame.hosts = m_state.hosts.All();
--- a/src/decision/internal/peerflow.h
+++ b/src/decision/internal/peerflow.h
@@ -34,6 +34,7 @@
   bool HeardSincePause() const { return m_heard; }
 
 private:
+  bool TellIfOverruled(const Frame& aFrame);
   void TakeNotices(const Frame& aFrame);
   void TakeVersions(const Frame& aFrame);
   void TakeBody(const DocumentBody& aBody, std::optional<RouterId> aFrom);
@@ -49,6 +50,8 @@
   CoreState& m_state;
   SlotFlow& m_slots;
   std::map<RouterId, TimePoint> m_lastHeartbeat;
+  std::map<RouterId, TimePoint> m_toldOverruled;
+  std::map<RouterId, TimePoint> m_snapshotSent;
   TimePoint m_lastRenewal{};
   TimePoint m_lastProbe{ -1000000 };
   TimePoint m_lastLoadPoll{ -1000000 };
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -212,8 +212,8 @@
   }
   m_lag.Centre(entitled);
   for (const auto& [id, slots] : entitled) {
-    aView.SetBehind(
-      id, static_cast<std::int32_t>(1000 * m_lag.SecondsBehind(id)));
+    aView.SetBehind(id,
+                    static_cast<std::int32_t>(1000 * m_lag.SecondsBehind(id)));
   }
 }
 
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -52,7 +52,7 @@
     lease.capacity = lent.capacity;
     if (lease.owner != lent.owner) {
       lease.owner = lent.owner;
-      lease.ownerIncarnation = 0;
+      lease.ownerBoot = 0;
       lease.acked = 0;
       lease.dirty = aTable.At(lent.upstream).limit > 0 || lease.extra > 0;
     }
@@ -68,7 +68,7 @@
 
 void
 SlotBorrower::TakeGrant(RouterId aOwner,
-                        std::uint32_t aOwnerIncarnation,
+                        std::uint32_t aOwnerBoot,
                         const SlotGrant& aGrant,
                         SlotTable& aTable,
                         TimePoint aNow)
@@ -78,15 +78,16 @@
     return;
   }
   Lease& lease = found->second;
-  if (lease.ownerIncarnation != aOwnerIncarnation) {
-    lease.ownerIncarnation = aOwnerIncarnation;
+  if (lease.ownerBoot != aOwnerBoot) {
+    lease.ownerBoot = aOwnerBoot;
     lease.acked = 0;
   }
   if (aGrant.sequence < lease.acked) {
     return;
   }
   lease.renewed = aNow;
-  lease.wantedBack = std::max<std::uint32_t>(lease.wantedBack, aGrant.wantedBack);
+  lease.wantedBack =
+    std::max<std::uint32_t>(lease.wantedBack, aGrant.wantedBack);
   if (aGrant.sequence == lease.acked) {
     return;
   }
@@ -272,6 +273,7 @@
   const auto slot =
     found == aTable.All().end() ? SlotTable::Slot{} : found->second;
   return { aUpstream,
+           aLease.ownerBoot,
            aLease.acked,
            static_cast<std::uint16_t>(slot.limit),
            static_cast<std::uint16_t>(slot.inUse),
--- a/src/decision/internal/slotborrower.h
+++ b/src/decision/internal/slotborrower.h
@@ -36,7 +36,7 @@
   void SetUpstreams(const std::vector<LentUpstream>& aUpstreams,
                     SlotTable& aTable);
   void TakeGrant(RouterId aOwner,
-                 std::uint32_t aOwnerIncarnation,
+                 std::uint32_t aOwnerBoot,
                  const SlotGrant& aGrant,
                  SlotTable& aTable,
                  TimePoint aNow);
@@ -63,7 +63,7 @@
   struct Lease
   {
     RouterId owner{};
-    std::uint32_t ownerIncarnation = 0;
+    std::uint32_t ownerBoot = 0;
     std::uint32_t capacity = 0;
     std::uint32_t acked = 0;
     std::uint32_t extra = 0; //!< asked beyond what is held
--- a/src/decision/internal/slotflow.cpp
+++ b/src/decision/internal/slotflow.cpp
@@ -46,14 +46,14 @@
 
 void
 SlotFlow::TakeGrants(RouterId aFrom,
-                     std::uint32_t aIncarnation,
+                     std::uint32_t aBoot,
                      const std::vector<SlotGrant>& aGrants)
 {
   for (auto& [id, pool] : m_state.pools) {
     if (auto* lease = std::get_if<LeasePolicy>(&pool.Policy())) {
       for (const auto& grant : aGrants) {
         lease->borrower.TakeGrant(
-          aFrom, aIncarnation, grant, pool.Slots(), m_state.now);
+          aFrom, aBoot, grant, pool.Slots(), m_state.now);
       }
     }
   }
@@ -252,7 +252,7 @@
 {
   for (const auto& [borrower, grant] : m_state.owner.TakeGrants()) {
     if (borrower == m_state.self) {
-      TakeGrants(m_state.self, m_state.membership.Own().incarnation, { grant });
+      TakeGrants(m_state.self, m_state.settings.incarnation, { grant });
       continue;
     }
     PutGrant(borrower, grant);
@@ -312,7 +312,7 @@
       continue;
     }
     if (borrower == m_state.self) {
-      TakeGrants(m_state.self, m_state.membership.Own().incarnation, grants);
+      TakeGrants(m_state.self, m_state.settings.incarnation, grants);
       continue;
     }
     for (const auto& grant : grants) {
--- a/src/decision/internal/slotflow.h
+++ b/src/decision/internal/slotflow.h
@@ -18,7 +18,7 @@
   void Take(const LoadReported& aEvent);
   void TakeReports(RouterId aFrom, const std::vector<SlotReport>& aReports);
   void TakeGrants(RouterId aFrom,
-                  std::uint32_t aIncarnation,
+                  std::uint32_t aBoot,
                   const std::vector<SlotGrant>& aGrants);
   void TakeHints(RouterId aFrom, const std::vector<FreeHint>& aHints);
   void RefreshShares();
--- a/src/decision/internal/slotowner.cpp
+++ b/src/decision/internal/slotowner.cpp
@@ -77,6 +77,10 @@
   if (found == m_books.end()) {
     return;
   }
+  //! NOTE what an earlier run of this router granted is not ours: its
+  //! sequences may be the same numbers.
+  const bool seen = aReport.ownerBoot == m_boot;
+  const auto acked = seen ? aReport.ackedGrant : 0;
   Book& book = found->second;
   Lease& lease = book.leases[aBorrower];
   const bool claim = lease.sequence == 0;
@@ -84,12 +88,12 @@
     const auto committed = book.Committed();
     const auto left = book.capacity > committed ? book.capacity - committed : 0;
     lease.Change(std::min<std::uint32_t>(aReport.held, left), m_lastSequence);
-  } else if (aReport.ackedGrant == lease.sequence) {
+  } else if (acked == lease.sequence) {
     lease.granted = std::min<std::uint32_t>(lease.granted, aReport.held);
   } else {
     lease.dirty = true;
   }
-  lease.acked = aReport.ackedGrant;
+  lease.acked = acked;
   lease.heldSeen = aReport.held;
   lease.inUse = aReport.inUse;
   lease.want = aReport.want;
--- a/src/decision/internal/slotowner.h
+++ b/src/decision/internal/slotowner.h
@@ -17,6 +17,11 @@
 public:
   using Addressed = std::pair<RouterId, SlotGrant>;
 
+  explicit SlotOwner(std::uint32_t aBoot)
+    : m_boot(aBoot)
+  {
+  }
+
   //! Which upstreams this router owns now, with their slots.
   void SetOwned(const std::map<UpstreamId, std::uint32_t>& aCapacities,
                 TimePoint aNow);
@@ -78,6 +83,7 @@
   void TakeBack(Book& aBook);
   static void MarkPressure(Book& aBook, TimePoint aNow);
 
+  std::uint32_t m_boot;
   std::map<UpstreamId, Book> m_books;
   //! NOTE one count for all leases: a lease that was forgotten and is made
   //! anew must not begin below what its borrower has confirmed.
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -187,6 +187,7 @@
   const auto reports = PutStructs<fb::Report>(
     builder, aFrame.reports, [](const decision::SlotReport& aOne) {
       return fb::Report(base::Raw(aOne.upstream),
+                        aOne.ownerBoot,
                         aOne.ackedGrant,
                         aOne.held,
                         aOne.inUse,
@@ -202,6 +203,7 @@
                         fb::CreateFrame(builder,
                                         base::Raw(aFrame.sender),
                                         aFrame.incarnation,
+                                        aFrame.boot,
                                         aFrame.sequence,
                                         aFrame.digest,
                                         aFrame.membersDigest,
@@ -234,6 +236,7 @@
   decision::Frame frame;
   frame.sender = base::RouterId(wire->sender());
   frame.incarnation = wire->incarnation();
+  frame.boot = wire->boot();
   frame.sequence = wire->sequence();
   frame.digest = wire->digest();
   frame.membersDigest = wire->members_digest();
@@ -265,6 +268,7 @@
   frame.reports =
     Get<decision::SlotReport>(wire->reports(), [](const fb::Report& aOne) {
       return decision::SlotReport{ base::UpstreamId(aOne.upstream()),
+                                   aOne.owner_boot(),
                                    aOne.acked_grant(),
                                    aOne.held(),
                                    aOne.in_use(),
