--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -131,6 +131,9 @@
   cr_assert(answer.Says("X-Verdict: ran"));
   cr_assert(engine.runs == 1);
   cr_assert(engine.resumes == aResumes);
+  const bool stalled =
+    fixture.metrics.Text().find("upstream_stalls_total 1") != std::string::npos;
+  cr_assert(stalled == (aBreak == Break::Silence));
   cr_assert(WaitUntil([&] { return !fixture.control->Outcomes().empty(); }));
   cr_assert(fixture.control->Outcomes()[0] == AttemptOutcome::Completed);
 }
@@ -200,15 +203,17 @@
   std::atomic<int> runs{ 0 };
   TrafficFixture fixture(21050, "plain", [&](const HttpRequest& aRequest) {
     auto response = PlainAnswer(aRequest);
-    response.drop = ++runs == 2; // read and run, then closed
+    response.drop = ++runs == 3; // read and run, then closed
     return response;
   });
+  // Both traffic threads have a kept connection after this.
+  cr_assert(fixture.Call().status == 200);
   cr_assert(fixture.Call().status == 200);
   const auto answer = fixture.Call();
   cr_assert(answer.status == 502);
   cr_assert(answer.Says("X-Verdict: may-have-run"));
   cr_assert(answer.Says("Retry-After: 2"));
-  cr_assert(runs == 2, "%d", runs.load());
+  cr_assert(runs == 3, "%d", runs.load());
 }
 
 Test(path, ARefusedConnectionIsNotRun)
