While there is room a router takes slots at once; demo and measuring scripts

The router asked for what its smoothed demand lacked, every 4 s, and overdrafts covered two requests. Change: while the pool is not contended a router holds a quarter more than it uses and asks every 300 ms.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -11,6 +11,7 @@
   "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
   FLEET_PID[$name]=$!
   FLEET_PIDS+=($!)
+  disown $!
 }
 
 fleet_wait_http() { # IP:PORT PATH
@@ -27,7 +28,7 @@
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
   done
-  wait 2>/dev/null
+  return 0
 }
 
 # Zones of the routers and upstreams, in turn.
@@ -73,8 +74,9 @@
 listen = 127.0.0.1:$((8100 + $1))
 peer_listen = 127.0.0.1:$((8200 + $1))
 admin_listen = 127.0.0.1:$((8300 + $1))
-traffic_threads = 2
+traffic_threads = ${TRAFFIC_THREADS:-2}
 drain_notice_ms = 500
+${ROUTER_SETTINGS:-}
 policy = $2
 [platform]
 address = 127.0.0.1:7000
--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -32,6 +32,8 @@
 inline constexpr Duration kClaimWindow = 2500ms;
 inline constexpr Duration kPressurePeriod = 2000ms;
 inline constexpr Duration kAskPeriod = 4000ms;
+//! While there is room in the pool.
+inline constexpr Duration kFreeAskPeriod = 300ms;
 inline constexpr Duration kUrgentAskPeriod = 1000ms;
 inline constexpr Duration kAskExpiry = 5000ms;
 inline constexpr std::size_t kAskWidth = 4;
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -19,6 +19,9 @@
 //! to so many standard deviations of a count of independent requests.
 constexpr double kLightLeasedPart = 0.8;
 constexpr double kLightPeaks = 3.0;
+//! While there is room in the pool, a router holds this much more than it
+//! uses, so that the next request finds a slot.
+constexpr double kSlackFactor = 1.25;
 constexpr double kLightSmoothingSeconds = 5.0;
 constexpr double kFewestOverdrafts = 2.0;
 constexpr double kWidestBand = 0.15;
@@ -178,6 +181,7 @@
   m_lightAt = aNow;
   const double part = 1.0 - std::exp(-seconds / kLightSmoothingSeconds);
   m_lightMean += (aLight - m_lightMean) * part;
+  m_lightNow = aLight;
 }
 
 double
@@ -367,7 +371,10 @@
 Pool::Needs() const
 {
   SlotNeeds needs;
-  needs.entitled = m_entitledFull + kLightLeasedPart * m_lightMean;
+  needs.entitled =
+    m_contended
+      ? m_entitledFull + kLightLeasedPart * m_lightMean
+      : (m_entitledFull + std::max(m_lightMean, m_lightNow)) * kSlackFactor + 1;
   needs.contended = m_contended;
   needs.bandPart = kWidestBand - (kWidestBand - kNarrowestBand) * m_fairness;
   for (const auto& [id, queue] : m_queues) {
--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -99,6 +99,7 @@
   double m_capacity = 0;
   double m_entitledFull = 0;
   double m_lightMean = 0;
+  double m_lightNow = 0;
   TimePoint m_lightAt{};
   double m_systemTime = 0;
   bool m_contended = false;
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -140,14 +140,23 @@
   if (ask == 0) {
     return;
   }
-  const bool urgent =
-    missing > std::max(kUrgentSlots, kUrgentPart * aNeeds.entitled);
-  if (aNow - m_askedAt >= (urgent ? kUrgentAskPeriod : kAskPeriod)) {
+  if (aNow - m_askedAt >= AskPeriod(aNeeds, missing)) {
     ForgetAsks();
     Ask(ask, aHints, onlyHinted, aTable, aNow);
   }
 }
 
+Duration
+SlotBorrower::AskPeriod(const SlotNeeds& aNeeds, double aMissing)
+{
+  if (!aNeeds.contended) {
+    return kFreeAskPeriod;
+  }
+  const bool many =
+    aMissing > std::max(kUrgentSlots, kUrgentPart * aNeeds.entitled);
+  return many ? kUrgentAskPeriod : kAskPeriod;
+}
+
 void
 SlotBorrower::ReturnIdle(const SlotNeeds& aNeeds, SlotTable& aTable)
 {
--- a/src/decision/internal/slotborrower.h
+++ b/src/decision/internal/slotborrower.h
@@ -75,6 +75,7 @@
   SlotReport ReportOf(UpstreamId aUpstream,
                       const Lease& aLease,
                       const SlotTable& aTable) const;
+  static Duration AskPeriod(const SlotNeeds& aNeeds, double aMissing);
   void ReturnIdle(const SlotNeeds& aNeeds, SlotTable& aTable);
   void Ask(std::uint32_t aCount,
            const std::vector<FreeHint>& aHints,
--- a/src/load/call.cpp
+++ b/src/load/call.cpp
@@ -69,6 +69,8 @@
   add("Authorization: Bearer " + m_plan.key);
   add("Content-Type: application/json");
   add("Expect:");
+  // Only an upstream asked directly looks at this.
+  add(fmt::format("X-Request-Id: {}-{}", m_plan.name, m_seed));
   add(fmt::format("Idempotency-Key: {}-{}", m_plan.name, m_seed));
   const auto url = "http://" + aRouter + m_plan.path;
   curl_easy_setopt(m_handle, CURLOPT_URL, url.c_str());
@@ -164,6 +166,9 @@
   if (aResult == CURLE_OPERATION_TIMEDOUT) {
     return CallEnd::Lost;
   }
+  if (aResult == CURLE_COULDNT_CONNECT) {
+    return CallEnd::NotRun;
+  }
   if (aResult != CURLE_OK) {
     return CallEnd::Cut;
   }
--- a/src/load/loadrun.cpp
+++ b/src/load/loadrun.cpp
@@ -1,9 +1,12 @@
 #include "load/loadrun.h"
 
+#include "base/address.h"
 #include "load/simpleget.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -36,6 +39,9 @@
 
 LoadRun::~LoadRun()
 {
+  for (const int socket : m_idle) {
+    close(socket);
+  }
   m_calls.clear();
   curl_multi_cleanup(m_multi);
 }
@@ -49,6 +55,7 @@
 void
 LoadRun::Run()
 {
+  OpenIdle();
   const double end = m_plan.seconds + m_plan.drainSeconds;
   while (Seconds() < end) {
     const bool over = Seconds() >= m_plan.seconds;
@@ -229,6 +236,22 @@
     "\r{:6.1f}s answered={} open={}   ", now, answered, m_calls.size());
 }
 
+void
+LoadRun::OpenIdle()
+{
+  const auto address = base::ParseAddress(m_plan.routers.front());
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+  for (std::uint32_t i = 0; i < m_plan.idleConnections; ++i) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0) {
+      m_idle.push_back(socket);
+    }
+  }
+}
+
 void
 LoadRun::CountDoubled()
 {
--- a/src/load/loadrun.h
+++ b/src/load/loadrun.h
@@ -63,6 +63,7 @@
   void TakeEnded();
   void Settle(std::unique_ptr<Call> aCall, CallEnd aEnd);
   void Progress();
+  void OpenIdle();
   void CountDoubled();
   std::string NextRouter(std::size_t aWorkspace);
 
@@ -76,6 +77,7 @@
   std::vector<Delayed> m_delayed;
   std::uint64_t m_nextSeed = 1;
   std::uint64_t m_doubled = 0;
+  std::vector<int> m_idle;
   double m_lastProgress = 0;
 };
 
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -82,6 +82,8 @@
   plan.warmupSeconds = ini.GetReal("load", "warmup_seconds", 3);
   plan.drainSeconds = ini.GetReal("load", "drain_seconds", 20);
   plan.slots = static_cast<std::uint32_t>(ini.GetInteger("load", "slots", 0));
+  plan.idleConnections =
+    static_cast<std::uint32_t>(ini.GetInteger("load", "idle_connections", 0));
   plan.seed = static_cast<std::uint64_t>(ini.GetInteger("load", "seed", 1));
   for (const auto& name : SplitList(ini.Get("load", "workspaces", ""))) {
     plan.workspaces.push_back(
--- a/src/load/plan.h
+++ b/src/load/plan.h
@@ -35,6 +35,7 @@
   double seconds = 10;
   double warmupSeconds = 3;
   double drainSeconds = 20;
+  std::uint32_t idleConnections = 0; //!< kept open to the first router
   std::uint32_t slots = 0; //!< of all upstreams of the sampled service
   std::uint64_t seed = 1;
   std::vector<WorkspacePlan> workspaces;
--- a/src/metrics/latencyhistogram.h
+++ b/src/metrics/latencyhistogram.h
@@ -11,7 +11,7 @@
 class LatencyHistogram
 {
 public:
-  static constexpr unsigned kBins = 240;
+  static constexpr unsigned kBins = 1200;
 
   void Add(double aMillis)
   {
