--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,8 @@
 # sourced; FLEET_DIR, FLEET_BIN must be set. Every process started is
 # remembered by its id, and only those are ever ended.
 
+# Ports count from here; two fleets at once need two bases.
+FLEET_BASE=${FLEET_BASE:-7000}
 FLEET_PIDS=()
 declare -A FLEET_PID
 
@@ -46,7 +48,7 @@
       printf '%s{"id":"r%d","role":"router","availability_zone":"%s",' \
         "$sep" "$i" "$(fleet_zone "$i")"
       printf '"address":"127.0.0.1:%d","peer_address":"127.0.0.1:%d",' \
-        $((8300 + i)) $((8200 + i))
+        $((FLEET_BASE + 1300 + i)) $((FLEET_BASE + 1200 + i))
       printf '"state":"live"}\n'
       sep=","
     done
@@ -54,13 +56,13 @@
       printf ',{"id":"e%d","role":"upstream","availability_zone":"%s",' \
         "$i" "$(fleet_zone "$i")"
       printf '"address":"127.0.0.1:%d","pool":"chat","state":"live"}\n' \
-        $((9000 + i))
+        $((FLEET_BASE + 2000 + i))
     done
     for i in $(seq 1 "$3"); do
       printf ',{"id":"p%d","role":"upstream","availability_zone":"%s",' \
         "$i" "$(fleet_zone "$i")"
       printf '"address":"127.0.0.1:%d","pool":"portal","state":"live"}\n' \
-        $((9100 + i))
+        $((FLEET_BASE + 2100 + i))
     done
     echo "]"
   } >"$FLEET_DIR/hosts.json"
@@ -71,15 +73,15 @@
 [router]
 id = r$1
 availability_zone = $(fleet_zone "$1")
-listen = 127.0.0.1:$((8100 + $1))
-peer_listen = 127.0.0.1:$((8200 + $1))
-admin_listen = 127.0.0.1:$((8300 + $1))
+listen = 127.0.0.1:$((FLEET_BASE + 1100 + $1))
+peer_listen = 127.0.0.1:$((FLEET_BASE + 1200 + $1))
+admin_listen = 127.0.0.1:$((FLEET_BASE + 1300 + $1))
 traffic_threads = ${TRAFFIC_THREADS:-2}
 drain_notice_ms = 500
 ${ROUTER_SETTINGS:-}
 policy = $2
 [platform]
-address = 127.0.0.1:7000
+address = 127.0.0.1:$FLEET_BASE
 EOF
 }
 
@@ -104,23 +106,23 @@
     documents+="${documents:+,}$name=$file"
   done
   fleet_start platform "$FLEET_BIN/hemlockgauge-standin-platform" \
-    --listen=127.0.0.1:7000 --hosts="$FLEET_DIR/hosts.json" \
+    --listen=127.0.0.1:$FLEET_BASE --hosts="$FLEET_DIR/hosts.json" \
     --documents="$documents"
   for i in $(seq 1 "$2"); do
     fleet_start "e$i" "$FLEET_BIN/hemlockgauge-standin-engine" \
-      --listen=127.0.0.1:$((9000 + i)) ${ENGINE_FLAGS:-}
+      --listen=127.0.0.1:$((FLEET_BASE + 2000 + i)) ${ENGINE_FLAGS:-}
   done
   for i in $(seq 1 "$3"); do
     fleet_start "p$i" "$FLEET_BIN/hemlockgauge-standin-plain" \
-      --listen=127.0.0.1:$((9100 + i)) ${PLAIN_FLAGS:-}
+      --listen=127.0.0.1:$((FLEET_BASE + 2100 + i)) ${PLAIN_FLAGS:-}
   done
-  fleet_wait_http 127.0.0.1:7000 /-/calls || return 1
+  fleet_wait_http 127.0.0.1:$FLEET_BASE /-/calls || return 1
   for i in $(seq 1 "$1"); do
     fleet_router_settings "$i" "$4"
     fleet_start_router "$i"
   done
   for i in $(seq 1 "$1"); do
-    fleet_wait_http 127.0.0.1:$((8300 + i)) /readyz || return 1
+    fleet_wait_http 127.0.0.1:$((FLEET_BASE + 1300 + i)) /readyz || return 1
   done
 }
 
