Place first, then ask; asks go to few owners

Every arriving request was seen as waiting before it was tried, so routers asked for slots, with urgency 0, at each arrival. Change: dispatch before and after the review of slots; an ask goes to at most six owners; leases are renewed less often in larger fleets.

--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -27,7 +27,10 @@
 // Leases on slots
 //! A router that hears no other for so long goes on alone.
 inline constexpr Duration kJoinWait = 4000ms;
-inline constexpr int kLeaseRounds = 6;         //!< rounds between renewals
+inline constexpr int kLeaseRounds = 6; //!< rounds between renewals
+//! Renewals stretch with the fleet, for a router then has more owners.
+inline constexpr Duration kLeasePerMember = 750ms;
+inline constexpr Duration kLongestLeaseRound = 30000ms;
 inline constexpr int kLeaseExpiryRenewals = 3; //!< renewals missed
 inline constexpr Duration kClaimWindow = 2500ms;
 inline constexpr Duration kPressurePeriod = 2000ms;
@@ -36,7 +39,8 @@
 inline constexpr Duration kFreeAskPeriod = 300ms;
 inline constexpr Duration kUrgentAskPeriod = 1000ms;
 inline constexpr Duration kAskExpiry = 5000ms;
-inline constexpr std::size_t kAskWidth = 4;
+//! Each owner asked costs a message, its further upstreams do not.
+inline constexpr std::size_t kAskOwners = 6;
 inline constexpr std::size_t kMaxAskWidth = 16;
 inline constexpr double kOverdraftPart = 0.05;
 inline constexpr std::size_t kMaxHints = 4;
--- a/src/decision/decisioncore.cpp
+++ b/src/decision/decisioncore.cpp
@@ -30,6 +30,8 @@
     std::visit([this](const auto& aOne) { Handle(aOne); }, aEvent);
     m_slots.RebuildIfStale();
     m_requests.RefuseOrphans();
+    //! NOTE first what fits: only what then still waits is worth asking for.
+    m_requests.Dispatch();
     m_slots.Review();
     m_requests.Dispatch();
     m_peers.Flush();
--- a/src/decision/internal/corestate.cpp
+++ b/src/decision/internal/corestate.cpp
@@ -36,7 +36,9 @@
 Duration
 CoreState::LeaseRound() const
 {
-  return Round() * kLeaseRounds;
+  const auto members = static_cast<Duration::rep>(membership.AliveCount());
+  return std::clamp(
+    kLeasePerMember * members, Round() * kLeaseRounds, kLongestLeaseRound);
 }
 
 Duration
--- a/src/decision/internal/slotborrower.cpp
+++ b/src/decision/internal/slotborrower.cpp
@@ -17,6 +17,7 @@
 constexpr double kUrgentPart = 0.25;
 constexpr double kUrgentSlots = 3;
 constexpr std::uint32_t kSlotsPerAsk = 2;
+constexpr std::size_t kFewestAsked = 4;
 
 double
 Band(const SlotNeeds& aNeeds)
@@ -57,6 +58,12 @@
       lease.dirty = aTable.At(lent.upstream).limit > 0 || lease.extra > 0;
     }
   }
+  //! NOTE by owner, so that one ask goes to few of them.
+  std::stable_sort(m_rotation.begin(),
+                   m_rotation.end(),
+                   [&](UpstreamId aLeft, UpstreamId aRight) {
+                     return m_leases[aLeft].owner < m_leases[aRight].owner;
+                   });
   for (auto& [upstream, lease] : m_leases) {
     if (!present.contains(upstream)) {
       aTable.At(upstream).limit = 0;
@@ -239,7 +246,8 @@
 {
   m_askedAt = aNow;
   const auto width =
-    std::clamp<std::size_t>(aCount / kSlotsPerAsk, kAskWidth, kMaxAskWidth);
+    std::clamp<std::size_t>(aCount / kSlotsPerAsk, kFewestAsked, kMaxAskWidth);
+  std::set<RouterId> owners;
   std::vector<UpstreamId> chosen;
   const auto choose = [&](UpstreamId aUpstream) {
     const auto found = m_leases.find(aUpstream);
@@ -248,7 +256,12 @@
                       (slot == aTable.All().end() || !slot->second.closed);
     const bool isNew =
       std::find(chosen.begin(), chosen.end(), aUpstream) == chosen.end();
-    if (open && isNew && chosen.size() < width) {
+    if (!open || !isNew || chosen.size() == width) {
+      return;
+    }
+    const auto owner = found->second.owner;
+    if (owners.contains(owner) || owners.size() < kAskOwners) {
+      owners.insert(owner);
       chosen.push_back(aUpstream);
     }
   };
