An old copy of a grant does not lend its slots twice

Printed at the first: a lease with granted 0 and held 2 under a confirmed sequence. A borrower had returned two slots under a grant, forgotten its confirmation when its view of the owner changed for a moment, and taken the same grant again from a copy on its way. Change: what a borrower holds counts as lent whatever is confirmed, and an owner that hears of more than it granted tells the lower count under a new sequence.

--- a/src/decision/internal/slotowner.cpp
+++ b/src/decision/internal/slotowner.cpp
@@ -19,7 +19,7 @@
 std::uint32_t
 SlotOwner::Lease::Committed() const
 {
-  return acked == sequence ? granted : std::max(granted, heldSeen);
+  return std::max(granted, heldSeen);
 }
 
 //! A sequence that may have gone out never changes its meaning.
@@ -89,6 +89,11 @@
     const auto left = book.capacity > committed ? book.capacity - committed : 0;
     lease.Change(std::min<std::uint32_t>(aReport.held, left), m_lastSequence);
   } else if (acked == lease.sequence) {
+    //! NOTE more held than granted: an old copy of this grant was taken
+    //! again after slots had been returned under it.
+    if (aReport.held > lease.granted) {
+      lease.Change(lease.granted, m_lastSequence);
+    }
     lease.granted = std::min<std::uint32_t>(lease.granted, aReport.held);
   } else {
     lease.dirty = true;
