--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -59,6 +59,7 @@
   SlotTable& Slots() { return m_slots; }
   const SlotTable& Slots() const { return m_slots; }
   SlotPolicy& Policy() { return m_policy; }
+  const SlotPolicy& Policy() const { return m_policy; }
   UpstreamHealth& Health() { return m_health; }
   const UpstreamHealth& Health() const { return m_health; }
   const std::vector<LentUpstream>& Upstreams() const { return m_upstreams; }
--- a/src/decision/internal/slotflow.cpp
+++ b/src/decision/internal/slotflow.cpp
@@ -325,8 +325,7 @@
 SlotFlow::PollLoads()
 {
   for (const auto& [id, pool] : m_state.pools) {
-    const bool all = std::holds_alternative<LeastLoadedPolicy>(
-      const_cast<Pool&>(pool).Policy());
+    const bool all = std::holds_alternative<LeastLoadedPolicy>(pool.Policy());
     for (const auto& lent : pool.Upstreams()) {
       const auto* host = m_state.hosts.FindUpstream(lent.upstream);
       if (all || lent.owner == m_state.self) {
--- a/src/timer/internal/reactortimerservice.cpp
+++ b/src/timer/internal/reactortimerservice.cpp
@@ -1,6 +1,7 @@
 #include "timer/internal/reactortimerservice.h"
 
 #include "base/error.h"
+#include "base/monotonicclock.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
@@ -56,8 +57,7 @@
 base::TimePoint
 ReactorTimerService::Now() const
 {
-  return std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
+  return base::MonotonicNow();
 }
 
 }
--- a/src/traffic/internal/callerserver.cpp
+++ b/src/traffic/internal/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "traffic/internal/callerserver.h"
 
 #include "base/error.h"
+#include "base/monotonicclock.h"
 #include "metrics/metrics.h"
 #include "traffic/internal/admissionfilters.h"
 #include "traffic/internal/urlescape.h"
@@ -35,13 +36,6 @@
 constexpr int kTooLarge = 413;
 constexpr int kNotAllowed = 405;
 
-base::TimePoint
-Now()
-{
-  return std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
-}
-
 std::string
 HeaderOf(MHD_Connection* aConnection, const char* aName)
 {
@@ -269,7 +263,7 @@
   const int socket = SocketOf(aConnection);
   const std::lock_guard lock(m_mutex);
   if (aWaiting) {
-    m_waiting[socket] = Now();
+    m_waiting[socket] = base::MonotonicNow();
   } else {
     m_waiting.erase(socket);
   }
@@ -373,11 +367,12 @@
       Refusal{ kNotAllowed, "method-not-allowed", base::Verdict::NotRun, {} };
   } else {
     const auto table = m_sink.Table();
-    refusal = RunFilters({ MatchRouteFilter{},
-                           AuthenticateFilter{},
-                           DeadlineFilter{ Now(), aWork.callerDeadline } },
-                         request,
-                         *table);
+    refusal = RunFilters(
+      { MatchRouteFilter{},
+        AuthenticateFilter{},
+        DeadlineFilter{ base::MonotonicNow(), aWork.callerDeadline } },
+      request,
+      *table);
   }
   request.bearerKey.clear();
   request.idText = m_sink.NewRequestId(request.id);
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -1,6 +1,7 @@
 #include "traffic/internal/trafficplane.h"
 
 #include "base/logline.h"
+#include "base/monotonicclock.h"
 #include "metrics/metrics.h"
 #include "traffic/internal/upstreamworker.h"
 
@@ -18,13 +19,6 @@
 
 constexpr base::Duration kSweepPeriod = 100ms;
 
-base::TimePoint
-Now()
-{
-  return std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
-}
-
 int
 StatusOf(RefusalReason aReason)
 {
@@ -167,7 +161,7 @@
 TrafficPlane::AttemptEnded(const decision::AttemptEnded& aEnded)
 {
   if (const auto exchange = FindExchange(aEnded.request)) {
-    const auto taken = Now() - exchange->Request().receivedAt;
+    const auto taken = base::MonotonicNow() - exchange->Request().receivedAt;
     m_metrics.Observe("attempt_ms", static_cast<double>(taken.count()));
   }
   const auto name = decision::kAttemptOutcomeNames.NameOf(aEnded.outcome);
@@ -208,7 +202,7 @@
   for (const auto& exchange : waiting) {
     exchange->CallerHungUp();
   }
-  m_server->CloseSlowCallers(Now());
+  m_server->CloseSlowCallers(base::MonotonicNow());
 }
 
 void
--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -1,5 +1,6 @@
 #include "traffic/internal/transfer.h"
 
+#include "base/monotonicclock.h"
 #include "traffic/internal/urlescape.h"
 
 #include <algorithm>
@@ -207,8 +208,7 @@
 void
 Transfer::TakeHeader(std::string_view aLine)
 {
-  m_lastByte = std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
+  m_lastByte = base::MonotonicNow();
   if (aLine.starts_with("HTTP/")) {
     m_status = 0;
     const auto space = aLine.find(' ');
@@ -266,8 +266,7 @@
     m_paused = true;
     return CURL_WRITEFUNC_PAUSE;
   }
-  m_lastByte = std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
+  m_lastByte = base::MonotonicNow();
   if (!AcceptHead()) {
     return m_crossed ? 0 : aBytes.size();
   }
@@ -298,8 +297,7 @@
 {
   if (m_paused && m_handle != nullptr) {
     m_paused = false;
-    m_lastByte = std::chrono::duration_cast<base::TimePoint>(
-      std::chrono::steady_clock::now().time_since_epoch());
+    m_lastByte = base::MonotonicNow();
     curl_easy_pause(m_handle, CURLPAUSE_CONT);
   }
 }
--- a/src/traffic/internal/upstreamworker.cpp
+++ b/src/traffic/internal/upstreamworker.cpp
@@ -1,5 +1,6 @@
 #include "traffic/internal/upstreamworker.h"
 
+#include "base/monotonicclock.h"
 #include "metrics/metrics.h"
 #include "traffic/internal/transfer.h"
 
@@ -11,13 +12,6 @@
 constexpr long kMaxIdleConnections = 256;
 constexpr long kCancelLimitMs = 1000;
 
-base::TimePoint
-Now()
-{
-  return std::chrono::duration_cast<base::TimePoint>(
-    std::chrono::steady_clock::now().time_since_epoch());
-}
-
 std::size_t
 Discard(char*, std::size_t aSize, std::size_t aCount, void*)
 {
@@ -115,7 +109,7 @@
 void
 UpstreamWorker::Start(Order& aOrder)
 {
-  const auto now = Now();
+  const auto now = base::MonotonicNow();
   if (aOrder.exchange->IsCallerGone()) {
     m_onEnded(
       { aOrder.send.request, decision::AttemptOutcome::CallerGone, false });
@@ -138,13 +132,13 @@
 void
 UpstreamWorker::OpenTry(Transfer& aTransfer)
 {
-  curl_multi_add_handle(m_multi, aTransfer.Open(Now()));
+  curl_multi_add_handle(m_multi, aTransfer.Open(base::MonotonicNow()));
 }
 
 void
 UpstreamWorker::ResumeDue()
 {
-  const auto now = Now();
+  const auto now = base::MonotonicNow();
   std::vector<base::RequestId> later;
   for (const auto id : m_resuming) {
     const auto found = m_transfers.find(id);
@@ -185,7 +179,7 @@
 void
 UpstreamWorker::StopStalled()
 {
-  const auto now = Now();
+  const auto now = base::MonotonicNow();
   std::vector<Transfer*> stalled;
   for (const auto& [id, transfer] : m_transfers) {
     if (transfer->Handle() != nullptr && transfer->IsStalled(now)) {
@@ -202,7 +196,7 @@
 UpstreamWorker::EndTry(Transfer& aTransfer, CURLcode aResult, bool aStalled)
 {
   curl_multi_remove_handle(m_multi, aTransfer.Handle());
-  const auto next = aTransfer.Finish(aResult, aStalled, Now());
+  const auto next = aTransfer.Finish(aResult, aStalled, base::MonotonicNow());
   aTransfer.DropHandle();
   if (next == Transfer::Next::Resume) {
     m_resuming.push_back(aTransfer.Id());
