--- a/src/decision/tests/slottests.cpp
+++ b/src/decision/tests/slottests.cpp
@@ -5,7 +5,6 @@
 using namespace hemlockgauge;
 using decision::RouterId;
 using decision::SlotOwner;
-using decision::SlotReport;
 using decision::TimePoint;
 using decision::UpstreamId;
 
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -149,7 +149,10 @@
   inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
   const timeval limit{ 5, 0 };
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const bool open =
+    connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+    0;
+  cr_assert(open);
   send(socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
   std::string got;
   char buffer[4096];
@@ -326,7 +329,7 @@
 
 Test(path, ASlowCallerHoldsTheUpstreamBack)
 {
-  constexpr std::size_t kChunk = 64 * 1024;
+  constexpr std::size_t kChunk = 65536;
   constexpr std::size_t kMost = 400;
   std::atomic<std::size_t> chunks{ 0 };
   TrafficFixture fixture(21140, "plain", [&](const HttpRequest& aRequest) {
@@ -343,7 +346,10 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(fixture.Port());
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    const bool open =
+      connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+      0;
+    cr_assert(open);
     const std::string request = "GET /s/x HTTP/1.1\r\nHost: h\r\n"
                                 "Authorization: Bearer key\r\n\r\n";
     send(socket, request.data(), request.size(), MSG_NOSIGNAL);
