The process test reads a command's output whole before it looks

Cause: under sanitizers, twice, the test waited in vain for the notice of a death that both logs show 0.6 s after the kill: grep -q ended at its first match, the command line still wrote, and the pipe made it fail. Ruled out: the failure detector (logs), leaks (exit 0 when run alone). Change: output is captured, then searched; the conditions are the same. Conclusion: a fault of the test, a race that would have shown elsewhere too.

--- a/src/router/tests/processtests.sh
+++ b/src/router/tests/processtests.sh
@@ -16,6 +16,15 @@
   failures=$((failures + 1))
 }
 
+# Whether a command's output holds a pattern. All of it is read first: a
+# reader that stops early would make the command fail by a broken pipe.
+shows() { # PATTERN COMMAND...
+  local pattern=$1 output
+  shift
+  output=$("$@")
+  grep -q "$pattern" <<<"$output"
+}
+
 wait_for() { # WHAT COMMAND...
   local what=$1
   shift
@@ -62,8 +71,8 @@
     sed -n "s/.* $1=\([0-9.]*\).*/\1/p"
 }
 running() { # ROUTER
-  curl -sf --noproxy '*' "http://$(admin "$1")/metrics" |
-    grep -q '^hemlockgauge_running [1-9]'
+  shows '^hemlockgauge_running [1-9]' \
+    curl -sf --noproxy '*' "http://$(admin "$1")/metrics"
 }
 answers_gone() { # PID
   ! kill -0 "$1" 2>/dev/null
@@ -101,8 +110,8 @@
 kill -KILL "${FLEET_PID[r3]}"
 wait "$load" || fail "the load was not answered well after a kill"
 dead() {
-  "$FLEET_BIN/hemlockgaugectl" --router="$(admin 1)" --json status |
-    grep -q '"state": "dead"'
+  shows '"state": "dead"' \
+    "$FLEET_BIN/hemlockgaugectl" --router="$(admin 1)" --json status
 }
 wait_for "the notice of r3's death" dead
 
@@ -111,8 +120,8 @@
   -d '{"seed":1,"tokens":1}' \
   "http://127.0.0.1:$((FLEET_BASE + 1101))/chat/x" |
   sed -n 's/^X-Request-Id: \(.*\)\r/\1/p')
-"$FLEET_BIN/hemlockgaugectl" --router="$(admin 1)" explain "$id" |
-  grep -q 'event=placed' || fail "explain does not know $id"
+shows 'event=placed' \
+  "$FLEET_BIN/hemlockgaugectl" --router="$(admin 1)" explain "$id" || fail "explain does not know $id"
 "$FLEET_BIN/hemlockgaugectl" check "$FLEET_DIR/chat.doc.ini" >/dev/null ||
   fail "check refused a good document"
 echo 'colour = red' >>"$FLEET_DIR/chat.doc.ini"
