Take out what the change had made dead

Cause: read once more: since slots held always count as lent, a lease's confirmed sequence was stored and never read; four functions had no caller (Overcommitted, RaiseOwnIncarnation, IsOver, Resumes). Change: these are gone; nothing else. Ruled out: merging PickUp and PickDown, whose entries differ in type and whose upward one keeps our own part. Conclusion: behaviour as before.

--- a/src/decision/internal/membership.cpp
+++ b/src/decision/internal/membership.cpp
@@ -126,13 +126,6 @@
   m_ownState = MemberState::Left;
 }
 
-MemberNotice
-Membership::RaiseOwnIncarnation()
-{
-  m_incarnation++;
-  return Own();
-}
-
 MemberNotice
 Membership::Own() const
 {
--- a/src/decision/internal/membership.h
+++ b/src/decision/internal/membership.h
@@ -49,8 +49,6 @@
   //! After a pause no silence of others counts against them.
   void ForgiveSilence(TimePoint aNow);
   void Leave();
-  //! Makes the notice of our own state newer than any before it.
-  MemberNotice RaiseOwnIncarnation();
 
   MemberNotice Own() const;
   bool IsAlive(RouterId aRouter) const;
--- a/src/decision/internal/slotowner.cpp
+++ b/src/decision/internal/slotowner.cpp
@@ -98,7 +98,6 @@
   } else {
     lease.dirty = true;
   }
-  lease.acked = acked;
   lease.heldSeen = aReport.held;
   lease.inUse = aReport.inUse;
   lease.want = aReport.want;
@@ -317,15 +316,4 @@
   return hints;
 }
 
-std::uint32_t
-SlotOwner::Overcommitted() const
-{
-  std::uint32_t over = 0;
-  for (const auto& [upstream, book] : m_books) {
-    const auto committed = book.Committed();
-    over += committed > book.capacity ? committed - book.capacity : 0;
-  }
-  return over;
-}
-
 }
--- a/src/decision/internal/slotowner.h
+++ b/src/decision/internal/slotowner.h
@@ -41,9 +41,6 @@
   std::vector<SlotGrant> Renewals(RouterId aBorrower);
   std::vector<RouterId> Borrowers() const;
   std::vector<FreeHint> FreeSlots() const;
-  //! Slots lent out beyond an upstream's capacity: 0 unless it shrank or
-  //! claims met.
-  std::uint32_t Overcommitted() const;
   std::uint64_t GrantsRaisedBeyondCapacity() const { return m_badRaises; }
 
 private:
@@ -55,7 +52,6 @@
     std::uint32_t want = 0;
     std::uint32_t urgency = 100;
     std::uint32_t sequence = 0;
-    std::uint32_t acked = 0;
     std::uint32_t told = 0; //!< last sequence that went out
     TimePoint heard{};
     TimePoint pressedAt{};
--- a/src/traffic/internal/exchange.cpp
+++ b/src/traffic/internal/exchange.cpp
@@ -187,11 +187,4 @@
   return m_hasHead;
 }
 
-bool
-Exchange::IsOver() const
-{
-  const std::lock_guard lock(m_mutex);
-  return m_ended || m_failed;
-}
-
 }
--- a/src/traffic/internal/exchange.h
+++ b/src/traffic/internal/exchange.h
@@ -64,7 +64,6 @@
   void Refuse(const Refusal& aRefusal);
   bool HasHead() const;
   bool IsCallerGone() const { return m_callerGone; }
-  bool IsOver() const;
 
 private:
   void ResumeLocked();
--- a/src/traffic/internal/transfer.h
+++ b/src/traffic/internal/transfer.h
@@ -47,7 +47,6 @@
   //! A stream that still runs at a model engine after its caller left.
   bool NeedsCancel() const;
   std::string StreamUrl() const;
-  std::uint32_t Resumes() const { return m_resumes; }
 
 private:
   static std::size_t OnBody(char* aData,
