Prefixes are left less easily; large prompts are not refused for their size

Change: the time of reading counts twice more when placing; beyond its share a request is judged by what it waits for others and by what it reads again, not by its own part; who is ahead gives way only while others miss what they ask.

--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -9,6 +9,7 @@
 struct AdmissionInput
 {
   double foreseenMs = 0; //!< to its first token or its answer
+  double ownMs = 0;      //!< of that, what reading its own part takes
   Duration waited{};     //!< since it arrived
   Duration target{};     //!< of its route, from its arrival
   Duration timeLeft{};   //!< until its deadline or its route's timeout
@@ -16,6 +17,8 @@
   //! What its workspace gets against the most that any would get if all
   //! that is served now were split by max-min: over 1, others are behind.
   double excess = 1;
+  //! Workspaces that are not ahead do not get what they ask.
+  bool othersWait = true;
   bool placesFree = false; //!< its upstream has free slots and no backlog
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -92,11 +92,10 @@
   const auto add = [&](bool aEjectedToo) {
     for (const auto& [id, upstream] : m_upstreams) {
       const auto& entry = upstream.entry;
-      const bool fits = entry.service == aRequest.service &&
-                        !entry.draining &&
-                        std::find(aRequest.avoid.begin(),
-                                  aRequest.avoid.end(),
-                                  id) == aRequest.avoid.end();
+      const bool fits =
+        entry.service == aRequest.service && !entry.draining &&
+        std::find(aRequest.avoid.begin(), aRequest.avoid.end(), id) ==
+          aRequest.avoid.end();
       if (!fits || (!aEjectedToo && upstream.health.IsEjected(aNow))) {
         continue;
       }
@@ -151,11 +150,14 @@
   result.running = candidate.running;
   AdmissionInput input;
   input.foreseenMs = placed->foreseenMs;
+  input.ownMs =
+    candidate.isEngine ? aRequest.work->OwnTokens() / candidate.readRate : 0.0;
   input.waited = aRequest.waited;
   input.target = aRequest.route->target;
   input.timeLeft = aRequest.timeLeft;
   input.insideShare = result.insideShare;
   input.excess = result.excess;
+  input.othersWait = m_othersWait;
   input.placesFree =
     candidate.unreadTokens <= 0 && candidate.running < candidate.slots;
   const auto admission = Admit(input);
@@ -369,6 +371,13 @@
   }
   m_shareLevel = MaxMinLevel(m_fleetRates, capacity);
   m_excessLevel = MaxMinLevel(m_fleetRates, std::max(capacity, begun));
+  double missed = 0;
+  for (const auto& [workspace, rate] : m_fleetRates) {
+    if (rate.begun < m_excessLevel) {
+      missed += std::max(0.0, std::min(rate.asked, m_excessLevel) - rate.begun);
+    }
+  }
+  m_othersWait = missed > kMissedNoticed * begun;
 }
 
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -47,7 +47,7 @@
   Duration waited{};
   Duration timeLeft{};
   std::vector<UpstreamId> avoid; //!< tried already
-  bool admitted = false; //!< was taken before; only its place is sought
+  bool admitted = false;         //!< was taken before; only its place is sought
 };
 
 enum class PlaceOutcome : std::uint8_t
@@ -88,12 +88,12 @@
   Broken,          //!< reset, closed, wrong bytes, not to be reached
   CallerGone
 };
-inline constexpr auto kAttemptEndNames = base::MakeEnumNames<AttemptEnd>(
-  "answered",
-  "answered-failure",
-  "refused",
-  "broken",
-  "caller-gone");
+inline constexpr auto kAttemptEndNames =
+  base::MakeEnumNames<AttemptEnd>("answered",
+                                  "answered-failure",
+                                  "refused",
+                                  "broken",
+                                  "caller-gone");
 
 //! Everything that is decided about requests: no socket, clock, thread or
 //! file; time is told in each call. One object a router, one thread.
@@ -175,7 +175,8 @@
   PrefixMap m_prefixes;
   DemandMeter m_demand;
   WorkspaceRates m_fleetRates;
-  double m_shareLevel;  //!< the most that a workspace is owed
+  double m_shareLevel;       //!< the most that a workspace is owed
+  bool m_othersWait = false; //!< see AdmissionInput
   double m_excessLevel; //!< the most if all that is served were split alike
   std::vector<PrefixUse> m_usesToTell;
   std::map<UpstreamId, Upstream> m_upstreams;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -37,6 +37,9 @@
 //! rank nearer in its prefix's order. Half of what reading a mean own part
 //! takes, so a prefix spreads before requests wait for each other.
 inline constexpr double kRankMs = 15.0;
+//! What is read again makes all behind it wait too: its time counts this
+//! often besides the request's own wait.
+inline constexpr double kRereadWeight = 2.0;
 inline constexpr int kMostRanks = 6;
 //! Extra for a way between availability zones and back, in ms.
 inline constexpr double kOtherZoneMs = 2.0;
@@ -50,13 +53,19 @@
 //! foreseen within this part of its target; the rest is for the way and for
 //! the error of the estimate.
 inline constexpr double kInsideShareLimit = 0.9;
-//! Outside its share a request is taken only while there is room: it must
-//! not make those inside wait.
-inline constexpr double kOutsideShareLimit = 0.35;
+//! Outside its share a request is taken only while there is room, so that
+//! it does not make those inside wait: if it would not wait longer for
+//! others than this part of its target.
+inline constexpr double kOutsideShareLimit = 0.18;
+//! A large prompt inside its workspace's share may wait so much longer than
+//! its own reading takes: a quarter of it for others.
+inline constexpr double kOwnReading = 1.25;
 //! Bounds of how much sooner or later than that a workspace beyond its
 //! share is refused, by how far it is ahead of the others beyond theirs.
 inline constexpr double kExcessLeast = 0.1;
 inline constexpr double kBehindMost = 2.0;
+//! Part of all that is served that others must miss to be said to wait.
+inline constexpr double kMissedNoticed = 0.02;
 //! Retry-After is at most this part of the time that the caller has left:
 //! callers honour up to a third.
 inline constexpr double kRetryAfterPart = 0.3;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -31,10 +31,8 @@
   AtMostOnce, //!< may run once
   Stream      //!< a series of events; may run once unless it is resumable
 };
-inline constexpr auto kCallKindNames = base::MakeEnumNames<CallKind>(
-  "idempotent",
-  "at-most-once",
-  "stream");
+inline constexpr auto kCallKindNames =
+  base::MakeEnumNames<CallKind>("idempotent", "at-most-once", "stream");
 
 //! A part of a route's requests that goes to one service.
 struct ServiceWeight
@@ -128,6 +126,11 @@
   bool IsGeneration() const { return promptTokens > 0; }
   //! In the unit of FleetConfig::tokensPerSecond.
   double Cost() const { return promptTokens + 2.0 * outputTokens; }
+  //! Tokens that no other request shares.
+  std::uint32_t OwnTokens() const
+  {
+    return prompt.empty() ? promptTokens : prompt.back().tokens;
+  }
   //! The part that other requests share with it, by which it is placed.
   const PromptPart* LastShared() const
   {
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -12,9 +12,9 @@
   const auto found = m_told.find(aTelling.router);
   if (found != m_told.end()) {
     const auto& known = found->second.telling;
-    const bool older = aTelling.life < known.life ||
-                       (aTelling.life == known.life &&
-                        aTelling.sequence <= known.sequence);
+    const bool older =
+      aTelling.life < known.life ||
+      (aTelling.life == known.life && aTelling.sequence <= known.sequence);
     if (older) {
       return false;
     }
@@ -68,8 +68,8 @@
 {
   std::vector<ClockEcho> echoes;
   for (const auto& [router, told] : m_told) {
-    echoes.push_back({ base::RouterId(base::HashName(router)),
-                       told.telling.sentAt });
+    echoes.push_back(
+      { base::RouterId(base::HashName(router)), told.telling.sentAt });
   }
   return echoes;
 }
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -38,7 +38,9 @@
 double
 Reluctance(const Candidate& aCandidate)
 {
-  return aCandidate.failurePart * kFailureMs +
+  const double rereading =
+    aCandidate.isEngine ? aCandidate.missingTokens / aCandidate.readRate : 0.0;
+  return aCandidate.failurePart * kFailureMs + kRereadWeight * rereading +
          (aCandidate.sameZone ? 0.0 : kOtherZoneMs);
 }
 
@@ -93,9 +95,9 @@
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const auto& candidate = aCandidates[i];
     const double foreseen = candidate.ForeseenMs();
-    const double rankCost =
-      candidate.isEngine ? std::visit(RankCost{ ranks[i] }, aPolicy)
-                         : RankCost{ ranks[i] }(LeastWait{});
+    const double rankCost = candidate.isEngine
+                              ? std::visit(RankCost{ ranks[i] }, aPolicy)
+                              : RankCost{ ranks[i] }(LeastWait{});
     const double cost = foreseen + Reluctance(candidate) + rankCost;
     if (i == 0 || cost < bestCost) {
       bestCost = cost;
--- a/src/fleet/internal/retrypolicy.cpp
+++ b/src/fleet/internal/retrypolicy.cpp
@@ -23,8 +23,7 @@
 AfterFailure
 DecideAfterFailure(const FailedAttempt& aFailed, bool aBudgetAllows)
 {
-  const bool resumes =
-    aFailed.kind == CallKind::Stream && aFailed.mayRunAgain;
+  const bool resumes = aFailed.kind == CallKind::Stream && aFailed.mayRunAgain;
   if (aFailed.answerBegun && !resumes) {
     return AfterFailure::Cut;
   }
@@ -33,9 +32,8 @@
   }
   const bool nothingRan = aFailed.attemptsRun == 0;
   if (nothingRan) {
-    return aFailed.attemptsNotRun < kMostNotRunAttempts
-             ? AfterFailure::Retry
-             : FinalAnswer(aFailed);
+    return aFailed.attemptsNotRun < kMostNotRunAttempts ? AfterFailure::Retry
+                                                        : FinalAnswer(aFailed);
   }
   const bool attemptLeft = aFailed.attemptsRun < aFailed.maxAttempts &&
                            aFailed.attemptsNotRun < kMostNotRunAttempts;
--- a/src/fleet/internal/upstreamhealth.cpp
+++ b/src/fleet/internal/upstreamhealth.cpp
@@ -33,8 +33,7 @@
   m_inRow++;
   //! NOTE after an ejection one more failure ejects again.
   const bool again = m_ejection > Duration{};
-  if (!aMayEject || (m_inRow < kFailuresToEject && !again) ||
-      IsEjected(aNow)) {
+  if (!aMayEject || (m_inRow < kFailuresToEject && !again) || IsEjected(aNow)) {
     return false;
   }
   m_ejection = again ? std::min(m_ejection * 2, kEjectionMost) : kEjectionFirst;
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -14,7 +14,7 @@
   CallKind kind = CallKind::AtMostOnce;
   bool mayRunAgain = false;
   base::Verdict verdict = base::Verdict::MayHaveRun;
-  bool answerBegun = false; //!< the caller has part of an answer
+  bool answerBegun = false;         //!< the caller has part of an answer
   std::uint32_t attemptsRun = 0;    //!< attempts that may have run, this too
   std::uint32_t attemptsNotRun = 0; //!< attempts that nothing ran, this too
   std::uint32_t maxAttempts = 1;    //!< of the route
@@ -28,11 +28,11 @@
   AnswerUnknown, //!< say that it may have run
   Cut            //!< break off the answer that has begun
 };
-inline constexpr auto kAfterFailureNames = base::MakeEnumNames<AfterFailure>(
-  "retry",
-  "answer-not-run",
-  "answer-unknown",
-  "cut");
+inline constexpr auto kAfterFailureNames =
+  base::MakeEnumNames<AfterFailure>("retry",
+                                    "answer-not-run",
+                                    "answer-unknown",
+                                    "cut");
 
 //! What to do next, if the budget allows a retry.
 AfterFailure
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -178,8 +178,8 @@
     bench.fleet.Tick(bench.now);
     for (int i = 0; i < 12; ++i) {
       const std::string who = i < 11 ? "flood" : "light";
-      const auto place = bench.Place(
-        bench.Ask(static_cast<std::uint64_t>(i), who));
+      const auto place =
+        bench.Place(bench.Ask(static_cast<std::uint64_t>(i), who));
       asked[who]++;
       refused[who] += place.outcome == PlaceOutcome::Refused ? 1 : 0;
       if (place.outcome == PlaceOutcome::Placed) {
@@ -188,8 +188,8 @@
       }
     }
   }
-  cr_assert(refused["light"] == 0, "%d of %d", refused["light"],
-            asked["light"]);
+  cr_assert(
+    refused["light"] == 0, "%d of %d", refused["light"], asked["light"]);
 }
 
 //! Found in hunts: two workspaces beyond their share, one asking four times
@@ -216,16 +216,18 @@
       bench.fleet.Tick(bench.now);
     }
     const std::string who = step % 5 == 0 ? "small" : "large";
-    const auto place = bench.Place(
-      bench.Ask(static_cast<std::uint64_t>(step % 7), who));
+    const auto place =
+      bench.Place(bench.Ask(static_cast<std::uint64_t>(step % 7), who));
     if (place.outcome == PlaceOutcome::Placed) {
       const auto wait = static_cast<std::int64_t>(place.foreseenMs);
       reading.emplace_back(bench.now + Duration(wait), place.attempt);
       begun[who] += step >= 600 ? 1 : 0;
     }
   }
-  cr_assert(begun["small"] >= begun["large"] / 2, "%.0f of %.0f",
-            begun["small"], begun["large"]);
+  cr_assert(begun["small"] >= begun["large"] / 2,
+            "%.0f of %.0f",
+            begun["small"],
+            begun["large"]);
 }
 
 //! The load: more prompts at once than can be read within their target.
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -104,8 +104,9 @@
 
 Test(routetable, AnyPathIsMatchedAsByLookingAtAllRoutes)
 {
-  const std::vector<std::string> prefixes{ "/", "/a/", "/a/b/", "/b/a/",
-                                           "/a/b/c/" };
+  const std::vector<std::string> prefixes{
+    "/", "/a/", "/a/b/", "/b/a/", "/a/b/c/"
+  };
   std::vector<Route> routes;
   for (const auto& prefix : prefixes) {
     routes.push_back(RouteOf("h", prefix));
@@ -261,7 +262,8 @@
 Test(placement, ManyRoutersPlaceAPrefixAtTheSameUpstream)
 {
   const std::vector<Candidate> all{ Engine(1, 0), Engine(2, 0), Engine(3, 0) };
-  const std::vector<Candidate> other{ Engine(3, 0), Engine(1, 0),
+  const std::vector<Candidate> other{ Engine(3, 0),
+                                      Engine(1, 0),
                                       Engine(2, 0) };
   for (std::uint64_t key = 1; key < 50; ++key) {
     const auto here = Place(PrefixAffinity{}, all, key);
@@ -308,6 +310,17 @@
   }
 }
 
+//! Reading a prefix again makes all behind it wait: a request stays with the
+//! upstream that holds it although another would answer a little sooner.
+Test(placement, APrefixIsNotReadAgainForALittleTime)
+{
+  const std::vector<Candidate> all{ Engine(1, 3500, 1000),
+                                    Engine(2, 0, 4000) };
+  for (std::uint64_t key = 0; key < 20; ++key) {
+    cr_assert(Place(PrefixAffinity{}, all, key)->candidate == 0);
+  }
+}
+
 Test(placement, AFailingUpstreamComesLast)
 {
   std::vector<Candidate> all{ Engine(1, 0), Engine(2, 3000) };
@@ -374,6 +387,42 @@
   cr_assert(refused.retryAfter == 600ms);
 }
 
+//! Found when trying limits: the largest tenth of the long prompts was
+//! served half as often as all of them.
+Test(admission, ALargePromptIsNotRefusedForItsSize)
+{
+  AdmissionInput input;
+  input.target = 800ms;
+  input.timeLeft = 6000ms;
+  input.ownMs = 1200;
+  input.foreseenMs = 1400;
+  cr_assert(Admit(input).taken);
+  input.foreseenMs = 1600;
+  cr_assert(!Admit(input).taken);
+  input.insideShare = false;
+  input.foreseenMs = 1300;
+  cr_assert(Admit(input).taken);
+  input.foreseenMs = 1400;
+  cr_assert(!Admit(input).taken);
+}
+
+Test(admission, WhoIsAheadGivesWayOnlyWhileOthersWait)
+{
+  AdmissionInput input;
+  input.target = 1000ms;
+  input.timeLeft = 6000ms;
+  input.insideShare = false;
+  input.excess = 3;
+  input.foreseenMs = 100;
+  cr_assert(!Admit(input).taken);
+  input.placesFree = true;
+  cr_assert(!Admit(input).taken);
+  input.othersWait = false;
+  cr_assert(Admit(input).taken);
+  input.placesFree = false;
+  cr_assert(Admit(input).taken);
+}
+
 Test(admission, NothingIsRefusedWhilePlacesAreFree)
 {
   AdmissionInput input;
--- a/src/fleet/upstreamlist.h
+++ b/src/fleet/upstreamlist.h
@@ -17,11 +17,8 @@
   Lapsed, //!< missing after the store was away; may come back
   Gone
 };
-inline constexpr auto kEntryChangeNames = base::MakeEnumNames<EntryChange>(
-  "listed",
-  "draining",
-  "lapsed",
-  "gone");
+inline constexpr auto kEntryChangeNames =
+  base::MakeEnumNames<EntryChange>("listed", "draining", "lapsed", "gone");
 
 struct EntryNotice
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,14 +97,13 @@
   for (const auto& seed : m_settings.seeds) {
     seeds.push_back({ seed.ip, m_settings.peerListen.port });
   }
-  m_peers = std::make_unique<PeerLink>(
-    m_loop,
-    m_settings.peerListen,
-    seeds,
-    m_metrics,
-    [this](const fleet::Telling& aTelling) {
-      m_fleet.Take(aTelling, m_loop.Now());
-    });
+  m_peers = std::make_unique<PeerLink>(m_loop,
+                                       m_settings.peerListen,
+                                       seeds,
+                                       m_metrics,
+                                       [this](const fleet::Telling& aTelling) {
+                                         m_fleet.Take(aTelling, m_loop.Now());
+                                       });
   m_probes = std::make_unique<ProbeServer>(
     m_loop, m_settings.probeListen, [this](const std::string& aTarget) {
       return Page(aTarget);
@@ -126,8 +125,8 @@
     refused.close();
     return;
   }
-  auto connection = std::make_unique<http::ServerConnection>(
-    m_loop, aStream, m_limits, *this);
+  auto connection =
+    std::make_unique<http::ServerConnection>(m_loop, aStream, m_limits, *this);
   auto* key = connection.get();
   m_connections[key] = std::move(connection);
 }
@@ -140,12 +139,9 @@
   if (m_stopBeganAt) {
     aConnection.CloseAfterAnswer();
   }
-  const ExchangeParts parts{ m_loop,
-                             m_fleet,
-                             m_dialects.callers,
-                             m_dialects.upstreams,
-                             m_pool,
-                             m_metrics };
+  const ExchangeParts parts{
+    m_loop, m_fleet, m_dialects.callers, m_dialects.upstreams, m_pool, m_metrics
+  };
   auto exchange = std::make_unique<Exchange>(parts, *this, aConnection);
   auto* key = exchange.get();
   m_exchanges[key] = std::move(exchange);
@@ -201,8 +197,8 @@
   if (found == m_exchanges.end()) {
     return;
   }
-  auto holder = std::make_shared<std::unique_ptr<Exchange>>(
-    std::move(found->second));
+  auto holder =
+    std::make_shared<std::unique_ptr<Exchange>>(std::move(found->second));
   m_exchanges.erase(found);
   m_loop.Defer([holder] { holder->reset(); });
 }
@@ -254,8 +250,7 @@
     }
   }
   const bool over = IsClosing() && m_connections.empty();
-  const bool late =
-    aNow - *m_stopBeganAt > m_settings.grace - kBeforeKill;
+  const bool late = aNow - *m_stopBeganAt > m_settings.grace - kBeforeKill;
   if (!over && !late) {
     return;
   }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -15,11 +15,11 @@
 {
   std::string id;
   std::string zone;
-  base::Address callersListen; //!< for callers
-  base::Address probeListen;   //!< readiness, metrics, status
-  base::Address controlListen; //!< other routers, over TCP
-  base::Address peerListen;    //!< other routers, datagrams
-  base::Address store;         //!< the platform's store
+  base::Address callersListen;      //!< for callers
+  base::Address probeListen;        //!< readiness, metrics, status
+  base::Address controlListen;      //!< other routers, over TCP
+  base::Address peerListen;         //!< other routers, datagrams
+  base::Address store;              //!< the platform's store
   std::vector<base::Address> seeds; //!< other routers' control addresses
   //! Within which a withdrawn key must have stopped working; 0: no bound.
   base::Duration revocationBound{};
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -22,7 +22,7 @@
   std::string method;
   std::string target; //!< path and query, to be passed on unchanged
   std::string host;
-  std::string apiKey; //!< never logged, never passed on
+  std::string apiKey;               //!< never logged, never passed on
   std::optional<Duration> deadline; //!< how long the caller waits
   //! The last event of the stream that the caller has from an earlier try.
   std::optional<std::string> lastEventId;
@@ -54,10 +54,10 @@
 {
   int status = 0;
   std::string reason;
-  std::string requestId; //!< which request it answers; empty: not said
-  bool notRun = false;   //!< the upstream says that it ran nothing
+  std::string requestId;    //!< which request it answers; empty: not said
+  bool notRun = false;      //!< the upstream says that it ran nothing
   bool misdirected = false; //!< another upstream has the address
-  bool sealed = false; //!< carries the proof that a success needs
+  bool sealed = false;      //!< carries the proof that a success needs
   bool isEventStream = false;
   bool hasForeignCoding = false; //!< the body is not the upstream's own
   Duration keepAlive{};          //!< of the idle connection; 0: not said
@@ -75,28 +75,28 @@
   SlowRequest,
   NoSuchRoute,
   UnknownKey,
-  NoConfig,     //!< no configuration is known yet
-  StaleConfig,  //!< the keys known may have been withdrawn
-  Overload,     //!< could not be answered in time
-  NoUpstream,   //!< none of the service may get work
-  Draining,     //!< the router stops
-  Timeout,      //!< its deadline or its route's timeout passed
+  NoConfig,    //!< no configuration is known yet
+  StaleConfig, //!< the keys known may have been withdrawn
+  Overload,    //!< could not be answered in time
+  NoUpstream,  //!< none of the service may get work
+  Draining,    //!< the router stops
+  Timeout,     //!< its deadline or its route's timeout passed
   UpstreamFailed
 };
-inline constexpr auto kRefusalNames = base::MakeEnumNames<Refusal>(
-  "bad-request",
-  "head-too-large",
-  "body-too-large",
-  "slow-request",
-  "no-such-route",
-  "unknown-key",
-  "no-config",
-  "stale-config",
-  "overload",
-  "no-upstream",
-  "draining",
-  "timeout",
-  "upstream-failed");
+inline constexpr auto kRefusalNames =
+  base::MakeEnumNames<Refusal>("bad-request",
+                               "head-too-large",
+                               "body-too-large",
+                               "slow-request",
+                               "no-such-route",
+                               "unknown-key",
+                               "no-config",
+                               "stale-config",
+                               "overload",
+                               "no-upstream",
+                               "draining",
+                               "timeout",
+                               "upstream-failed");
 
 //! An answer that the router gives itself.
 struct OwnAnswer
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -108,8 +108,7 @@
   if (m_route != nullptr) {
     return true;
   }
-  const auto age =
-    m_parts.fleet.ConfigFreshness().Age(m_parts.loop.Now());
+  const auto age = m_parts.fleet.ConfigFreshness().Age(m_parts.loop.Now());
   const bool sure = age < kDenyLimit;
   AnswerOwn(sure ? Refusal::NoSuchRoute : Refusal::StaleConfig,
             Verdict::NotRun,
@@ -286,8 +285,7 @@
   context.timeLeft = TimeLeft(m_sentAt);
   context.lastEventId =
     m_events.LastId() ? m_events.LastId() : m_request.lastEventId;
-  m_upstream =
-    &m_parts.pool.Acquire(aPlace.upstreamId, aPlace.address, *this);
+  m_upstream = &m_parts.pool.Acquire(aPlace.upstreamId, aPlace.address, *this);
   m_upstream->Send(m_parts.upstreams.Encode(m_request, context),
                    m_request.method == "HEAD");
 }
@@ -387,8 +385,7 @@
     return;
   }
   m_headSent = true;
-  m_caller->BeginAnswer(m_parts.callers.EncodeHead(m_answer),
-                        Framing::Chunked);
+  m_caller->BeginAnswer(m_parts.callers.EncodeHead(m_answer), Framing::Chunked);
 }
 
 void
@@ -439,9 +436,8 @@
 {
   if (!m_headSent) {
     m_headSent = true;
-    m_caller->BeginAnswer(m_parts.callers.EncodeHead(m_answer),
-                          Framing::Length,
-                          m_body.size());
+    m_caller->BeginAnswer(
+      m_parts.callers.EncodeHead(m_answer), Framing::Length, m_body.size());
     m_caller->Write(m_body);
   }
   m_caller->EndAnswer();
@@ -538,8 +534,7 @@
   if (elsewhere) {
     m_caller->CloseAfterAnswer();
   }
-  m_caller->BeginAnswer(
-    m_parts.callers.EncodeOwn(answer), Framing::Length, 0);
+  m_caller->BeginAnswer(m_parts.callers.EncodeOwn(answer), Framing::Length, 0);
   m_caller->EndAnswer();
   Finish("answered-by-router",
          0,
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -83,8 +83,7 @@
 }
 
 http::IClientEvents::HeadVerdict
-StoreFollower::OnAnswerHead(http::ClientConnection&,
-                            http::ResponseHead&& aHead)
+StoreFollower::OnAnswerHead(http::ClientConnection&, http::ResponseHead&& aHead)
 {
   m_status = aHead.status;
   return HeadVerdict::Take;
--- a/src/gateway/internal/tellingcodec.cpp
+++ b/src/gateway/internal/tellingcodec.cpp
@@ -117,8 +117,7 @@
                               { aRate.asked(), aRate.begun() } });
   });
   Each(wire->uses(), [&](const fb::Use& aUse) {
-    telling.uses.push_back(
-      { aUse.part(), base::UpstreamId(aUse.upstream()) });
+    telling.uses.push_back({ aUse.part(), base::UpstreamId(aUse.upstream()) });
   });
   Each(wire->echoes(), [&](const fb::Echo& aEcho) {
     telling.echoes.push_back(
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -113,7 +113,8 @@
   for (auto* connection : old) {
     Discard(*connection);
   }
-  std::erase_if(m_idle, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(m_idle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 void
@@ -136,8 +137,7 @@
 }
 
 void
-UpstreamPool::OnFailed(http::ClientConnection& aConnection,
-                       http::ClientFailure)
+UpstreamPool::OnFailed(http::ClientConnection& aConnection, http::ClientFailure)
 {
   Forget(aConnection);
 }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -55,8 +55,7 @@
   }
   owner.m_answerKeepAlive =
     aHead.keepAlive && aHead.framing != Framing::UntilClose;
-  const auto verdict =
-    owner.m_events->OnAnswerHead(owner, std::move(aHead));
+  const auto verdict = owner.m_events->OnAnswerHead(owner, std::move(aHead));
   owner.m_skipping = verdict == IClientEvents::HeadVerdict::Skip;
   owner.m_dropped = verdict == IClientEvents::HeadVerdict::Drop;
   if (owner.m_skipping) {
@@ -68,8 +67,7 @@
 ClientConnection::Sink::OnBody(std::string_view aBytes)
 {
   auto& owner = m_owner;
-  if (!owner.m_skipping && !owner.m_dropped &&
-      owner.m_state == State::Busy) {
+  if (!owner.m_skipping && !owner.m_dropped && owner.m_state == State::Busy) {
     owner.m_events->OnAnswerBody(owner, aBytes);
   }
 }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -29,11 +29,11 @@
   BrokenInAnswer,   //!< the answer stopped on its way
   BadAnswer         //!< what came is no answer in the protocol
 };
-inline constexpr auto kClientFailureNames = base::MakeEnumNames<ClientFailure>(
-  "not-connected",
-  "broken-unanswered",
-  "broken-in-answer",
-  "bad-answer");
+inline constexpr auto kClientFailureNames =
+  base::MakeEnumNames<ClientFailure>("not-connected",
+                                     "broken-unanswered",
+                                     "broken-in-answer",
+                                     "bad-answer");
 
 //! Told what happens on a ClientConnection.
 class IClientEvents
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -69,12 +69,11 @@
   BodyTooLarge,
   Timeout //!< the message did not arrive in time
 };
-inline constexpr auto kFaultNames = base::MakeEnumNames<Fault>(
-  "none",
-  "syntax",
-  "head-too-large",
-  "body-too-large",
-  "timeout");
+inline constexpr auto kFaultNames = base::MakeEnumNames<Fault>("none",
+                                                               "syntax",
+                                                               "head-too-large",
+                                                               "body-too-large",
+                                                               "timeout");
 
 //! "HTTP/1.1 200 OK\r\n" and the fields, without the blank line.
 void
--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -232,8 +232,7 @@
   const bool keepAlive = http_should_keep_alive(&m_parser) != 0;
   if (m_side == Side::Requests) {
     RequestHead head;
-    head.method =
-      http_method_str(static_cast<http_method>(m_parser.method));
+    head.method = http_method_str(static_cast<http_method>(m_parser.method));
     head.target = std::move(m_startText);
     head.headers = std::move(m_headers);
     head.keepAlive = keepAlive;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -38,8 +38,7 @@
 {
   m_owner.m_head = std::move(aHead);
   const auto& length = m_owner.m_head.length;
-  m_owner.m_bodyTooLarge =
-    length && *length > m_owner.m_limits.maxBodyBytes;
+  m_owner.m_bodyTooLarge = length && *length > m_owner.m_limits.maxBodyBytes;
   if (length && !m_owner.m_bodyTooLarge) {
     m_owner.m_body.reserve(*length);
   }
