--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -8,8 +8,20 @@
 namespace {
 
 //! Uses of prefixes in one telling: over what one router sends in a period
-//! under the largest burst that it can carry.
+//! under the largest burst that it can carry, and what a sum has room for in
+//! one datagram.
 constexpr std::size_t kMostUsesTold = 256;
+constexpr std::size_t kMostUsesSummed = 1024;
+
+void
+Append(std::vector<PrefixUse>& aTo, const std::vector<PrefixUse>& aMore)
+{
+  const auto room = kMostUsesSummed - std::min(kMostUsesSummed, aTo.size());
+  const auto count = std::min(room, aMore.size());
+  aTo.insert(aTo.end(),
+             aMore.begin(),
+             aMore.begin() + static_cast<std::ptrdiff_t>(count));
+}
 
 }
 
@@ -197,8 +209,8 @@
   upstream.unreadTokens += attempt.unreadTokens;
   for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
     m_prefixes.Used(work.prompt[i].id, aUpstream, aNow);
-    if (m_usesToTell.size() < kMostUsesTold) {
-      m_usesToTell.push_back({ work.prompt[i].id, aUpstream });
+    if (m_usesHere.size() < kMostUsesTold) {
+      m_usesHere.push_back({ work.prompt[i].id, aUpstream });
     }
   }
   if (work.IsGeneration() && !aRequest.admitted) {
@@ -299,10 +311,22 @@
   for (const auto& use : aTelling.uses) {
     m_prefixes.Used(use.part, use.upstream, aNow);
   }
+  if (aTelling.scope == TellingScope::Router) {
+    Append(m_usesOfGroup, aTelling.uses);
+  } else if (aTelling.scope == TellingScope::Group) {
+    Append(m_usesOfOthers, aTelling.uses);
+  }
   TakeProof(aTelling);
   return true;
 }
 
+void
+Fleet::SetPlan(const ExchangePlan& aPlan)
+{
+  m_group = aPlan.group;
+  m_peers.SetRole(aPlan.isHub, aPlan.group);
+}
+
 //! A datagram may have waited in a buffer while this process stood still,
 //! so its age is not known. The echo of this router's own clock bounds it:
 //! the sender wrote it after it heard that.
@@ -314,9 +338,9 @@
     return;
   }
   const auto self = base::RouterId(base::HashName(m_settings.router));
-  for (const auto& echo : aTelling.echoes) {
-    if (echo.router == self) {
-      m_freshness.Proven(echo.sentAt - aTelling.configAge);
+  for (const auto& heard : aTelling.heard) {
+    if (heard.router == self) {
+      m_freshness.Proven(heard.sentAt - aTelling.configAge);
     }
   }
 }
@@ -329,7 +353,8 @@
   telling.life = m_settings.life;
   telling.sequence = ++m_tellingSequence;
   telling.sentAt = aNow;
-  telling.echoes = m_peers.Echoes();
+  telling.group = m_group;
+  telling.heard = m_peers.Heard();
   telling.configVersion = ConfigVersion();
   telling.configAge = m_freshness.Age(aNow);
   for (const auto& [id, upstream] : m_upstreams) {
@@ -340,11 +365,32 @@
   for (const auto& [workspace, rate] : m_demand.Rates(aNow)) {
     telling.rates.push_back({ workspace, rate });
   }
-  telling.uses = std::move(m_usesToTell);
-  m_usesToTell.clear();
+  telling.uses = std::move(m_usesHere);
+  m_usesHere.clear();
+  Append(m_usesOfGroup, telling.uses);
+  m_peers.Sent(telling);
   return telling;
 }
 
+Telling
+Fleet::TellGroup(const Telling& aOwn)
+{
+  auto sum = m_peers.GroupSum(aOwn);
+  sum.uses = m_usesOfGroup;
+  return sum;
+}
+
+Telling
+Fleet::TellFleet(const Telling& aOwn)
+{
+  auto sum = m_peers.FleetSum(aOwn);
+  sum.uses = std::move(m_usesOfGroup);
+  Append(sum.uses, m_usesOfOthers);
+  m_usesOfGroup.clear();
+  m_usesOfOthers.clear();
+  return sum;
+}
+
 void
 Fleet::Tick(TimePoint aNow)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,6 +4,7 @@
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/freshness.h"
+#include "fleet/membership.h"
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
 #include "fleet/prefixmap.h"
@@ -125,8 +126,12 @@
   RetryBudget& Retries() { return m_retries; }
 
   // ---- other routers
+  void SetPlan(const ExchangePlan& aPlan);
   bool Take(const Telling& aTelling, TimePoint aNow);
+  //! This router's own; to be followed by the sums if it is a hub.
   Telling Tell(TimePoint aNow);
+  Telling TellGroup(const Telling& aOwn);
+  Telling TellFleet(const Telling& aOwn);
   const PeerView& Peers() const { return m_peers; }
 
   void Tick(TimePoint aNow);
@@ -179,7 +184,10 @@
   double m_shareLevel;       //!< the most that a workspace is owed
   bool m_othersWait = false; //!< see AdmissionInput
   double m_excessLevel; //!< the most if all that is served were split alike
-  std::vector<PrefixUse> m_usesToTell;
+  std::uint64_t m_group = 0;
+  std::vector<PrefixUse> m_usesHere;     //!< since the last telling
+  std::vector<PrefixUse> m_usesOfGroup;  //!< since the last group sum
+  std::vector<PrefixUse> m_usesOfOthers; //!< since the last fleet sum
   std::map<UpstreamId, Upstream> m_upstreams;
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -108,6 +108,19 @@
 //! lost and a router without power is noticed so.
 inline constexpr base::Duration kTellingKept = 1000ms;
 inline constexpr base::Duration kMemberKept = 10000ms;
+//! Not heard by anyone for this long, a router is passed over as a hub.
+inline constexpr base::Duration kMemberAlive = 3000ms;
+//! Members are told every so many periods.
+inline constexpr std::uint64_t kMembersEvery = 10;
+//! How often a router asks the seeds, that partitions may heal.
+inline constexpr base::Duration kSeedPeriod = 1000ms;
+//! Up to so many routers tell each other directly.
+inline constexpr std::size_t kMeshMost = 12;
+//! Routers in a group: a hub on an eighth of a core gets as many datagrams
+//! a period.
+inline constexpr std::size_t kGroupMost = 24;
+//! Hubs of a group: one may be lost without a gap.
+inline constexpr std::size_t kHubsOfGroup = 2;
 
 // ---- the platform's store
 
--- /dev/null
+++ b/src/fleet/internal/loadsum.cpp
@@ -0,0 +1,71 @@
+#include "fleet/loadsum.h"
+
+#include <algorithm>
+
+namespace hemlockgauge::fleet {
+
+void
+LoadSum::Add(const Telling& aTelling)
+{
+  for (const auto& load : aTelling.loads) {
+    auto& sum = m_loads[load.upstream];
+    sum.upstream = load.upstream;
+    sum.unreadTokens += load.unreadTokens;
+    sum.running += load.running;
+  }
+  for (const auto& [workspace, rate] : aTelling.rates) {
+    auto& sum = m_rates[workspace];
+    sum.asked += rate.asked;
+    sum.begun += rate.begun;
+  }
+  m_routers += aTelling.routers;
+}
+
+void
+LoadSum::TakeOut(const Telling& aTelling)
+{
+  for (const auto& load : aTelling.loads) {
+    auto& sum = m_loads[load.upstream];
+    sum.upstream = load.upstream;
+    sum.unreadTokens -= std::min(sum.unreadTokens, load.unreadTokens);
+    sum.running -= std::min(sum.running, load.running);
+  }
+  for (const auto& [workspace, rate] : aTelling.rates) {
+    auto& sum = m_rates[workspace];
+    sum.asked = std::max(0.0, sum.asked - rate.asked);
+    sum.begun = std::max(0.0, sum.begun - rate.begun);
+  }
+  m_routers -= std::min(m_routers, aTelling.routers);
+}
+
+void
+LoadSum::PutInto(Telling& aTelling) const
+{
+  aTelling.loads.clear();
+  aTelling.rates.clear();
+  for (const auto& [id, load] : m_loads) {
+    aTelling.loads.push_back(load);
+  }
+  for (const auto& [workspace, rate] : m_rates) {
+    aTelling.rates.push_back({ workspace, rate });
+  }
+  aTelling.routers = m_routers;
+}
+
+void
+LoadSum::Clear()
+{
+  m_loads.clear();
+  m_rates.clear();
+  m_routers = 0;
+}
+
+UpstreamLoad
+LoadSum::LoadOf(UpstreamId aUpstream) const
+{
+  const auto found = m_loads.find(aUpstream);
+  return found == m_loads.end() ? UpstreamLoad{ aUpstream, 0, 0 }
+                                : found->second;
+}
+
+}
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -1,74 +1,43 @@
 #pragma once
 
-#include "fleet/fairshare.h"
-#include "fleet/fleettypes.h"
+#include "fleet/loadsum.h"
+#include "fleet/telling.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace hemlockgauge::fleet {
 
-//! What one router has in progress at an upstream.
-struct UpstreamLoad
-{
-  UpstreamId upstream{};
-  std::uint32_t unreadTokens = 0; //!< of prompts whose first token is due
-  std::uint32_t running = 0;      //!< requests without their last byte
-};
-
-//! A prompt's part that was sent to an upstream lately.
-struct PrefixUse
-{
-  std::uint64_t part = 0;
-  UpstreamId upstream{};
-};
-
-struct WorkspaceTelling
-{
-  WorkspaceId workspace{};
-  WorkspaceRate rate;
-};
-
-//! The newest clock value that the sender heard from another router.
-struct ClockEcho
-{
-  base::RouterId router{};
-  TimePoint sentAt{}; //!< by the clock of that router
-};
-
-//! What a router tells the others, each kTellPeriod. It may get lost; the
-//! next one says it anew.
-struct Telling
-{
-  std::string router;
-  std::uint64_t life = 0; //!< higher at each start of the router
-  std::uint64_t sequence = 0;
-  TimePoint sentAt{}; //!< by the sender's clock, for echoes alone
-  std::uint64_t configVersion = 0;
-  Duration configAge{}; //!< since the version was proven the newest
-  std::vector<ClockEcho> echoes;
-  std::vector<UpstreamLoad> loads;
-  std::vector<WorkspaceTelling> rates;
-  std::vector<PrefixUse> uses;
-};
-
-//! The sum of what the other routers told lately.
+//! What the other routers have in progress and ask, from their tellings.
 class PeerView
 {
 public:
+  //! aIsHub: this router hears the others of its group itself, and the sums
+  //! of other groups. Otherwise it hears the sum of all from its hubs.
+  void SetRole(bool aIsHub, std::uint64_t aGroup);
   //! Returns false for one that is older than what is known.
   bool Take(const Telling& aTelling, TimePoint aNow);
-  //! Drops routers that have been silent for too long.
+  //! What this router itself told, to be taken out of sums again.
+  void Sent(const Telling& aOwn);
+  //! Drops what is too old to count.
   void Forget(TimePoint aNow);
 
-  UpstreamLoad LoadOf(UpstreamId aUpstream) const;
-  const WorkspaceRates& Rates() const { return m_rates; }
-  std::size_t Routers() const { return m_told.size(); }
-  //! For each router heard, the clock value that it sent last.
-  std::vector<ClockEcho> Echoes() const;
+  UpstreamLoad LoadOf(UpstreamId aUpstream) const
+  {
+    return m_sum.LoadOf(aUpstream);
+  }
+  const WorkspaceRates& Rates() const { return m_sum.Rates(); }
+  //! How many routers the view covers, without this one.
+  std::size_t Routers() const { return m_sum.Routers(); }
+  //! Routers heard directly, with the last telling of each.
+  std::vector<HeardRouter> Heard() const;
+  //! The sum over this router's group, itself included.
+  Telling GroupSum(const Telling& aOwn) const;
+  //! The sum over the fleet, this router included.
+  Telling FleetSum(const Telling& aOwn) const;
   //! Age of the oldest telling that counts.
   Duration Age(TimePoint aNow) const;
 
@@ -80,10 +49,17 @@
   };
 
   void Sum();
+  void SumSoon();
+  const Telling* OwnPartOf(const Telling& aSum) const;
 
-  std::map<std::string, Told> m_told;
-  std::unordered_map<std::uint32_t, UpstreamLoad> m_loads;
-  WorkspaceRates m_rates;
+  bool m_isHub = true;
+  std::uint64_t m_group = 0;
+  std::map<std::string, Told> m_told;     //!< by router
+  std::map<std::uint64_t, Told> m_groups; //!< sums of other groups
+  std::map<std::string, Told> m_fleet;    //!< sums of all, by hub
+  std::deque<Telling> m_own;              //!< what was told lately
+  LoadSum m_sum;
+  bool m_stale = false; //!< m_sum lacks what came last
 };
 
 }
--- /dev/null
+++ b/src/fleet/telling.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "fleet/fairshare.h"
+#include "fleet/fleettypes.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockgauge::fleet {
+
+//! What is in progress at an upstream.
+struct UpstreamLoad
+{
+  UpstreamId upstream{};
+  std::uint32_t unreadTokens = 0; //!< of prompts whose first token is due
+  std::uint32_t running = 0;      //!< requests without their last byte
+};
+
+//! A prompt's part that was sent to an upstream lately.
+struct PrefixUse
+{
+  std::uint64_t part = 0;
+  UpstreamId upstream{};
+};
+
+struct WorkspaceTelling
+{
+  WorkspaceId workspace{};
+  WorkspaceRate rate;
+};
+
+//! The last telling that was heard from a router. The clock value lets it
+//! bound the age of what it is told; the sequence lets it take its own part
+//! out of a sum.
+struct HeardRouter
+{
+  base::RouterId router{};
+  std::uint64_t sequence = 0;
+  TimePoint sentAt{}; //!< by the clock of that router
+};
+
+//! A router as others know it.
+struct KnownMember
+{
+  base::Address address;  //!< for tellings
+  std::uint32_t zone = 0; //!< hash of its availability zone's name
+  Duration age{};         //!< since it was heard by someone
+};
+
+//! Whose loads and rates a telling holds.
+enum class TellingScope : std::uint8_t
+{
+  Router, //!< the sender's own
+  Group,  //!< the sum of the sender's group
+  Fleet   //!< the sum of all
+};
+
+//! What routers tell each other, each kTellPeriod. It may get lost; the
+//! next one says it anew.
+struct Telling
+{
+  std::string router;
+  std::uint64_t life = 0; //!< higher at each start of the router
+  std::uint64_t sequence = 0;
+  TimePoint sentAt{}; //!< by the sender's clock, to be sent back only
+  TellingScope scope = TellingScope::Router;
+  std::uint32_t zone = 0;    //!< hash of the sender's availability zone
+  std::uint64_t group = 0;   //!< the sender's group
+  std::uint32_t routers = 1; //!< how many it sums up
+  std::uint64_t configVersion = 0;
+  Duration configAge{};      //!< since the version was proven the newest
+  bool wantsMembers = false; //!< the sender knows hardly anyone
+  std::vector<HeardRouter> heard;
+  std::vector<UpstreamLoad> loads;
+  std::vector<WorkspaceTelling> rates;
+  std::vector<PrefixUse> uses;
+  std::vector<KnownMember> members; //!< now and then
+};
+
+}
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -263,14 +263,15 @@
   fleet.Take(telling, bench.now);
   cr_assert(!fleet.ConfigFreshness().MayUseKeys(bench.now));
   telling.sequence = 2;
-  telling.echoes = { { base::RouterId(base::HashName("r1")),
-                       bench.now - 200ms } };
+  telling.heard = {
+    { base::RouterId(base::HashName("r1")), 1, bench.now - 200ms }
+  };
   // The datagram may have waited for long: only the echo counts.
   fleet.Take(telling, bench.now + 3000ms);
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
   telling.sequence = 3;
   telling.configVersion = 6;
-  telling.echoes[0].sentAt = bench.now + 2000ms;
+  telling.heard[0].sentAt = bench.now + 2000ms;
   fleet.Take(telling, bench.now + 3000ms);
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
 }
--- /dev/null
+++ b/src/fleet/tests/exchangetests.cpp
@@ -0,0 +1,240 @@
+#include "fleet/fleetconstants.h"
+#include "fleet/membership.h"
+#include "fleet/peerview.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace hemlockgauge;
+using namespace hemlockgauge::fleet;
+
+namespace {
+
+base::Address
+AddressOf(int aRouter)
+{
+  return { "10.0." + std::to_string(aRouter / 200) + "." +
+             std::to_string(1 + aRouter % 200),
+           7400 };
+}
+
+//! One router's membership and view, without a socket.
+struct Router
+{
+  Router(int aIndex, int aZones, const std::vector<base::Address>& aSeeds)
+    : name("r" + std::to_string(aIndex))
+    , address(AddressOf(aIndex))
+    , zone(1 + static_cast<std::uint32_t>(aIndex % aZones))
+    , members(address, zone, aSeeds)
+  {
+  }
+
+  std::string name;
+  base::Address address;
+  std::uint32_t zone;
+  Membership members;
+  PeerView view;
+  std::uint64_t sequence = 0;
+  bool alive = true;
+  int sent = 0;
+  int got = 0;
+};
+
+//! Routers that exchange tellings through a network that loses some. Each
+//! has one request running at the one upstream there is.
+class Net
+{
+public:
+  Net(int aRouters, int aZones)
+  {
+    const std::vector<base::Address> seeds{ AddressOf(0), AddressOf(1) };
+    for (int i = 0; i < aRouters; ++i) {
+      routers.push_back(std::make_unique<Router>(i, aZones, seeds));
+      m_byAddress[AddressOf(i).Text()] = routers.back().get();
+    }
+  }
+
+  void Step()
+  {
+    now += kTellPeriod;
+    for (auto& router : routers) {
+      if (router->alive) {
+        Tell(*router);
+      }
+    }
+  }
+
+  void Steps(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Step();
+    }
+  }
+
+  std::uint32_t Seen(const Router& aRouter) const
+  {
+    return aRouter.view.LoadOf(UpstreamId(1)).running;
+  }
+
+  TimePoint now{ 1000000 };
+  double loss = 0;
+  std::vector<std::unique_ptr<Router>> routers;
+
+private:
+  void Tell(Router& aRouter)
+  {
+    aRouter.members.Forget(now);
+    aRouter.view.Forget(now);
+    const auto plan = aRouter.members.Plan(now);
+    aRouter.view.SetRole(plan.isHub, plan.group);
+    Telling own;
+    own.router = aRouter.name;
+    own.life = 1;
+    own.sequence = ++aRouter.sequence;
+    own.sentAt = now;
+    own.zone = aRouter.zone;
+    own.group = plan.group;
+    own.heard = aRouter.view.Heard();
+    own.loads = { { UpstreamId(1), 10, 1 } };
+    if (own.sequence % kMembersEvery == 0) {
+      own.members = aRouter.members.Known(now);
+    }
+    aRouter.view.Sent(own);
+    Send(aRouter, own, plan.tell);
+    if (!plan.followers.empty()) {
+      Send(aRouter, aRouter.view.GroupSum(own), plan.hubs);
+      Send(aRouter, aRouter.view.FleetSum(own), plan.followers);
+    }
+    auto greeting = own;
+    greeting.wantsMembers = true;
+    Send(aRouter, greeting, aRouter.members.SeedsToTell(now));
+  }
+
+  void Send(Router& aFrom,
+            const Telling& aTelling,
+            const std::vector<base::Address>& aTo)
+  {
+    for (const auto& address : aTo) {
+      aFrom.sent++;
+      const auto found = m_byAddress.find(address.Text());
+      const bool lost = std::uniform_real_distribution<>(0, 1)(m_random) < loss;
+      if (found == m_byAddress.end() || !found->second->alive || lost) {
+        continue;
+      }
+      Deliver(aFrom, aTelling, *found->second);
+    }
+  }
+
+  void Deliver(Router& aFrom, const Telling& aTelling, Router& aTo)
+  {
+    aTo.got++;
+    aTo.members.Heard(aFrom.address, aTelling.zone, now);
+    aTo.members.Learn(aTelling.members, now);
+    aTo.view.Take(aTelling, now);
+    if (aTelling.wantsMembers) {
+      aFrom.members.Heard(aTo.address, aTo.zone, now);
+      aFrom.members.Learn(aTo.members.Known(now), now);
+    }
+  }
+
+  std::map<std::string, Router*> m_byAddress;
+  std::mt19937 m_random{ 7 };
+};
+
+}
+
+Test(exchange, SevenRoutersSeeEachOtherDirectly)
+{
+  Net net(7, 3);
+  net.Steps(30);
+  for (const auto& router : net.routers) {
+    cr_assert(net.Seen(*router) == 6, "%u", net.Seen(*router));
+    cr_assert(router->view.Routers() == 6);
+  }
+}
+
+Test(exchange, ManyRoutersSeeTheWholeFleetWithFewDatagrams)
+{
+  for (const int size : { 30, 89, 320 }) {
+    Net net(size, 4);
+    net.Steps(60);
+    for (auto& router : net.routers) {
+      router->sent = 0;
+      router->got = 0;
+    }
+    net.Steps(20);
+    for (const auto& router : net.routers) {
+      const auto seen = static_cast<int>(net.Seen(*router));
+      cr_assert(std::abs(seen - (size - 1)) <= 1, "%d of %d", seen, size);
+      // The largest part is a hub's: its group, and two hubs a group.
+      const int groups = (size + 23) / 24 + 4;
+      cr_assert(router->sent <= 20 * (26 + 2 * groups), "%d", router->sent);
+    }
+  }
+}
+
+Test(exchange, ALostHubIsReplaced)
+{
+  Net net(40, 2);
+  net.Steps(60);
+  int killed = 0;
+  for (auto& router : net.routers) {
+    if (router->members.Plan(net.now).isHub && killed < 3) {
+      router->alive = false;
+      killed++;
+    }
+  }
+  cr_assert(killed == 3);
+  net.Steps(60);
+  for (const auto& router : net.routers) {
+    if (router->alive) {
+      cr_assert(net.Seen(*router) == 36, "%u", net.Seen(*router));
+    }
+  }
+}
+
+Test(exchange, HearsayKeepsNoLostRouterAlive)
+{
+  Net net(7, 3);
+  net.Steps(30);
+  net.routers[3]->alive = false;
+  net.Steps(200);
+  for (const auto& router : net.routers) {
+    if (router->alive) {
+      cr_assert(router->members.Alive(net.now) == 6);
+      cr_assert(router->members.Known(net.now).size() == 5);
+    }
+  }
+}
+
+Test(exchange, AFleetThatStartsAllAtOnceFindsItselfThoughDatagramsGetLost)
+{
+  Net net(89, 4);
+  net.loss = 0.1;
+  net.Steps(40);
+  for (const auto& router : net.routers) {
+    cr_assert(router->members.Alive(net.now) == 89,
+              "%zu",
+              router->members.Alive(net.now));
+  }
+}
+
+Test(exchange, AllRoutersAgreeOnTheHubs)
+{
+  Net net(89, 4);
+  net.Steps(60);
+  std::map<std::uint64_t, std::set<std::string>> hubs;
+  for (const auto& router : net.routers) {
+    const auto plan = router->members.Plan(net.now);
+    if (plan.isHub) {
+      hubs[plan.group].insert(router->name);
+    }
+  }
+  for (const auto& [group, names] : hubs) {
+    cr_assert(names.size() == kHubsOfGroup);
+  }
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,6 +48,18 @@
   return settings;
 }
 
+//! The settings name the seeds' control addresses; tellings go to the same
+//! port at all routers.
+std::vector<base::Address>
+SeedsOf(const GatewaySettings& aSettings)
+{
+  std::vector<base::Address> seeds;
+  for (const auto& seed : aSettings.seeds) {
+    seeds.push_back({ seed.ip, aSettings.peerListen.port });
+  }
+  return seeds;
+}
+
 Exchange*
 ExchangeOf(const http::ServerConnection& aConnection)
 {
@@ -83,6 +95,9 @@
   , m_fleet(FleetSettingsOf(aSettings, aLife))
   , m_pool(aLoop)
   , m_connections(aLoop, m_limits, *this)
+  , m_members(aSettings.peerListen,
+              base::HashName(aSettings.zone),
+              SeedsOf(aSettings))
   , m_lastTick(aLoop.Now())
 {
 }
@@ -94,17 +109,13 @@
 {
   m_store = std::make_unique<StoreFollower>(
     m_loop, m_settings.store, m_dialects.store, *this, m_metrics);
-  std::vector<base::Address> seeds;
-  for (const auto& seed : m_settings.seeds) {
-    seeds.push_back({ seed.ip, m_settings.peerListen.port });
-  }
-  m_peers = std::make_unique<PeerLink>(m_loop,
-                                       m_settings.peerListen,
-                                       seeds,
-                                       m_metrics,
-                                       [this](const fleet::Telling& aTelling) {
-                                         m_fleet.Take(aTelling, m_loop.Now());
-                                       });
+  m_peers = std::make_unique<PeerLink>(
+    m_loop,
+    m_settings.peerListen,
+    m_metrics,
+    [this](const fleet::Telling& aTelling, const base::Address& aFrom) {
+      TakeTelling(aTelling, aFrom);
+    });
   m_probes = std::make_unique<ProbeServer>(
     m_loop, m_settings.probeListen, [this](const std::string& aTarget) {
       return Page(aTarget);
@@ -282,7 +293,7 @@
     TakeNotices(gone);
   }
   m_fleet.Tick(now);
-  m_peers->Tell(m_fleet.Tell(now));
+  TellOthers(now);
   const bool ready = IsReady();
   if (ready != m_ready) {
     m_ready = ready;
@@ -290,6 +301,50 @@
   }
 }
 
+void
+Gateway::TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom)
+{
+  const auto now = m_loop.Now();
+  const bool wasAlone = m_members.IsAlone(now);
+  m_members.Heard(aFrom, aTelling.zone, now);
+  m_members.Learn(aTelling.members, now);
+  if (wasAlone) {
+    LogLine("routers-found").Add("first", aFrom.Text()).Info();
+  }
+  if (aTelling.wantsMembers) {
+    fleet::Telling reply;
+    reply.router = m_settings.id;
+    reply.zone = base::HashName(m_settings.zone);
+    reply.members = m_members.Known(now);
+    m_peers->Send(reply, { aFrom });
+  }
+  m_fleet.Take(aTelling, now);
+}
+
+void
+Gateway::TellOthers(base::TimePoint aNow)
+{
+  for (const auto& address : m_members.Forget(aNow)) {
+    LogLine("router-lost").Add("address", address).Info();
+  }
+  const auto plan = m_members.Plan(aNow);
+  m_fleet.SetPlan(plan);
+  auto own = m_fleet.Tell(aNow);
+  own.zone = base::HashName(m_settings.zone);
+  const bool withMembers = own.sequence % fleet::kMembersEvery == 0;
+  if (withMembers) {
+    own.members = m_members.Known(aNow);
+  }
+  m_peers->Send(own, plan.tell);
+  if (!plan.followers.empty()) {
+    m_peers->Send(m_fleet.TellGroup(own), plan.hubs);
+    m_peers->Send(m_fleet.TellFleet(own), plan.followers);
+  }
+  auto greeting = own;
+  greeting.wantsMembers = true;
+  m_peers->Send(greeting, m_members.SeedsToTell(aNow));
+}
+
 //! Called with what each change of the list brought.
 void
 Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "base/basetypes.h"
 #include "fleet/fleet.h"
+#include "fleet/membership.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/internal/exchange.h"
@@ -86,6 +87,8 @@
   void FollowStop(base::TimePoint aNow);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
   void SetConfig(fleet::ConfigPtr aConfig);
+  void TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom);
+  void TellOthers(base::TimePoint aNow);
   void PublishGauges(base::TimePoint aNow);
   ProbePage Page(const std::string& aTarget);
 
@@ -99,6 +102,7 @@
   http::ConnectionSet m_connections;
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   std::unique_ptr<StoreFollower> m_store;
+  fleet::Membership m_members;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<ProbeServer> m_probes;
   std::unique_ptr<http::Listener> m_listener;
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -3,7 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "eventloop/eventloop.h"
-#include "fleet/fleetconstants.h"
+#include "gateway/tellingcodec.h"
 #include "metrics/metrics.h"
 
 #include <ace/INET_Addr.h>
@@ -16,21 +16,14 @@
 
 constexpr std::size_t kMostDatagram = 65536;
 constexpr int kDatagramsPerRound = 64;
-constexpr base::Duration kHeardLately = 2 * fleet::kTellingKept;
-//! More members than this are not taken from what others tell: a bound on
-//! what rubbish can do.
-constexpr std::size_t kMostMembers = 1024;
 
 }
 
 PeerLink::PeerLink(eventloop::EventLoop& aLoop,
                    const base::Address& aListen,
-                   const std::vector<base::Address>& aSeeds,
                    metrics::Metrics& aMetrics,
                    OnTelling aOnTelling)
   : m_loop(aLoop)
-  , m_self(aListen)
-  , m_seeds(aSeeds)
   , m_metrics(aMetrics)
   , m_onTelling(std::move(aOnTelling))
   , m_buffer(kMostDatagram)
@@ -51,38 +44,22 @@
 }
 
 void
-PeerLink::Tell(fleet::Telling aTelling)
+PeerLink::Send(const fleet::Telling& aTelling,
+               const std::vector<base::Address>& aTo)
 {
-  const auto now = m_loop.Now();
-  std::erase_if(m_members, [&](const auto& aEntry) {
-    const bool old = now - aEntry.second.knownAt > fleet::kMemberKept;
-    if (old) {
-      base::LogLine("router-lost").Add("address", aEntry.first).Info();
-    }
-    return old;
-  });
-  std::map<std::string, base::Address> receivers;
-  TellingDatagram datagram{ std::move(aTelling), {} };
-  for (const auto& [text, member] : m_members) {
-    receivers[text] = member.address;
-    //! NOTE only who was heard is told of: hearsay would keep a lost router
-    //! alive for ever.
-    if (member.heardAt + kHeardLately > now) {
-      datagram.members.push_back(member.address);
-    }
-  }
-  for (const auto& seed : m_seeds) {
-    receivers[seed.Text()] = seed;
+  if (aTo.empty()) {
+    return;
   }
-  const auto bytes = EncodeTelling(datagram);
-  for (const auto& [text, address] : receivers) {
-    if (address == m_self) {
-      continue;
-    }
+  const auto bytes = EncodeTelling(aTelling);
+  std::uint64_t lost = 0;
+  for (const auto& address : aTo) {
     const ACE_INET_Addr to(address.port, address.ip.c_str());
-    const auto sent = m_socket.send(bytes.data(), bytes.size(), to);
-    m_metrics.Count(sent == -1 ? "tellings_unsent_total"
-                               : "tellings_sent_total");
+    lost += m_socket.send(bytes.data(), bytes.size(), to) == -1 ? 1 : 0;
+  }
+  m_metrics.Count("tellings_sent_total", aTo.size());
+  m_metrics.Count("telling_bytes_sent_total", aTo.size() * bytes.size());
+  if (lost > 0) {
+    m_metrics.Count("tellings_unsent_total", lost);
   }
 }
 
@@ -108,17 +85,7 @@
                const base::Address& aFrom)
 {
   try {
-    const auto datagram = DecodeTelling(aBytes, aSize);
-    Learn(aFrom);
-    if (const auto found = m_members.find(aFrom.Text());
-        found != m_members.end()) {
-      found->second.knownAt = m_loop.Now();
-      found->second.heardAt = m_loop.Now();
-    }
-    for (const auto& member : datagram.members) {
-      Learn(member);
-    }
-    m_onTelling(datagram.telling);
+    m_onTelling(DecodeTelling(aBytes, aSize), aFrom);
   } catch (const base::Error& error) {
     m_metrics.Count("bad_datagrams_total");
     base::LogLine("bad-datagram")
@@ -128,16 +95,4 @@
   }
 }
 
-void
-PeerLink::Learn(const base::Address& aMember)
-{
-  const auto text = aMember.Text();
-  if (aMember == m_self || m_members.contains(text) ||
-      m_members.size() >= kMostMembers) {
-    return;
-  }
-  m_members[text] = { aMember, m_loop.Now(), {} };
-  base::LogLine("router-found").Add("address", text).Info();
-}
-
 }
--- a/src/gateway/internal/tellingcodec.cpp
+++ b/src/gateway/internal/tellingcodec.cpp
@@ -5,6 +5,8 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+
 namespace hemlockgauge::gateway {
 
 namespace fb = hemlockgauge::wire::fb;
@@ -28,6 +30,27 @@
   return text;
 }
 
+constexpr std::size_t kBufferBytes = 2048;
+
+std::uint8_t
+Raw(fleet::TellingScope aScope)
+{
+  return static_cast<std::uint8_t>(aScope);
+}
+
+//! Ages and clock values are never negative on the wire.
+std::uint64_t
+Unsigned(base::Duration aTime)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(aTime.count(), 0));
+}
+
+base::Duration
+Signed(std::uint64_t aMillis)
+{
+  return base::Duration(static_cast<std::int64_t>(aMillis));
+}
+
 template<typename Wire, typename List>
 auto
 Each(const List* aList, Wire aTake)
@@ -42,54 +65,59 @@
 }
 
 std::vector<std::uint8_t>
-EncodeTelling(const TellingDatagram& aDatagram)
+EncodeTelling(const fleet::Telling& aTelling)
 {
-  const auto& telling = aDatagram.telling;
   std::vector<fb::Load> loads;
-  for (const auto& load : telling.loads) {
+  for (const auto& load : aTelling.loads) {
     loads.emplace_back(
       base::Raw(load.upstream), load.unreadTokens, load.running);
   }
   std::vector<fb::Rate> rates;
-  for (const auto& [workspace, rate] : telling.rates) {
+  for (const auto& [workspace, rate] : aTelling.rates) {
     rates.emplace_back(base::Raw(workspace),
                        static_cast<float>(rate.asked),
                        static_cast<float>(rate.begun));
   }
   std::vector<fb::Use> uses;
-  for (const auto& use : telling.uses) {
+  for (const auto& use : aTelling.uses) {
     uses.emplace_back(use.part, base::Raw(use.upstream));
   }
-  std::vector<fb::Echo> echoes;
-  for (const auto& echo : telling.echoes) {
-    echoes.emplace_back(base::Raw(echo.router),
-                        static_cast<std::uint64_t>(echo.sentAt.count()));
+  std::vector<fb::HeardFrom> heard;
+  for (const auto& one : aTelling.heard) {
+    heard.emplace_back(
+      base::Raw(one.router), one.sequence, Unsigned(one.sentAt));
   }
-  std::vector<fb::Member> members;
-  for (const auto& member : aDatagram.members) {
-    members.emplace_back(PackIp(member.ip), member.port);
+  std::vector<fb::Address> members;
+  for (const auto& member : aTelling.members) {
+    members.emplace_back(PackIp(member.address.ip),
+                         member.zone,
+                         static_cast<std::uint32_t>(Unsigned(member.age)),
+                         member.address.port);
   }
-  flatbuffers::FlatBufferBuilder builder(2048);
-  const auto root =
-    fb::CreateTellingDirect(builder,
-                            telling.router.c_str(),
-                            telling.life,
-                            telling.sequence,
-                            static_cast<std::uint64_t>(telling.sentAt.count()),
-                            telling.configVersion,
-                            static_cast<std::uint64_t>(std::max<std::int64_t>(
-                              telling.configAge.count(), 0)),
-                            &loads,
-                            &rates,
-                            &uses,
-                            &echoes,
-                            &members);
+  flatbuffers::FlatBufferBuilder builder(kBufferBytes);
+  const auto root = fb::CreateTellingDirect(builder,
+                                            aTelling.router.c_str(),
+                                            aTelling.life,
+                                            aTelling.sequence,
+                                            Unsigned(aTelling.sentAt),
+                                            Raw(aTelling.scope),
+                                            aTelling.zone,
+                                            aTelling.group,
+                                            aTelling.routers,
+                                            aTelling.configVersion,
+                                            Unsigned(aTelling.configAge),
+                                            aTelling.wantsMembers,
+                                            &heard,
+                                            &loads,
+                                            &rates,
+                                            &uses,
+                                            &members);
   fb::FinishTellingBuffer(builder, root);
   const auto* data = builder.GetBufferPointer();
   return { data, data + builder.GetSize() };
 }
 
-TellingDatagram
+fleet::Telling
 DecodeTelling(const std::uint8_t* aBytes, std::size_t aSize)
 {
   flatbuffers::Verifier verifier(aBytes, aSize);
@@ -97,16 +125,26 @@
     throw base::Error(base::ErrorCode::BadFrame, "not a telling");
   }
   const auto* wire = fb::GetTelling(aBytes);
-  TellingDatagram datagram;
-  auto& telling = datagram.telling;
+  if (wire->scope() > Raw(fleet::TellingScope::Fleet)) {
+    throw base::Error(base::ErrorCode::BadFrame, "a telling of no scope");
+  }
+  fleet::Telling telling;
   telling.router = wire->router()->str();
   telling.life = wire->life();
   telling.sequence = wire->sequence();
-  telling.sentAt =
-    base::TimePoint(static_cast<std::int64_t>(wire->sent_at_ms()));
+  telling.sentAt = Signed(wire->sent_at_ms());
+  telling.scope = static_cast<fleet::TellingScope>(wire->scope());
+  telling.zone = wire->zone();
+  telling.group = wire->group();
+  telling.routers = wire->routers();
   telling.configVersion = wire->config_version();
-  telling.configAge =
-    base::Duration(static_cast<std::int64_t>(wire->config_age_ms()));
+  telling.configAge = Signed(wire->config_age_ms());
+  telling.wantsMembers = wire->wants_members();
+  Each(wire->heard(), [&](const fb::HeardFrom& aOne) {
+    telling.heard.push_back({ base::RouterId(aOne.router()),
+                              aOne.sequence(),
+                              Signed(aOne.sent_at_ms()) });
+  });
   Each(wire->loads(), [&](const fb::Load& aLoad) {
     telling.loads.push_back({ base::UpstreamId(aLoad.upstream()),
                               aLoad.unread_tokens(),
@@ -119,15 +157,12 @@
   Each(wire->uses(), [&](const fb::Use& aUse) {
     telling.uses.push_back({ aUse.part(), base::UpstreamId(aUse.upstream()) });
   });
-  Each(wire->echoes(), [&](const fb::Echo& aEcho) {
-    telling.echoes.push_back(
-      { base::RouterId(aEcho.router()),
-        base::TimePoint(static_cast<std::int64_t>(aEcho.sent_at_ms())) });
-  });
-  Each(wire->members(), [&](const fb::Member& aMember) {
-    datagram.members.push_back({ UnpackIp(aMember.ip()), aMember.port() });
+  Each(wire->members(), [&](const fb::Address& aMember) {
+    telling.members.push_back({ { UnpackIp(aMember.ip()), aMember.port() },
+                                aMember.zone(),
+                                Signed(aMember.age_ms()) });
   });
-  return datagram;
+  return telling;
 }
 
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -106,32 +106,54 @@
 
 // ---- tellings
 
-Test(tellings, ATellingSurvivesTheWire)
+namespace {
+
+fleet::Telling
+FullTelling()
 {
-  TellingDatagram datagram;
-  auto& telling = datagram.telling;
+  fleet::Telling telling;
   telling.router = "r1";
   telling.life = 1ULL << 40;
   telling.sequence = 9;
   telling.sentAt = base::TimePoint(123456789);
+  telling.scope = fleet::TellingScope::Group;
+  telling.zone = 77;
+  telling.group = 1ULL << 50;
+  telling.routers = 3;
   telling.configVersion = 12;
   telling.configAge = base::Duration(34);
+  telling.wantsMembers = true;
   telling.loads = { { base::UpstreamId(1), 2, 3 } };
   telling.rates = { { base::WorkspaceId(4), { 5.0, 6.0 } } };
   telling.uses = { { 0xffffffffffffULL, base::UpstreamId(7) } };
-  telling.echoes = { { base::RouterId(8), base::TimePoint(9) } };
-  datagram.members = { { "10.1.0.33", 7400 } };
-  const auto bytes = EncodeTelling(datagram);
+  telling.heard = { { base::RouterId(8), 5, base::TimePoint(9) } };
+  telling.members = { { { "10.1.0.33", 7400 }, 6, base::Duration(250) } };
+  return telling;
+}
+
+}
+
+Test(tellings, ATellingSurvivesTheWire)
+{
+  const auto telling = FullTelling();
+  const auto bytes = EncodeTelling(telling);
   const auto read = DecodeTelling(bytes.data(), bytes.size());
-  cr_assert(read.telling.router == "r1");
-  cr_assert(read.telling.life == telling.life);
-  cr_assert(read.telling.sentAt == telling.sentAt);
-  cr_assert(read.telling.configAge == telling.configAge);
-  cr_assert(read.telling.loads.at(0).running == 3);
-  cr_assert(read.telling.rates.at(0).rate.begun == 6.0);
-  cr_assert(read.telling.uses.at(0).part == 0xffffffffffffULL);
-  cr_assert(read.telling.echoes.at(0).sentAt == base::TimePoint(9));
-  cr_assert(read.members.at(0) == datagram.members[0]);
+  cr_assert(read.router == "r1");
+  cr_assert(read.life == telling.life);
+  cr_assert(read.sequence == 9);
+  cr_assert(read.sentAt == telling.sentAt);
+  cr_assert(read.scope == fleet::TellingScope::Group);
+  cr_assert(read.zone == 77 && read.group == telling.group);
+  cr_assert(read.routers == 3 && read.wantsMembers);
+  cr_assert(read.configVersion == 12);
+  cr_assert(read.configAge == telling.configAge);
+  cr_assert(read.loads.at(0).running == 3);
+  cr_assert(read.rates.at(0).rate.begun == 6.0);
+  cr_assert(read.uses.at(0).part == 0xffffffffffffULL);
+  cr_assert(read.heard.at(0).sequence == 5);
+  cr_assert(read.heard.at(0).sentAt == base::TimePoint(9));
+  cr_assert(read.members.at(0).address == telling.members[0].address);
+  cr_assert(read.members.at(0).age == base::Duration(250));
 }
 
 Test(tellings, RandomBytesAreRefused)
@@ -144,11 +166,7 @@
 
 Test(tellings, ADamagedTellingIsReadOrRefused)
 {
-  TellingDatagram datagram;
-  datagram.telling.router = "r1";
-  datagram.telling.loads = { { base::UpstreamId(1), 2, 3 } };
-  datagram.members = { { "10.1.0.33", 7400 } };
-  const auto bytes = EncodeTelling(datagram);
+  const auto bytes = EncodeTelling(FullTelling());
   rc::check([&] {
     auto damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
