--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,7 +30,14 @@
 constexpr base::Duration kTakeAfterStop = 2700ms;
 //! What still runs this long before the kill is cut, to say so in the log.
 constexpr base::Duration kBeforeKill = 400ms;
-constexpr std::size_t kMostCallers = 2000;
+//! Connections of callers at once: half of what descriptors allow, the rest
+//! is for upstreams. Callers keep idle ones for seconds, so one that sends
+//! many times its usual would take them all.
+constexpr std::size_t kMostCallers = 1900;
+//! From so many on, each answer closes its connection.
+constexpr std::size_t kManyCallers = 500;
+//! Idle connections closed at once to make room.
+constexpr std::size_t kCallersToClose = 100;
 
 fleet::FleetSettings
 FleetSettingsOf(const GatewaySettings& aSettings, std::uint64_t aLife)
@@ -131,7 +138,9 @@
 void
 Gateway::Accept(const ACE_SOCK_Stream& aStream)
 {
-  if (m_connections.Size() >= kMostCallers) {
+  const bool full = m_connections.Size() >= kMostCallers &&
+                    m_connections.CloseLongestIdle(kCallersToClose) == 0;
+  if (full) {
     m_metrics.Count("callers_turned_away_total");
     ACE_SOCK_Stream refused(aStream);
     refused.close();
@@ -145,7 +154,7 @@
                    http::RequestHead&& aHead,
                    std::string&& aBody)
 {
-  if (m_stopBeganAt) {
+  if (m_stopBeganAt || m_connections.Size() > kManyCallers) {
     aConnection.CloseAfterAnswer();
   }
   const ExchangeParts parts{
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -2,6 +2,8 @@
 
 #include "eventloop/eventloop.h"
 
+#include <algorithm>
+
 namespace hemlockgauge::http {
 
 ConnectionSet::ConnectionSet(eventloop::EventLoop& aLoop,
@@ -54,6 +56,24 @@
   }
 }
 
+std::size_t
+ConnectionSet::CloseLongestIdle(std::size_t aMost)
+{
+  auto idle = All();
+  std::erase_if(idle, [](const auto* aOne) { return !aOne->IsIdle(); });
+  const auto count = std::min(aMost, idle.size());
+  std::partial_sort(idle.begin(),
+                    idle.begin() + static_cast<std::ptrdiff_t>(count),
+                    idle.end(),
+                    [](const auto* a, const auto* b) {
+                      return a->Since() < b->Since();
+                    });
+  for (std::size_t i = 0; i < count; ++i) {
+    idle[i]->CloseIfIdle();
+  }
+  return count;
+}
+
 void
 ConnectionSet::CloseIdle()
 {
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -33,6 +33,9 @@
   void Forget(ServerConnection& aConnection);
   void Sweep(base::TimePoint aNow);
   void CloseIdle();
+  //! Closes up to aMost idle connections, the longest idle first; returns
+  //! how many.
+  std::size_t CloseLongestIdle(std::size_t aMost);
   std::size_t Size() const { return m_connections.size(); }
 
 private:
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -78,6 +78,8 @@
 
   bool HasBegunAnswer() const { return m_answerBegun; }
   bool IsIdle() const { return m_state == State::Idle; }
+  //! When it became idle, or its request began, or its answer.
+  base::TimePoint Since() const { return m_since; }
   std::size_t Unsent() const { return m_out.size() - m_sent; }
   //! Looks at the time limits; to be called a few times a second.
   void Sweep(base::TimePoint aNow);
