--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -130,6 +130,19 @@
 //! How long after the store's return its news may tell of such lapses: the
 //! first answer and some of the way.
 inline constexpr base::Duration kLapseNoticed = 300ms;
+//! A router's news answers at least this often; silent for longer, it is
+//! passed over.
+inline constexpr base::Duration kNewsWait = 700ms;
+inline constexpr base::Duration kRouterSilent = kNewsWait + 600ms;
+//! The same for the store: a watch of a second, and its answer.
+inline constexpr base::Duration kStoreSilent = 2500ms;
+//! A source whose own proof is older is cut off from the store.
+inline constexpr base::Duration kSourceStale = 2600ms;
+//! A source is kept at least this long, or all routers would go round in
+//! circles while the store is away.
+inline constexpr base::Duration kSourceDwell = 500ms;
+//! After this long with another source the first one is tried again.
+inline constexpr base::Duration kSourceRetry = 5000ms;
 //! Margin under the time within which a withdrawn key must stop working.
 inline constexpr base::Duration kRevocationMargin = 500ms;
 
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -107,6 +107,8 @@
   std::uint32_t slots = 1;
   bool draining = false;
   Duration coldFor{}; //!< how much longer it is slow after its start
+
+  bool operator==(const UpstreamEntry&) const = default;
 };
 
 //! One part of a prompt; the same id stands for the same tokens.
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -130,6 +130,9 @@
     for (std::size_t i = 0; i < members.size(); ++i) {
       const bool self = members[i].address == m_self.address;
       const bool hub = i < hubs;
+      if (hub && group == plan.group) {
+        plan.groupHubs.push_back(members[i].address);
+      }
       if (group != plan.group) {
         if (hub) {
           plan.hubs.push_back(members[i].address);
@@ -145,7 +148,6 @@
     }
   }
   if (!plan.isHub) {
-    plan.hubs.clear();
     plan.followers.clear();
   }
   return plan;
--- /dev/null
+++ b/src/fleet/internal/newslog.cpp
@@ -0,0 +1,104 @@
+#include "fleet/newslog.h"
+
+#include <set>
+
+namespace hemlockgauge::fleet {
+
+namespace {
+
+//! Changes that are remembered: some minutes of an ordinary day.
+constexpr std::size_t kChangesKept = 1024;
+
+}
+
+NewsLog::NewsLog(std::uint64_t aLife)
+  : m_life(aLife)
+{
+}
+
+void
+NewsLog::SetConfig(std::uint64_t aVersion, const std::string& aBytes)
+{
+  if (aVersion > m_configVersion) {
+    m_configVersion = aVersion;
+    m_config = aBytes;
+  }
+}
+
+void
+NewsLog::Note(const std::string& aId)
+{
+  m_changes.push_back({ ++m_sequence, aId });
+  if (m_changes.size() > kChangesKept) {
+    m_changes.pop_front();
+  }
+}
+
+void
+NewsLog::SetUpstreams(const std::map<std::string, UpstreamEntry>& aEntries)
+{
+  for (const auto& [id, entry] : aEntries) {
+    const auto known = m_upstreams.find(id);
+    if (known == m_upstreams.end() || !(known->second == entry)) {
+      Note(id);
+    }
+  }
+  for (const auto& [id, entry] : m_upstreams) {
+    if (!aEntries.contains(id)) {
+      Note(id);
+    }
+  }
+  m_upstreams = aEntries;
+}
+
+bool
+NewsLog::KnowsSince(const NewsAsk& aAsk) const
+{
+  const auto oldest =
+    m_changes.empty() ? m_sequence + 1 : m_changes.front().sequence;
+  return aAsk.life == m_life && aAsk.sequence <= m_sequence &&
+         aAsk.sequence + 1 >= oldest;
+}
+
+bool
+NewsLog::HasNews(const NewsAsk& aAsk) const
+{
+  return !KnowsSince(aAsk) || aAsk.sequence < m_sequence ||
+         aAsk.configVersion < m_configVersion;
+}
+
+News
+NewsLog::Answer(const NewsAsk& aAsk, Duration aProofAge) const
+{
+  News news;
+  news.life = m_life;
+  news.sequence = m_sequence;
+  news.proofAge = aProofAge;
+  if (aAsk.configVersion < m_configVersion) {
+    news.config = m_config;
+  }
+  news.full = !KnowsSince(aAsk);
+  if (news.full) {
+    for (const auto& [id, entry] : m_upstreams) {
+      news.upstreams.push_back(entry);
+    }
+    return news;
+  }
+  std::set<std::string> changed;
+  for (const auto& change : m_changes) {
+    if (change.sequence > aAsk.sequence) {
+      changed.insert(change.id);
+    }
+  }
+  for (const auto& id : changed) {
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end()) {
+      news.removed.push_back(id);
+    } else {
+      news.upstreams.push_back(found->second);
+    }
+  }
+  return news;
+}
+
+}
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -14,6 +14,8 @@
 {
   bool isHub = true; //!< this router sums up its group for the others
   std::uint64_t group = 0;
+  //! All hubs of this router's group by rank, itself too if it is one.
+  std::vector<base::Address> groupHubs;
   std::vector<base::Address> tell;      //!< get this router's own telling
   std::vector<base::Address> hubs;      //!< of other groups: get the group sum
   std::vector<base::Address> followers; //!< of our group: get the fleet sum
--- /dev/null
+++ b/src/fleet/news.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockgauge::fleet {
+
+//! What a router asks of another about the platform's store.
+struct NewsAsk
+{
+  std::uint64_t life = 0;     //!< of the news that the asker has; 0: none
+  std::uint64_t sequence = 0; //!< up to here
+  std::uint64_t configVersion = 0;
+};
+
+//! What has changed in the store, as the router asked knows it.
+struct News
+{
+  std::uint64_t life = 0; //!< of the router that answers
+  std::uint64_t sequence = 0;
+  bool full = false;   //!< upstreams are all that there are
+  Duration proofAge{}; //!< since the store proved all this
+  std::string config;  //!< as the store holds it; empty: nothing newer
+  std::vector<UpstreamEntry> upstreams;
+  std::vector<std::string> removed;
+};
+
+}
--- /dev/null
+++ b/src/fleet/newslog.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "fleet/news.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace hemlockgauge::fleet {
+
+//! What this router believes of the store, in a form that other routers can
+//! follow: each change has a number, and whoever missed too many gets all.
+class NewsLog
+{
+public:
+  explicit NewsLog(std::uint64_t aLife);
+
+  void SetConfig(std::uint64_t aVersion, const std::string& aBytes);
+  //! Notes what differs from the last call.
+  void SetUpstreams(const std::map<std::string, UpstreamEntry>& aEntries);
+
+  bool HasNews(const NewsAsk& aAsk) const;
+  //! aProofAge: since the store proved what is told.
+  News Answer(const NewsAsk& aAsk, Duration aProofAge) const;
+  std::uint64_t Sequence() const { return m_sequence; }
+
+private:
+  struct Change
+  {
+    std::uint64_t sequence = 0;
+    std::string id;
+  };
+
+  bool KnowsSince(const NewsAsk& aAsk) const;
+  void Note(const std::string& aId);
+
+  std::uint64_t m_life;
+  std::uint64_t m_sequence = 1;
+  std::uint64_t m_configVersion = 0;
+  std::string m_config;
+  std::map<std::string, UpstreamEntry> m_upstreams;
+  std::deque<Change> m_changes;
+};
+
+}
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -105,7 +105,7 @@
     }
     aRouter.view.Sent(own);
     Send(aRouter, own, plan.tell);
-    if (!plan.followers.empty()) {
+    if (plan.isHub && !plan.hubs.empty()) {
       Send(aRouter, aRouter.view.GroupSum(own), plan.hubs);
       Send(aRouter, aRouter.view.FleetSum(own), plan.followers);
     }
--- a/src/peer/internal/framebuffer.cpp
+++ b/src/framing/framebuffer.cpp
@@ -1,9 +1,8 @@
-#include "peer/internal/framebuffer.h"
+#include "framing/framebuffer.h"
 
 #include "base/error.h"
-#include "wire/framecodec.h"
 
-namespace hemlockgauge::peer {
+namespace hemlockgauge::framing {
 
 namespace {
 
@@ -27,7 +26,7 @@
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
     length = length << 8 | m_bytes[i];
   }
-  if (length == 0 || length > wire::kMaxFrameBytes) {
+  if (length == 0 || length > m_mostBytes) {
     throw base::Error(base::ErrorCode::BadFrame, "frame length out of bounds");
   }
   if (m_bytes.size() < kLengthBytes + length) {
--- /dev/null
+++ b/src/framing/frameconnection.cpp
@@ -0,0 +1,183 @@
+#include "framing/frameconnection.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "eventloop/socketoptions.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+
+#include <sys/epoll.h>
+
+#include <array>
+#include <cerrno>
+
+namespace hemlockgauge::framing {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+
+}
+
+FrameConnection::FrameConnection(eventloop::EventLoop& aLoop,
+                                 const base::Address& aAddress,
+                                 std::size_t aMostBytes,
+                                 IFrameEvents& aEvents)
+  : m_loop(aLoop)
+  , m_events(aEvents)
+  , m_buffer(aMostBytes)
+  , m_open(true)
+{
+  const ACE_INET_Addr address(aAddress.port, aAddress.ip.c_str());
+  ACE_SOCK_Connector connector;
+  const ACE_Time_Value noWait(0, 0);
+  const int result = connector.connect(m_stream, address, &noWait);
+  const bool failed =
+    result == -1 && errno != EWOULDBLOCK && errno != EINPROGRESS;
+  if (failed) {
+    m_loop.Defer([this] { Lose(); });
+    return;
+  }
+  m_stream.enable(ACE_NONBLOCK);
+  eventloop::SetPeerOptions(m_stream);
+  m_watched = EPOLLOUT;
+  m_loop.Add(m_stream.get_handle(), *this, m_watched);
+}
+
+FrameConnection::FrameConnection(eventloop::EventLoop& aLoop,
+                                 const ACE_SOCK_Stream& aStream,
+                                 std::size_t aMostBytes,
+                                 IFrameEvents& aEvents)
+  : m_loop(aLoop)
+  , m_events(aEvents)
+  , m_stream(aStream)
+  , m_buffer(aMostBytes)
+  , m_watched(EPOLLIN)
+  , m_connected(true)
+  , m_open(true)
+{
+  eventloop::SetPeerOptions(m_stream);
+  m_loop.Add(m_stream.get_handle(), *this, m_watched);
+}
+
+FrameConnection::~FrameConnection()
+{
+  Close();
+}
+
+void
+FrameConnection::Close()
+{
+  if (!m_open) {
+    return;
+  }
+  m_open = false;
+  if (m_watched != 0) {
+    m_loop.Remove(m_stream.get_handle());
+  }
+  m_stream.close();
+}
+
+void
+FrameConnection::Lose()
+{
+  if (m_open) {
+    Close();
+    m_events.OnLost(*this);
+  }
+}
+
+void
+FrameConnection::Send(const std::vector<std::uint8_t>& aFrame)
+{
+  const auto bytes = WithLength(aFrame);
+  m_out.insert(m_out.end(), bytes.begin(), bytes.end());
+  if (m_connected) {
+    Flush();
+  }
+}
+
+void
+FrameConnection::Watch()
+{
+  if (!m_open) {
+    return;
+  }
+  const std::uint32_t events =
+    EPOLLIN | (m_sent < m_out.size() ? EPOLLOUT : 0U);
+  if (events != m_watched) {
+    m_watched = events;
+    m_loop.Modify(m_stream.get_handle(), events);
+  }
+}
+
+void
+FrameConnection::OnIo(std::uint32_t aEvents)
+{
+  if (!m_connected) {
+    if ((aEvents & (EPOLLERR | EPOLLHUP)) != 0) {
+      Lose();
+      return;
+    }
+    m_connected = true;
+    Flush();
+    return;
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    Flush();
+  }
+  if (m_open && (aEvents & ~EPOLLOUT) != 0) {
+    Read();
+  }
+}
+
+void
+FrameConnection::Flush()
+{
+  while (m_sent < m_out.size()) {
+    const auto put =
+      m_stream.send(m_out.data() + m_sent, m_out.size() - m_sent);
+    if (put > 0) {
+      m_sent += static_cast<std::size_t>(put);
+      continue;
+    }
+    if (errno == EWOULDBLOCK || errno == EINTR) {
+      break;
+    }
+    Lose();
+    return;
+  }
+  if (m_sent == m_out.size()) {
+    std::vector<std::uint8_t>().swap(m_out);
+    m_sent = 0;
+  }
+  Watch();
+}
+
+void
+FrameConnection::Read()
+{
+  std::array<std::uint8_t, kReadBytes> bytes;
+  const auto got = m_stream.recv(bytes.data(), bytes.size());
+  if (got == 0 || (got == -1 && errno != EWOULDBLOCK && errno != EINTR)) {
+    Lose();
+    return;
+  }
+  if (got < 0) {
+    return;
+  }
+  try {
+    m_buffer.Append({ bytes.data(), static_cast<std::size_t>(got) });
+    std::vector<std::uint8_t> frame;
+    while (m_open && m_buffer.Next(frame)) {
+      m_events.OnFrame(*this, frame);
+    }
+  } catch (const base::Error& error) {
+    base::LogLine("bad-frame").Add("why", error.what()).Warn();
+    Lose();
+  }
+}
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,7 +6,10 @@
 #include "gateway/icallerdialect.h"
 #include "gateway/istoredialect.h"
 #include "gateway/iupstreamdialect.h"
+#include "gateway/newsfollower.h"
+#include "gateway/newsserver.h"
 #include "gateway/peerlink.h"
+#include "gateway/storefollower.h"
 
 #include <vector>
 
@@ -38,6 +41,12 @@
 constexpr std::size_t kManyCallers = 500;
 //! Idle connections closed at once to make room.
 constexpr std::size_t kCallersToClose = 100;
+//! Hubs of other groups that a router turns to when its own are cut off.
+constexpr std::size_t kOtherSources = 2;
+//! Longest pause between failed calls to the store: of a router that reads
+//! it always, and of one that turns to it last of all, with many others.
+constexpr base::Duration kStorePause = 400ms;
+constexpr base::Duration kStorePauseLastResort = 2000ms;
 
 fleet::FleetSettings
 FleetSettingsOf(const GatewaySettings& aSettings, std::uint64_t aLife)
@@ -105,6 +114,7 @@
   , m_members(aSettings.peerListen,
               base::HashName(aSettings.zone),
               SeedsOf(aSettings))
+  , m_newsLog(aLife)
   , m_lastTick(aLoop.Now())
 {
 }
@@ -114,8 +124,11 @@
 void
 Gateway::Start()
 {
-  m_store = std::make_unique<StoreFollower>(
-    m_loop, m_settings.store, m_dialects.store, *this, m_metrics);
+  OpenSource();
+  m_newsServer = std::make_unique<NewsServer>(
+    m_loop, m_settings.controlListen, m_newsLog, [this] {
+      return m_fleet.ConfigFreshness().Age(m_loop.Now());
+    });
   m_peers = std::make_unique<PeerLink>(
     m_loop,
     m_settings.peerListen,
@@ -287,7 +300,8 @@
       exchange->Tick(now);
     }
   }
-  m_store->Tick(now);
+  m_news->Tick(now);
+  m_newsServer->Tick(now);
   FollowStop(now);
 }
 
@@ -338,6 +352,7 @@
   }
   const auto plan = m_members.Plan(aNow);
   m_fleet.SetPlan(plan);
+  ChooseSource(plan, aNow);
   auto own = m_fleet.Tell(aNow);
   own.zone = base::HashName(m_settings.zone);
   const bool withMembers = own.sequence % fleet::kMembersEvery == 0;
@@ -345,7 +360,7 @@
     own.members = m_members.Known(aNow);
   }
   m_peers->Send(own, plan.tell);
-  if (!plan.followers.empty()) {
+  if (plan.isHub && !plan.hubs.empty()) {
     m_peers->Send(m_fleet.TellGroup(own), plan.hubs);
     m_peers->Send(m_fleet.TellFleet(own), plan.followers);
   }
@@ -354,11 +369,77 @@
   m_peers->Send(greeting, m_members.SeedsToTell(aNow));
 }
 
+//! In a small fleet every router reads the store. In a large one the first
+//! hub of a group does, and the others learn from hubs.
+void
+Gateway::ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow)
+{
+  const auto toRouter = [&](const base::Address& aTold) {
+    return fleet::NewsSource{ fleet::SourceKind::Router,
+                              { aTold.ip, m_settings.controlListen.port } };
+  };
+  std::vector<fleet::NewsSource> options;
+  const auto& hubs = aPlan.groupHubs;
+  const bool reads = hubs.empty() || hubs.front() == m_settings.peerListen;
+  if (reads) {
+    options.emplace_back();
+  }
+  for (const auto& hub : hubs) {
+    if (!(hub == m_settings.peerListen)) {
+      options.push_back(toRouter(hub));
+    }
+  }
+  for (std::size_t i = 0; i < std::min(aPlan.hubs.size(), kOtherSources); ++i) {
+    options.push_back(toRouter(aPlan.hubs[i]));
+  }
+  if (!reads) {
+    options.emplace_back();
+  }
+  if (hubs.empty()) {
+    options.resize(1);
+  }
+  m_sources.SetOptions(options, aNow);
+  if (m_sources.Tick(aNow) || !m_opened ||
+      !(*m_opened == m_sources.Current())) {
+    OpenSource();
+  }
+}
+
+void
+Gateway::OpenSource()
+{
+  const auto& source = m_sources.Current();
+  m_opened = source;
+  LogLine("news-source")
+    .Add("kind", fleet::kSourceKindNames.NameOf(source.kind))
+    .Add("address", source.address.Text())
+    .Info();
+  if (source.kind == fleet::SourceKind::Store) {
+    m_news = std::make_unique<StoreFollower>(
+      m_loop,
+      m_settings.store,
+      m_dialects.store,
+      *this,
+      m_metrics,
+      m_sources.IsPreferred() ? kStorePause : kStorePauseLastResort);
+    return;
+  }
+  m_news = std::make_unique<NewsFollower>(
+    m_loop,
+    source.address,
+    *this,
+    [this] { return m_fleet.ConfigVersion(); },
+    [this](base::Duration aProofAge) {
+      m_sources.Answered(aProofAge, m_loop.Now());
+    });
+}
+
 //! Called with what each change of the list brought.
 void
 Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
 {
   m_fleet.FollowUpstreams();
+  m_newsLog.SetUpstreams(m_fleet.Upstreams().Entries());
   for (const auto& notice : aNotices) {
     LogLine("upstream-entry")
       .Add("upstream", notice.id)
@@ -375,7 +456,9 @@
 Gateway::OnStoredConfig(const std::string& aBytes)
 {
   try {
-    SetConfig(m_dialects.store.DecodeConfig(aBytes));
+    if (SetConfig(m_dialects.store.DecodeConfig(aBytes))) {
+      m_newsLog.SetConfig(m_fleet.ConfigVersion(), aBytes);
+    }
   } catch (const base::Error& error) {
     m_metrics.Count("configs_refused_total");
     LogLine("config-refused")
@@ -385,7 +468,7 @@
   }
 }
 
-void
+bool
 Gateway::SetConfig(fleet::ConfigPtr aConfig)
 {
   const auto& limits = aConfig->limits;
@@ -395,7 +478,7 @@
                                          limits.headTimeout,
                                          limits.idleTimeout };
   if (!m_fleet.SetConfig(std::move(aConfig))) {
-    return;
+    return false;
   }
   m_limits = serverLimits;
   const auto& config = *m_fleet.Routes()->Config();
@@ -404,6 +487,7 @@
     .Add("routes", static_cast<std::uint64_t>(config.routes.size()))
     .Add("keys", static_cast<std::uint64_t>(config.workspaceOfKey.size()))
     .Info();
+  return true;
 }
 
 void
@@ -428,6 +512,9 @@
 Gateway::OnProven(base::TimePoint aAt)
 {
   m_fleet.ConfigFreshness().Proven(aAt);
+  if (m_sources.Current().kind == fleet::SourceKind::Store) {
+    m_sources.Answered(base::Duration{}, m_loop.Now());
+  }
 }
 
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,11 +3,13 @@
 #include "base/basetypes.h"
 #include "fleet/fleet.h"
 #include "fleet/membership.h"
+#include "fleet/newslog.h"
+#include "fleet/sourcepolicy.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/inewssource.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/probeserver.h"
-#include "gateway/storefollower.h"
 #include "gateway/upstreampool.h"
 #include "http/connectionset.h"
 #include "http/listener.h"
@@ -28,6 +30,7 @@
 class ICallerDialect;
 class IStoreDialect;
 class IUpstreamDialect;
+class NewsServer;
 class PeerLink;
 
 //! The ways to spell things that a gateway is wired with.
@@ -42,7 +45,7 @@
 class Gateway
   : public http::IServerEvents
   , public IExchangeOwner
-  , public IStoreEvents
+  , public INewsEvents
 {
 public:
   Gateway(eventloop::EventLoop& aLoop,
@@ -86,7 +89,9 @@
   void TickSlow();
   void FollowStop(base::TimePoint aNow);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
-  void SetConfig(fleet::ConfigPtr aConfig);
+  bool SetConfig(fleet::ConfigPtr aConfig);
+  void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
+  void OpenSource();
   void TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom);
   void TellOthers(base::TimePoint aNow);
   void PublishGauges(base::TimePoint aNow);
@@ -101,7 +106,11 @@
   http::ServerLimits m_limits;
   http::ConnectionSet m_connections;
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
-  std::unique_ptr<StoreFollower> m_store;
+  fleet::NewsLog m_newsLog;
+  fleet::SourcePolicy m_sources;
+  std::optional<fleet::NewsSource> m_opened; //!< what m_news follows
+  std::unique_ptr<INewsSource> m_news;
+  std::unique_ptr<NewsServer> m_newsServer;
   fleet::Membership m_members;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<ProbeServer> m_probes;
--- /dev/null
+++ b/src/gateway/inewssource.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/basetypes.h"
+#include "fleet/fleettypes.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlockgauge::gateway {
+
+//! Told what the platform's store holds, in order, whoever says it.
+class INewsEvents
+{
+public:
+  virtual ~INewsEvents() = default;
+
+  virtual void OnStoredConfig(const std::string& aBytes) = 0;
+  //! Every upstream that is listed now.
+  virtual void OnListed(const std::vector<fleet::UpstreamEntry>& aEntries) = 0;
+  virtual void OnUpstream(const fleet::UpstreamEntry& aEntry) = 0;
+  virtual void OnRemoved(const std::string& aId) = 0;
+  //! All that the store held at aAt has been told.
+  virtual void OnProven(base::TimePoint aAt) = 0;
+  virtual void OnStoreLost(const std::string& aWhy) = 0;
+  virtual void OnStoreBack() = 0;
+};
+
+//! Keeps up with what the platform's store holds.
+class INewsSource
+{
+public:
+  virtual ~INewsSource() = default;
+
+  //! To be called many times a second.
+  virtual void Tick(base::TimePoint aNow) = 0;
+};
+
+}
--- /dev/null
+++ b/src/gateway/internal/newscodec.cpp
@@ -0,0 +1,140 @@
+#include "gateway/newscodec.h"
+
+#include "base/error.h"
+#include "news_generated.h"
+
+#include <algorithm>
+
+namespace hemlockgauge::gateway {
+
+namespace fb = hemlockgauge::wire::fb;
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+flatbuffers::Offset<void>
+Put(Builder& aBuilder, const fleet::NewsAsk& aAsk)
+{
+  return fb::CreateAsk(aBuilder, aAsk.life, aAsk.sequence, aAsk.configVersion)
+    .Union();
+}
+
+flatbuffers::Offset<void>
+Put(Builder& aBuilder, const fleet::News& aNews)
+{
+  std::vector<flatbuffers::Offset<fb::Upstream>> upstreams;
+  for (const auto& entry : aNews.upstreams) {
+    upstreams.push_back(fb::CreateUpstreamDirect(
+      aBuilder,
+      entry.id.c_str(),
+      entry.service.c_str(),
+      entry.address.ip.c_str(),
+      entry.address.port,
+      entry.zone.c_str(),
+      entry.slots,
+      entry.draining,
+      static_cast<std::uint32_t>(
+        std::max<std::int64_t>(entry.coldFor.count(), 0))));
+  }
+  const std::vector<std::uint8_t> config(aNews.config.begin(),
+                                         aNews.config.end());
+  const auto removed = aBuilder.CreateVectorOfStrings(aNews.removed);
+  return fb::CreateNews(aBuilder,
+                        aNews.life,
+                        aNews.sequence,
+                        aNews.full,
+                        static_cast<std::uint64_t>(
+                          std::max<std::int64_t>(aNews.proofAge.count(), 0)),
+                        aBuilder.CreateVector(config),
+                        aBuilder.CreateVector(upstreams),
+                        removed)
+    .Union();
+}
+
+fb::Body
+KindOf(const NewsMessage& aMessage)
+{
+  return std::holds_alternative<fleet::NewsAsk>(aMessage) ? fb::Body_Ask
+                                                          : fb::Body_News;
+}
+
+std::string
+TextOf(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+fleet::UpstreamEntry
+Read(const fb::Upstream& aWire)
+{
+  fleet::UpstreamEntry entry;
+  entry.id = aWire.id()->str();
+  entry.service = TextOf(aWire.service());
+  entry.address = { TextOf(aWire.ip()), aWire.port() };
+  entry.zone = TextOf(aWire.zone());
+  entry.slots = aWire.slots();
+  entry.draining = aWire.draining();
+  entry.coldFor = base::Duration(aWire.cold_ms());
+  return entry;
+}
+
+fleet::News
+Read(const fb::News& aWire)
+{
+  fleet::News news;
+  news.life = aWire.life();
+  news.sequence = aWire.sequence();
+  news.full = aWire.full();
+  news.proofAge =
+    base::Duration(static_cast<std::int64_t>(aWire.proof_age_ms()));
+  if (aWire.config() != nullptr) {
+    news.config.assign(aWire.config()->begin(), aWire.config()->end());
+  }
+  if (aWire.upstreams() != nullptr) {
+    for (const auto* entry : *aWire.upstreams()) {
+      news.upstreams.push_back(Read(*entry));
+    }
+  }
+  if (aWire.removed() != nullptr) {
+    for (const auto* id : *aWire.removed()) {
+      news.removed.push_back(id->str());
+    }
+  }
+  return news;
+}
+
+}
+
+std::vector<std::uint8_t>
+EncodeNews(const NewsMessage& aMessage)
+{
+  Builder builder;
+  const auto body =
+    std::visit([&](const auto& aOne) { return Put(builder, aOne); }, aMessage);
+  fb::FinishMessageBuffer(builder,
+                          fb::CreateMessage(builder, KindOf(aMessage), body));
+  const auto* data = builder.GetBufferPointer();
+  return { data, data + builder.GetSize() };
+}
+
+NewsMessage
+DecodeNews(const std::vector<std::uint8_t>& aBytes)
+{
+  flatbuffers::Verifier verifier(aBytes.data(), aBytes.size());
+  if (!fb::VerifyMessageBuffer(verifier)) {
+    throw base::Error(base::ErrorCode::BadFrame, "not news");
+  }
+  const auto* message = fb::GetMessage(aBytes.data());
+  if (const auto* ask = message->body_as_Ask()) {
+    return fleet::NewsAsk{ ask->life(),
+                           ask->sequence(),
+                           ask->config_version() };
+  }
+  if (const auto* news = message->body_as_News()) {
+    return Read(*news);
+  }
+  throw base::Error(base::ErrorCode::BadFrame, "news without a body");
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/newsfollower.cpp
@@ -0,0 +1,108 @@
+#include "gateway/newsfollower.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "gateway/newscodec.h"
+
+namespace hemlockgauge::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! Between two tries to reach the same router.
+constexpr base::Duration kReconnectPause = 200ms;
+
+}
+
+NewsFollower::NewsFollower(eventloop::EventLoop& aLoop,
+                           const base::Address& aRouter,
+                           INewsEvents& aEvents,
+                           ConfigVersion aConfigVersion,
+                           OnAnswer aOnAnswer)
+  : m_loop(aLoop)
+  , m_router(aRouter)
+  , m_events(aEvents)
+  , m_configVersion(std::move(aConfigVersion))
+  , m_onAnswer(std::move(aOnAnswer))
+{
+}
+
+NewsFollower::~NewsFollower()
+{
+  if (m_connection) {
+    m_connection->Close();
+    m_loop.DeleteLater(std::move(m_connection));
+  }
+}
+
+void
+NewsFollower::Tick(base::TimePoint aNow)
+{
+  if (!m_connection && aNow >= m_nextConnectAt) {
+    Connect();
+  }
+}
+
+void
+NewsFollower::Connect()
+{
+  m_nextConnectAt = m_loop.Now() + kReconnectPause;
+  m_connection = std::make_unique<framing::FrameConnection>(
+    m_loop, m_router, kMostNewsBytes, *this);
+  Ask();
+}
+
+void
+NewsFollower::Ask()
+{
+  m_askedAt = m_loop.Now();
+  m_connection->Send(
+    EncodeNews(fleet::NewsAsk{ m_life, m_sequence, m_configVersion() }));
+}
+
+void
+NewsFollower::OnFrame(framing::FrameConnection&,
+                      const std::vector<std::uint8_t>& aFrame)
+{
+  const auto message = DecodeNews(aFrame);
+  const auto* news = std::get_if<fleet::News>(&message);
+  if (news == nullptr) {
+    throw base::Error(base::ErrorCode::BadFrame, "a question from a source");
+  }
+  Take(*news);
+  Ask();
+}
+
+void
+NewsFollower::Take(const fleet::News& aNews)
+{
+  m_life = aNews.life;
+  m_sequence = aNews.sequence;
+  if (!aNews.config.empty()) {
+    m_events.OnStoredConfig(aNews.config);
+  }
+  if (aNews.full) {
+    m_events.OnListed(aNews.upstreams);
+  } else {
+    for (const auto& entry : aNews.upstreams) {
+      m_events.OnUpstream(entry);
+    }
+    for (const auto& id : aNews.removed) {
+      m_events.OnRemoved(id);
+    }
+  }
+  //! NOTE the answer may have waited in a buffer, so its age is counted from
+  //! the question: the router answered after that.
+  m_events.OnProven(m_askedAt - aNews.proofAge);
+  m_onAnswer(aNews.proofAge);
+}
+
+void
+NewsFollower::OnLost(framing::FrameConnection&)
+{
+  m_loop.DeleteLater(std::move(m_connection));
+}
+
+}
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -20,7 +20,6 @@
 //! Over a call's own time, until its connection is taken for dead.
 constexpr base::Duration kCallLimit = 900ms;
 constexpr base::Duration kFirstPause = 50ms;
-constexpr base::Duration kMostPause = 400ms;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 constexpr std::size_t kMostBody = 16U << 20;
@@ -30,17 +29,22 @@
 StoreFollower::StoreFollower(eventloop::EventLoop& aLoop,
                              const base::Address& aStore,
                              const IStoreDialect& aDialect,
-                             IStoreEvents& aEvents,
-                             metrics::Metrics& aMetrics)
+                             INewsEvents& aEvents,
+                             metrics::Metrics& aMetrics,
+                             base::Duration aMostPause)
   : m_loop(aLoop)
   , m_address(aStore)
   , m_dialect(aDialect)
   , m_events(aEvents)
   , m_metrics(aMetrics)
+  , m_mostPause(aMostPause)
 {
 }
 
-StoreFollower::~StoreFollower() = default;
+StoreFollower::~StoreFollower()
+{
+  DropConnection();
+}
 
 void
 StoreFollower::Tick(base::TimePoint aNow)
@@ -228,7 +232,7 @@
   m_calling = false;
   m_listAfter.clear();
   DropConnection();
-  m_pause = std::clamp(m_pause * 2, kFirstPause, kMostPause);
+  m_pause = std::clamp(m_pause * 2, kFirstPause, m_mostPause);
   m_nextCallAt = m_loop.Now() + m_pause;
   m_metrics.Count("store_failures_total");
   if (m_lost) {
--- /dev/null
+++ b/src/gateway/newsfollower.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/basetypes.h"
+#include "fleet/news.h"
+#include "framing/frameconnection.h"
+#include "gateway/inewssource.h"
+
+#include <functional>
+#include <memory>
+
+namespace hemlockgauge::eventloop {
+class EventLoop;
+}
+
+namespace hemlockgauge::gateway {
+
+//! Follows another router's news of the store.
+class NewsFollower
+  : public INewsSource
+  , public framing::IFrameEvents
+{
+public:
+  //! Told that the router answered, and how old its proof is.
+  using OnAnswer = std::function<void(base::Duration aProofAge)>;
+  using ConfigVersion = std::function<std::uint64_t()>;
+
+  NewsFollower(eventloop::EventLoop& aLoop,
+               const base::Address& aRouter,
+               INewsEvents& aEvents,
+               ConfigVersion aConfigVersion,
+               OnAnswer aOnAnswer);
+  ~NewsFollower() override;
+
+  void Tick(base::TimePoint aNow) override;
+
+  void OnFrame(framing::FrameConnection& aConnection,
+               const std::vector<std::uint8_t>& aFrame) override;
+  void OnLost(framing::FrameConnection& aConnection) override;
+
+private:
+  void Connect();
+  void Ask();
+  void Take(const fleet::News& aNews);
+
+  eventloop::EventLoop& m_loop;
+  base::Address m_router;
+  INewsEvents& m_events;
+  ConfigVersion m_configVersion;
+  OnAnswer m_onAnswer;
+  std::unique_ptr<framing::FrameConnection> m_connection;
+  std::uint64_t m_life = 0;
+  std::uint64_t m_sequence = 0;
+  base::TimePoint m_askedAt{};
+  base::TimePoint m_nextConnectAt{};
+};
+
+}
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
+#include "gateway/inewssource.h"
 #include "gateway/istoredialect.h"
 #include "http/clientconnection.h"
 
@@ -18,39 +19,26 @@
 
 namespace hemlockgauge::gateway {
 
-//! Told what the platform's store holds, in the order of its revisions.
-class IStoreEvents
-{
-public:
-  virtual ~IStoreEvents() = default;
-
-  virtual void OnStoredConfig(const std::string& aBytes) = 0;
-  //! Every upstream that the store lists now.
-  virtual void OnListed(const std::vector<fleet::UpstreamEntry>& aEntries) = 0;
-  virtual void OnUpstream(const fleet::UpstreamEntry& aEntry) = 0;
-  virtual void OnRemoved(const std::string& aId) = 0;
-  //! All that the store held at aAt has been told.
-  virtual void OnProven(base::TimePoint aAt) = 0;
-  virtual void OnStoreLost(const std::string& aWhy) = 0;
-  virtual void OnStoreBack() = 0;
-};
-
 //! Keeps up with the platform's store: lists it once, then watches for
 //! changes with one call at a time, and lists again when its place in the
-//! history is gone. Reads only.
-class StoreFollower : public http::IClientEvents
+//! history is gone. Reads only. After a failure it pauses, at most
+//! aMostPause: the store counts refused calls too.
+class StoreFollower
+  : public INewsSource
+  , public http::IClientEvents
 {
 public:
   StoreFollower(eventloop::EventLoop& aLoop,
                 const base::Address& aStore,
                 const IStoreDialect& aDialect,
-                IStoreEvents& aEvents,
-                metrics::Metrics& aMetrics);
+                INewsEvents& aEvents,
+                metrics::Metrics& aMetrics,
+                base::Duration aMostPause);
   ~StoreFollower() override;
 
   //! Begins, goes on after a pause, and ends calls that take too long; to
   //! be called many times a second.
-  void Tick(base::TimePoint aNow);
+  void Tick(base::TimePoint aNow) override;
   bool IsLost() const { return m_lost; }
 
   HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
@@ -81,7 +69,7 @@
   eventloop::EventLoop& m_loop;
   base::Address m_address;
   const IStoreDialect& m_dialect;
-  IStoreEvents& m_events;
+  INewsEvents& m_events;
   metrics::Metrics& m_metrics;
   std::unique_ptr<http::ClientConnection> m_connection;
   Step m_step = Step::List;
@@ -99,6 +87,7 @@
   base::TimePoint m_listBeganAt{};
   base::TimePoint m_nextCallAt{};
   base::Duration m_pause{};
+  base::Duration m_mostPause;
 };
 
 }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,11 +1,11 @@
 #include "http/clientconnection.h"
 
 #include "eventloop/eventloop.h"
+#include "eventloop/socketoptions.h"
 
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Connector.h>
 
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -20,28 +20,6 @@
 constexpr int kFirstFinalStatus = 200;
 //! Answers to something else that are passed over on one connection.
 constexpr int kMaxSkipped = 3;
-//! A host without power acknowledges nothing: given up after this long, in
-//! ms. Over the longest loss of packets that a link recovers from by itself.
-constexpr int kUserTimeoutMs = 1500;
-//! An idle peer is asked for a sign of life after this many seconds, again
-//! each so many, and given up after so many.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveCount = 2;
-
-void
-SetOptions(ACE_SOCK_Stream& aStream)
-{
-  const auto set = [&](int aLevel, int aOption, int aValue) {
-    aStream.set_option(aLevel, aOption, &aValue, sizeof(aValue));
-  };
-  set(IPPROTO_TCP, TCP_NODELAY, 1);
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveCount);
-}
 
 }
 
@@ -102,7 +80,7 @@
     return;
   }
   m_stream.enable(ACE_NONBLOCK);
-  SetOptions(m_stream);
+  eventloop::SetPeerOptions(m_stream);
   m_watched = EPOLLOUT;
   m_loop.Add(m_stream.get_handle(), *this, m_watched);
   m_registered = true;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -2,10 +2,10 @@
 
 #include "base/error.h"
 #include "eventloop/eventloop.h"
+#include "eventloop/socketoptions.h"
 
 #include <ace/INET_Addr.h>
 
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -17,9 +17,6 @@
 //! back at once when another router is lost.
 constexpr int kBacklog = 1024;
 constexpr int kAcceptsPerRound = 64;
-//! A caller whose host is gone acknowledges nothing; given up after this
-//! long, in ms.
-constexpr int kUserTimeoutMs = 5000;
 
 }
 
@@ -63,11 +60,7 @@
       return;
     }
     stream.enable(ACE_NONBLOCK);
-    const auto set = [&](int aOption, int aValue) {
-      stream.set_option(IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
-    };
-    set(TCP_NODELAY, 1);
-    set(TCP_USER_TIMEOUT, kUserTimeoutMs);
+    eventloop::SetCallerOptions(stream);
     m_onConnection(stream);
   }
 }
--- a/src/peer/internal/incominglink.h
+++ b/src/peer/internal/incominglink.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "peer/internal/framebuffer.h"
+#include "framing/framebuffer.h"
+#include "wire/framecodec.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Stream.h>
@@ -32,7 +33,7 @@
   std::function<void(const std::vector<std::uint8_t>&)> m_onFrame;
   std::function<void()> m_onBad;
   ACE_SOCK_Stream m_stream;
-  FrameBuffer m_buffer;
+  framing::FrameBuffer m_buffer{ wire::kMaxFrameBytes };
   bool m_closed = false;
 };
 
--- a/src/peer/internal/tcppeertransport.cpp
+++ b/src/peer/internal/tcppeertransport.cpp
@@ -94,7 +94,7 @@
     link = std::make_unique<OutgoingLink>(
       m_reactor, aAddress, [this, aRouter] { m_onLinkLost(aRouter); });
   }
-  link->Send(WithLength(wire::EncodeFrame(aFrame)), m_timers.Now());
+  link->Send(framing::WithLength(wire::EncodeFrame(aFrame)), m_timers.Now());
 }
 
 void
