--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -167,6 +167,7 @@
   const int got =
     epoll_wait(m_poll, events.data(), kEventsPerRound, WaitMillis());
   m_now = base::MonotonicNow();
+  const auto begun = m_now;
   for (int i = 0; i < got; ++i) {
     const auto data = events[static_cast<std::size_t>(i)].data.u64;
     const auto& registration = m_registrations[data & 0xffffffffU];
@@ -180,6 +181,7 @@
     m_queue.expire(now);
   }
   RunDeferred();
+  m_lastRound = base::MonotonicNow() - begun;
 }
 
 }
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -39,6 +39,10 @@
   //! Taken once for each round of the loop.
   base::TimePoint Now() const override { return m_now; }
 
+  //! How long the last round took: what is read in this one may have waited
+  //! as long.
+  base::Duration LastRound() const { return m_lastRound; }
+
   //! Runs aTask when the events of this round are done with. Objects that
   //! a callback is still inside of are deleted this way.
   void Defer(std::function<void()> aTask);
@@ -70,6 +74,7 @@
 
   int m_poll;
   base::TimePoint m_now{};
+  base::Duration m_lastRound{};
   bool m_stopped = false;
   std::uint32_t m_nextGeneration = 1;
   std::vector<Registration> m_registrations;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -140,6 +140,27 @@
   return candidates;
 }
 
+Admission
+Fleet::Judge(const PlaceRequest& aRequest,
+             const Candidate& aCandidate,
+             const PlaceResult& aResult) const
+{
+  AdmissionInput input;
+  input.foreseenMs = aCandidate.ForeseenMs();
+  input.ownMs = aCandidate.isEngine
+                  ? aRequest.work->OwnTokens() / aCandidate.readRate
+                  : 0.0;
+  input.waited = aRequest.waited;
+  input.target = aRequest.route->target;
+  input.timeLeft = aRequest.timeLeft;
+  input.insideShare = aResult.insideShare;
+  input.excess = aResult.excess;
+  input.othersWait = m_othersWait;
+  input.placesFree =
+    aCandidate.unreadTokens <= 0 && aCandidate.running < aCandidate.slots;
+  return Admit(input);
+}
+
 PlaceResult
 Fleet::Place(const PlaceRequest& aRequest, TimePoint aNow)
 {
@@ -148,7 +169,7 @@
   const auto candidates = Candidates(aRequest, ids, aNow);
   const auto* shared = aRequest.work->LastShared();
   const auto key = shared != nullptr ? shared->id : aRequest.key;
-  const auto placed = fleet::Place(m_policy, candidates, key);
+  auto placed = fleet::Place(m_policy, candidates, key);
   const double begun = BegunFor(aRequest.workspace);
   result.insideShare = begun < m_shareLevel;
   result.excess = begun / m_excessLevel;
@@ -157,25 +178,19 @@
     result.retryAfter = kRetryAfterLeast;
     return result;
   }
+  auto admission = Judge(aRequest, candidates[placed->candidate], result);
+  if (!admission.taken && !aRequest.admitted) {
+    //! NOTE its prefix's upstreams are full; it may still be in time where
+    //! all of it has to be read.
+    placed = fleet::Place(Spread(), candidates, key);
+    admission = Judge(aRequest, candidates[placed->candidate], result);
+  }
   const auto& candidate = candidates[placed->candidate];
   result.foreseenMs = placed->foreseenMs;
   result.rank = placed->rank;
   result.unreadTokens = candidate.unreadTokens;
   result.missingTokens = candidate.missingTokens;
   result.running = candidate.running;
-  AdmissionInput input;
-  input.foreseenMs = placed->foreseenMs;
-  input.ownMs =
-    candidate.isEngine ? aRequest.work->OwnTokens() / candidate.readRate : 0.0;
-  input.waited = aRequest.waited;
-  input.target = aRequest.route->target;
-  input.timeLeft = aRequest.timeLeft;
-  input.insideShare = result.insideShare;
-  input.excess = result.excess;
-  input.othersWait = m_othersWait;
-  input.placesFree =
-    candidate.unreadTokens <= 0 && candidate.running < candidate.slots;
-  const auto admission = Admit(input);
   if (!admission.taken && !aRequest.admitted) {
     result.outcome = PlaceOutcome::Refused;
     result.retryAfter = admission.retryAfter;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -162,6 +162,9 @@
                                     TimePoint aNow) const;
   void SetLevels();
   void TakeProof(const Telling& aTelling);
+  Admission Judge(const PlaceRequest& aRequest,
+                  const Candidate& aCandidate,
+                  const PlaceResult& aResult) const;
   double BegunFor(WorkspaceId aWorkspace) const;
   AttemptId Begin(const PlaceRequest& aRequest,
                   UpstreamId aUpstream,
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -36,7 +36,7 @@
 
 //! What keeps a request from an upstream besides the wait there, in ms.
 double
-Reluctance(const Candidate& aCandidate)
+Reluctance(const Candidate& aCandidate, double aRereadWeight)
 {
   const double rereading =
     aCandidate.isEngine ? aCandidate.missingTokens / aCandidate.readRate : 0.0;
@@ -47,7 +47,7 @@
                            : aCandidate.serviceMs * aCandidate.running /
                                std::max(aCandidate.slots, 1U);
   return filling + aCandidate.failurePart * kFailureMs +
-         kRereadWeight * rereading + (aCandidate.sameZone ? 0.0 : kOtherZoneMs);
+         aRereadWeight * rereading + (aCandidate.sameZone ? 0.0 : kOtherZoneMs);
 }
 
 //! Requests to a plain service have no home: their order differs from one to
@@ -58,6 +58,12 @@
   return kSpreadPart * aCandidate.serviceMs * std::min(aRank, kMostRanks);
 }
 
+struct RereadWeight
+{
+  double operator()(const PrefixAffinity&) const { return kRereadWeight; }
+  double operator()(const LeastWait&) const { return 0.0; }
+};
+
 struct RankCost
 {
   int rank;
@@ -95,6 +101,12 @@
   return PrefixAffinity{};
 }
 
+PlacementPolicy
+Spread()
+{
+  return LeastWait{};
+}
+
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
@@ -104,6 +116,7 @@
     return std::nullopt;
   }
   const auto ranks = RanksOf(aCandidates, aKey);
+  const double rereadWeight = std::visit(RereadWeight{}, aPolicy);
   Placed best;
   double bestCost = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
@@ -112,7 +125,8 @@
     const double rankCost = candidate.isEngine
                               ? std::visit(RankCost{ ranks[i] }, aPolicy)
                               : SpreadCost(candidate, ranks[i]);
-    const double cost = foreseen + Reluctance(candidate) + rankCost;
+    const double cost =
+      foreseen + Reluctance(candidate, rereadWeight) + rankCost;
     if (i == 0 || cost < bestCost) {
       bestCost = cost;
       best = { i, foreseen, ranks[i] };
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -52,6 +52,11 @@
 PlacementPolicy
 MakePlacementPolicy(PlacementKind aKind);
 
+//! The least foreseen wait, whatever has to be read again for it: for a
+//! request that would be refused where the policy wants it.
+PlacementPolicy
+Spread();
+
 struct Placed
 {
   std::size_t candidate = 0; //!< index
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -230,6 +230,24 @@
             begun["large"]);
 }
 
+//! Found on a grown deployment: one workspace sends hundreds of requests a
+//! second about one prefix; its home filled up and the rest was refused while
+//! other upstreams had nothing to do.
+Test(core, AHotPrefixIsSpreadBeforeItIsRefused)
+{
+  Bench bench;
+  bench.List(8);
+  std::map<std::string, int> used;
+  int refused = 0;
+  for (int i = 0; i < 60; ++i) {
+    const auto place = bench.Place(bench.Ask(7));
+    refused += place.outcome == PlaceOutcome::Refused ? 1 : 0;
+    used[place.upstreamId]++;
+  }
+  cr_assert(refused == 0, "%d", refused);
+  cr_assert(used.size() == 8);
+}
+
 //! The load: more prompts at once than can be read within their target.
 Test(core, ABurstIsRefusedAtOnceOnceItCannotBeInTime)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,6 +168,10 @@
                    http::RequestHead&& aHead,
                    std::string&& aBody)
 {
+  if (aConnection.HasPeerGone()) {
+    m_metrics.Count("requests_left_unread_total");
+    return; // the connection's own end follows
+  }
   if (m_stopBeganAt || m_connections.Size() > kManyCallers) {
     aConnection.CloseAfterAnswer();
   }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -44,7 +44,7 @@
   : m_parts(aParts)
   , m_owner(aOwner)
   , m_caller(&aCaller)
-  , m_arrivedAt(aParts.loop.Now())
+  , m_arrivedAt(aParts.loop.Now() - aParts.loop.LastRound() / 2)
   , m_mustEndAt(base::TimePoint::max())
   , m_logged(aParts.logBudget.Take(m_arrivedAt))
 {
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -118,6 +118,15 @@
   LosePeer();
 }
 
+bool
+ServerConnection::HasPeerGone() const
+{
+  char byte = 0;
+  const auto got =
+    recv(m_stream.get_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got == -1 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void
 ServerConnection::LosePeer()
 {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -76,6 +76,9 @@
   //! Closes now if no request is being read or answered.
   void CloseIfIdle();
 
+  //! Whether the other end has gone already although its request was read
+  //! only now: a loop that lags behind reads what no one waits for.
+  bool HasPeerGone() const;
   bool HasBegunAnswer() const { return m_answerBegun; }
   bool IsIdle() const { return m_state == State::Idle; }
   //! When it became idle, or its request began, or its answer.
