--- a/src/eventloop/socketoptions.cpp
+++ b/src/eventloop/socketoptions.cpp
@@ -1,6 +1,6 @@
 #include "eventloop/socketoptions.h"
 
-#include <ace/SOCK_Stream.h>
+#include <ace/SOCK.h>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -20,29 +20,29 @@
 constexpr int kKeepAliveCount = 2;
 
 void
-Set(ACE_SOCK_Stream& aStream, int aLevel, int aOption, int aValue)
+Set(ACE_SOCK& aSocket, int aLevel, int aOption, int aValue)
 {
-  aStream.set_option(aLevel, aOption, &aValue, sizeof(aValue));
+  aSocket.set_option(aLevel, aOption, &aValue, sizeof(aValue));
 }
 
 }
 
 void
-SetPeerOptions(ACE_SOCK_Stream& aStream)
+SetPeerOptions(ACE_SOCK& aSocket)
 {
-  Set(aStream, IPPROTO_TCP, TCP_NODELAY, 1);
-  Set(aStream, IPPROTO_TCP, TCP_USER_TIMEOUT, kPeerTimeoutMs);
-  Set(aStream, SOL_SOCKET, SO_KEEPALIVE, 1);
-  Set(aStream, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  Set(aStream, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  Set(aStream, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveCount);
+  Set(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  Set(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kPeerTimeoutMs);
+  Set(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  Set(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  Set(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveCount);
 }
 
 void
-SetCallerOptions(ACE_SOCK_Stream& aStream)
+SetCallerOptions(ACE_SOCK& aSocket)
 {
-  Set(aStream, IPPROTO_TCP, TCP_NODELAY, 1);
-  Set(aStream, IPPROTO_TCP, TCP_USER_TIMEOUT, kCallerTimeoutMs);
+  Set(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  Set(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kCallerTimeoutMs);
 }
 
 }
--- a/src/eventloop/socketoptions.h
+++ b/src/eventloop/socketoptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-class ACE_SOCK_Stream;
+class ACE_SOCK;
 
 namespace hemlockgauge::eventloop {
 
@@ -8,11 +8,11 @@
 //! delay for small messages, and an end that has lost power or its way is
 //! noticed within some two seconds, also while nothing is sent.
 void
-SetPeerOptions(ACE_SOCK_Stream& aStream);
+SetPeerOptions(ACE_SOCK& aSocket);
 
-//! For a caller's connection: a caller that is gone is noticed once
-//! something is sent to it.
+//! For callers' connections, set on their listener: a caller that is gone
+//! is noticed once something is sent to it.
 void
-SetCallerOptions(ACE_SOCK_Stream& aStream);
+SetCallerOptions(ACE_SOCK& aSocket);
 
 }
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -7,6 +7,7 @@
 #include <ace/INET_Addr.h>
 
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace hemlockgauge::http {
@@ -32,6 +33,9 @@
                       aAddress.Text() + ": can't be listened on");
   }
   m_acceptor.enable(ACE_NONBLOCK);
+  //! NOTE accepted connections inherit the options, which saves two calls
+  //! for each under a flood.
+  eventloop::SetCallerOptions(m_acceptor);
   m_loop.Add(m_acceptor.get_handle(), *this, EPOLLIN);
   m_open = true;
 }
@@ -59,8 +63,8 @@
     if (m_acceptor.accept(stream) == -1) {
       return;
     }
-    stream.enable(ACE_NONBLOCK);
-    eventloop::SetCallerOptions(stream);
+    int on = 1;
+    ioctl(stream.get_handle(), FIONBIO, &on);
     m_onConnection(stream);
   }
 }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -297,7 +297,7 @@
 ServerConnection::FinishAnswer()
 {
   if (m_closeAfter) {
-    Linger();
+    EndConnection();
     return;
   }
   m_state = State::Idle;
@@ -306,6 +306,18 @@
   Parse();
 }
 
+void
+ServerConnection::EndConnection()
+{
+  const bool allRead = m_reader.HasEnded() && m_in.empty();
+  if (!allRead) {
+    Linger();
+    return;
+  }
+  Close();
+  m_events.OnClosed(*this);
+}
+
 //! NOTE closing with bytes unread resets the connection, and the other end
 //! may lose the answer that it has not read yet.
 void
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -124,6 +124,7 @@
   void ScheduleFlush();
   void Flush();
   void FinishAnswer();
+  void EndConnection();
   void Linger();
   void Close();
   void LosePeer();
