--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -179,9 +179,12 @@
     return result;
   }
   auto admission = Judge(aRequest, candidates[placed->candidate], result);
-  if (!admission.taken && !aRequest.admitted) {
+  const bool owed = result.insideShare ||
+                    (m_othersWait && result.excess < kFarBehind);
+  if (!admission.taken && !aRequest.admitted && owed) {
     //! NOTE its prefix's upstreams are full; it may still be in time where
-    //! all of it has to be read.
+    //! all of it has to be read. For what no one is owed that would be
+    //! reading for nothing.
     placed = fleet::Place(Spread(), candidates, key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
