--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -153,7 +153,7 @@
   input.waited = aRequest.waited;
   input.target = aRequest.route->target;
   input.timeLeft = aRequest.timeLeft;
-  input.insideShare = aResult.insideShare;
+  input.insideShare = aResult.insideShare || aResult.farBehind;
   input.excess = aResult.excess;
   input.othersWait = m_othersWait;
   input.placesFree =
@@ -173,14 +173,14 @@
   const double begun = BegunFor(aRequest.workspace);
   result.insideShare = begun < m_shareLevel;
   result.excess = begun / m_excessLevel;
+  result.farBehind = m_othersWait && begun < kFarBehind * m_mostBegun;
   result.peersAge = m_peers.Age(aNow);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
     return result;
   }
   auto admission = Judge(aRequest, candidates[placed->candidate], result);
-  const bool owed = result.insideShare ||
-                    (m_othersWait && result.excess < kFarBehind);
+  const bool owed = result.insideShare || result.farBehind;
   if (!admission.taken && !aRequest.admitted && owed) {
     //! NOTE its prefix's upstreams are full; it may still be in time where
     //! all of it has to be read. For what no one is owed that would be
@@ -429,6 +429,7 @@
 {
   m_shareLevel = std::numeric_limits<double>::infinity();
   m_excessLevel = std::numeric_limits<double>::infinity();
+  m_mostBegun = 0;
   const double capacity = m_routes ? m_routes->Config()->tokensPerSecond : 0.0;
   if (capacity <= 0) {
     return;
@@ -436,6 +437,7 @@
   double begun = 0;
   for (const auto& [workspace, rate] : m_fleetRates) {
     begun += rate.begun;
+    m_mostBegun = std::max(m_mostBegun, rate.begun);
   }
   m_shareLevel = MaxMinLevel(m_fleetRates, capacity);
   m_excessLevel = MaxMinLevel(m_fleetRates, std::max(capacity, begun));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -79,6 +79,8 @@
   int rank = 0;
   bool insideShare = true;
   double excess = 0; //!< see AdmissionInput
+  //! Its workspace gets far less than the one that gets most, and asks more.
+  bool farBehind = false;
   Duration peersAge{};
 };
 
@@ -185,6 +187,7 @@
   DemandMeter m_demand;
   WorkspaceRates m_fleetRates;
   double m_shareLevel;       //!< the most that a workspace is owed
+  double m_mostBegun = 0; //!< of any workspace
   bool m_othersWait = false; //!< see AdmissionInput
   double m_excessLevel; //!< the most if all that is served were split alike
   std::uint64_t m_group = 0;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -70,8 +70,9 @@
 inline constexpr double kExcessLeast = 0.1;
 inline constexpr double kBehindMost = 4.5;
 //! A workspace beyond its share that gets less than this part of what the
-//! others beyond theirs get is helped along.
-inline constexpr double kFarBehind = 0.6;
+//! best served one gets is taken like one inside its share until it has
+//! caught up: none may get less than half.
+inline constexpr double kFarBehind = 0.7;
 //! Part of all that is served that others must miss to be said to wait.
 inline constexpr double kMissedNoticed = 0.02;
 //! Retry-After is at most this part of the time that the caller has left:
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -264,6 +264,7 @@
     .Add("rank", aPlace.rank)
     .Add("inside_share", aPlace.insideShare ? "yes" : "no")
     .Add("excess", aPlace.excess)
+    .Add("far_behind", aPlace.farBehind ? "yes" : "no")
     .Add("peers_age_ms", aPlace.peersAge.count())
     .Add("config", m_config->version);
   if (aPlace.outcome == fleet::PlaceOutcome::Refused) {
