Reverted: holding each workspace's rate at a level that follows the backlog

Change tried: one level of tokens a second for all workspaces, moved every 100 ms by the mean unread backlog against 70 ms; below it the limit of 0.9. Ruled out by it: that the rate alone is enough.

Conclusion: taken out. A feed-forward of the rate may still be right, with the backlog measured against what is on its way when calm, and with a tight wait beyond the shares kept beside it.

--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -13,7 +13,12 @@
   Duration waited{};     //!< since it arrived
   Duration target{};     //!< of its route, from its arrival
   Duration timeLeft{};   //!< until its deadline or its route's timeout
-  bool passesLevel = true; //!< its workspace is below the level
+  bool insideShare = true;
+  //! What its workspace gets against the most that any would get if all
+  //! that is served now were split by max-min: over 1, others are behind.
+  double excess = 1;
+  //! Workspaces that are not ahead do not get what they ask.
+  bool othersWait = true;
   bool placesFree = false; //!< its upstream has free slots and no backlog
 };
 
@@ -26,9 +31,10 @@
 //! Answers overload: more is asked than can be read in time. Engines admit
 //! in the order of arrival and know no priorities, so a request that is
 //! taken too late makes all behind it late. Refused at once, it can come
-//! back; taken, it would cost its own time and that of the others. What is
-//! beyond the level goes first (see LevelControl), so a flooding workspace
-//! delays only itself.
+//! back; taken, it would cost its own time and that of the others. Those
+//! beyond their workspace's share go first, so a flooding workspace delays
+//! only itself; among these, the more a workspace gets beyond what others
+//! get, the sooner it is refused, so that several floods are served alike.
 Admission
 Admit(const AdmissionInput& aInput);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -28,6 +28,8 @@
 Fleet::Fleet(const FleetSettings& aSettings)
   : m_settings(aSettings)
   , m_policy(MakePlacementPolicy(aSettings.placement))
+  , m_shareLevel(std::numeric_limits<double>::infinity())
+  , m_excessLevel(std::numeric_limits<double>::infinity())
 {
   m_list.Configure(aSettings.lapseAfter);
   m_freshness.Configure(aSettings.revocationBound);
@@ -86,6 +88,13 @@
   }
 }
 
+double
+Fleet::BegunFor(WorkspaceId aWorkspace) const
+{
+  const auto found = m_fleetRates.find(aWorkspace);
+  return found == m_fleetRates.end() ? 0.0 : found->second.begun;
+}
+
 std::vector<Candidate>
 Fleet::Candidates(const PlaceRequest& aRequest,
                   std::vector<UpstreamId>& aIds,
@@ -144,7 +153,9 @@
   input.waited = aRequest.waited;
   input.target = aRequest.route->target;
   input.timeLeft = aRequest.timeLeft;
-  input.passesLevel = aResult.passesLevel;
+  input.insideShare = aResult.insideShare || aResult.farBehind;
+  input.excess = aResult.excess;
+  input.othersWait = m_othersWait;
   input.placesFree =
     aCandidate.unreadTokens <= 0 && aCandidate.running < aCandidate.slots;
   return Admit(input);
@@ -159,19 +170,21 @@
   const auto* shared = aRequest.work->LastShared();
   const auto key = shared != nullptr ? shared->id : aRequest.key;
   auto placed = fleet::Place(m_policy, candidates, key);
-  if (aRequest.work->IsGeneration() && !aRequest.admitted) {
-    result.levelPart = m_level.PartOf(aRequest.workspace);
-    result.passesLevel = m_level.Pass(aRequest.workspace);
-  }
+  const double begun = BegunFor(aRequest.workspace);
+  result.insideShare = begun < m_shareLevel;
+  result.excess = begun / m_excessLevel;
+  result.farBehind = m_othersWait && begun < kFarBehind * m_mostBegun;
   result.peersAge = m_peers.Age(aNow);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
     return result;
   }
   auto admission = Judge(aRequest, candidates[placed->candidate], result);
-  if (!admission.taken && !aRequest.admitted && result.passesLevel) {
+  const bool owed = result.insideShare || result.farBehind;
+  if (!admission.taken && !aRequest.admitted && owed) {
     //! NOTE its prefix's upstreams are full; it may still be in time where
-    //! all of it has to be read.
+    //! all of it has to be read. For what no one is owed that would be
+    //! reading for nothing.
     placed = fleet::Place(Spread(), candidates, key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
@@ -220,6 +233,8 @@
   }
   if (work.IsGeneration() && !aRequest.admitted) {
     m_demand.Begun(aRequest.workspace, work.Cost(), aNow);
+    m_fleetRates[aRequest.workspace].begun +=
+      work.Cost() * 1000.0 / static_cast<double>(kShareMemory.count());
   }
   const auto id = m_nextAttempt++;
   m_attempts.emplace(id, attempt);
@@ -406,31 +421,33 @@
     sum.asked += rate.asked;
     sum.begun += rate.begun;
   }
-  UpdateLevel();
-}
-
-double
-Fleet::BacklogMs() const
-{
-  double unread = 0;
-  double rate = 0;
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine && !upstream.entry.draining) {
-      unread += upstream.unreadTokens + m_peers.LoadOf(id).unreadTokens;
-      rate += upstream.readRate.TokensPerMs();
-    }
-  }
-  return rate > 0 ? unread / rate : 0.0;
+  SetLevels();
 }
 
 void
-Fleet::UpdateLevel()
+Fleet::SetLevels()
 {
+  m_shareLevel = std::numeric_limits<double>::infinity();
+  m_excessLevel = std::numeric_limits<double>::infinity();
+  m_mostBegun = 0;
   const double capacity = m_routes ? m_routes->Config()->tokensPerSecond : 0.0;
-  const double owed = capacity > 0
-                        ? MaxMinLevel(m_fleetRates, capacity)
-                        : std::numeric_limits<double>::infinity();
-  m_level.Update(BacklogMs(), owed, m_fleetRates);
+  if (capacity <= 0) {
+    return;
+  }
+  double begun = 0;
+  for (const auto& [workspace, rate] : m_fleetRates) {
+    begun += rate.begun;
+    m_mostBegun = std::max(m_mostBegun, rate.begun);
+  }
+  m_shareLevel = MaxMinLevel(m_fleetRates, capacity);
+  m_excessLevel = MaxMinLevel(m_fleetRates, std::max(capacity, begun));
+  double missed = 0;
+  for (const auto& [workspace, rate] : m_fleetRates) {
+    if (rate.begun < m_excessLevel) {
+      missed += std::max(0.0, std::min(rate.asked, m_excessLevel) - rate.begun);
+    }
+  }
+  m_othersWait = missed > kMissedNoticed * begun;
 }
 
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,7 +4,6 @@
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/freshness.h"
-#include "fleet/levelcontrol.h"
 #include "fleet/membership.h"
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
@@ -78,8 +77,10 @@
   double missingTokens = 0;
   std::uint32_t running = 0;
   int rank = 0;
-  bool passesLevel = true;
-  double levelPart = 1; //!< of what its workspace asks that passes
+  bool insideShare = true;
+  double excess = 0; //!< see AdmissionInput
+  //! Its workspace gets far less than the one that gets most, and asks more.
+  bool farBehind = false;
   Duration peersAge{};
 };
 
@@ -161,12 +162,12 @@
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
                                     std::vector<UpstreamId>& aIds,
                                     TimePoint aNow) const;
-  double BacklogMs() const;
-  void UpdateLevel();
+  void SetLevels();
   void TakeProof(const Telling& aTelling);
   Admission Judge(const PlaceRequest& aRequest,
                   const Candidate& aCandidate,
                   const PlaceResult& aResult) const;
+  double BegunFor(WorkspaceId aWorkspace) const;
   AttemptId Begin(const PlaceRequest& aRequest,
                   UpstreamId aUpstream,
                   const Candidate& aCandidate,
@@ -185,7 +186,10 @@
   PrefixMap m_prefixes;
   DemandMeter m_demand;
   WorkspaceRates m_fleetRates;
-  LevelControl m_level;
+  double m_shareLevel;       //!< the most that a workspace is owed
+  double m_mostBegun = 0; //!< of any workspace
+  bool m_othersWait = false; //!< see AdmissionInput
+  double m_excessLevel; //!< the most if all that is served were split alike
   std::uint64_t m_group = 0;
   std::vector<PrefixUse> m_usesHere;     //!< since the last telling
   std::vector<PrefixUse> m_usesOfGroup;  //!< since the last group sum
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -54,24 +54,27 @@
 
 // ---- admission
 
-//! A request is taken if its first token is foreseen within this part of its
-//! target; the rest is for the way and for the error of the estimate.
-inline constexpr double kTargetPart = 0.9;
-//! Unread backlog that the engines are held at under overload, in ms: less
-//! than half of the shortest target with the time for the own part beside.
-inline constexpr double kBacklogMs = 70.0;
-//! How strongly the level follows the backlog, each kTellPeriod, and the
-//! bounds of one step. News of a step's effect takes two to three periods.
-inline constexpr double kLevelGain = 0.12;
-inline constexpr double kLevelLeastFactor = 0.8;
-inline constexpr double kLevelMostFactor = 1.06;
-inline constexpr double kLevelHeadroom = 1.1;
-//! A large prompt may wait so much longer than its own reading takes: a
-//! quarter of it for others.
+//! A request inside its workspace's share is taken if its first token is
+//! foreseen within this part of its target; the rest is for the way and for
+//! the error of the estimate.
+inline constexpr double kInsideShareLimit = 0.9;
+//! Outside its share a request is taken only while there is room, so that
+//! it does not make those inside wait: if it would not wait longer for
+//! others than this part of its target.
+inline constexpr double kOutsideShareLimit = 0.18;
+//! A large prompt inside its workspace's share may wait so much longer than
+//! its own reading takes: a quarter of it for others.
 inline constexpr double kOwnReading = 1.25;
-//! Who is refused for its rate comes back no sooner than the level may have
-//! changed much.
-inline constexpr double kLevelWaitMs = 400.0;
+//! Bounds of how much sooner or later than that a workspace beyond its
+//! share is refused, by how far it is ahead of the others beyond theirs.
+inline constexpr double kExcessLeast = 0.1;
+inline constexpr double kBehindMost = 4.5;
+//! A workspace beyond its share that gets less than this part of what the
+//! best served one gets is taken like one inside its share until it has
+//! caught up: none may get less than half.
+inline constexpr double kFarBehind = 0.7;
+//! Part of all that is served that others must miss to be said to wait.
+inline constexpr double kMissedNoticed = 0.02;
 //! Retry-After is at most this part of the time that the caller has left:
 //! callers honour up to a third.
 inline constexpr double kRetryAfterPart = 0.3;
--- a/src/fleet/internal/admission.cpp
+++ b/src/fleet/internal/admission.cpp
@@ -6,25 +6,51 @@
 
 namespace hemlockgauge::fleet {
 
+namespace {
+
+//! The part of its target within which a request must be foreseen.
+double
+LimitPart(const AdmissionInput& aInput)
+{
+  if (aInput.insideShare) {
+    return kInsideShareLimit;
+  }
+  if (!aInput.othersWait) {
+    return kOutsideShareLimit;
+  }
+  const double behind = 1.0 / std::max(aInput.excess, kExcessLeast);
+  return kOutsideShareLimit * std::min(behind * behind, kBehindMost);
+}
+
+//! Large prompts are not refused for their size. One inside its share whose
+//! reading alone takes longer than its target need only not wait long for
+//! others; outside, only the wait for others counts.
+double
+LimitMs(const AdmissionInput& aInput, double aWithin)
+{
+  return aInput.insideShare ? std::max(aWithin, kOwnReading * aInput.ownMs)
+                            : aWithin + aInput.ownMs;
+}
+
+}
+
 Admission
 Admit(const AdmissionInput& aInput)
 {
+  const double part = LimitPart(aInput);
   const auto target = static_cast<double>(aInput.target.count());
   const auto waited = static_cast<double>(aInput.waited.count());
-  //! NOTE a prompt whose reading alone takes longer than its target need only
-  //! not wait long for others: large ones are not refused for their size.
-  const double limit =
-    std::max(kTargetPart * target, kOwnReading * aInput.ownMs);
-  const bool inTime = aInput.foreseenMs + waited <= limit;
-  if (aInput.placesFree || (inTime && aInput.passesLevel)) {
+  const double limit = LimitMs(aInput, part * target);
+  const bool ahead =
+    !aInput.insideShare && aInput.othersWait && aInput.excess > 1.0;
+  if (aInput.foreseenMs + waited <= limit || (aInput.placesFree && !ahead)) {
     return {};
   }
   const auto left = static_cast<double>(aInput.timeLeft.count());
-  const double wait = std::min(std::max(aInput.foreseenMs, kLevelWaitMs),
-                               kRetryAfterPart * left);
-  return { false,
-           std::max(kRetryAfterLeast,
-                    Duration(static_cast<std::int64_t>(wait))) };
+  const double wait = std::min(aInput.foreseenMs, kRetryAfterPart * left);
+  return {
+    false, std::max(kRetryAfterLeast, Duration(static_cast<std::int64_t>(wait)))
+  };
 }
 
 }
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -1,7 +1,6 @@
 #include "fleet/admission.h"
 #include "fleet/fairshare.h"
 #include "fleet/freshness.h"
-#include "fleet/levelcontrol.h"
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
 #include "fleet/prefixmap.h"
@@ -363,19 +362,17 @@
 
 // ---- admission
 
-Test(admission, WhatIsBeyondTheLevelIsRefused)
+Test(admission, TheExcessOfAFloodGoesFirst)
 {
   AdmissionInput input;
   input.target = 1000ms;
   input.timeLeft = 5000ms;
   input.foreseenMs = 500;
   cr_assert(Admit(input).taken);
-  input.passesLevel = false;
+  input.insideShare = false;
   const auto refused = Admit(input);
   cr_assert(!refused.taken);
   cr_assert(refused.retryAfter == 500ms);
-  input.placesFree = true;
-  cr_assert(Admit(input).taken);
 }
 
 Test(admission, WhatCannotBeInTimeIsRefusedAtOnceAndToldWhenToComeBack)
@@ -389,18 +386,6 @@
   cr_assert(refused.retryAfter == 600ms);
 }
 
-Test(admission, TimeThatHasPassedCounts)
-{
-  AdmissionInput input;
-  input.target = 1000ms;
-  input.timeLeft = 2000ms;
-  input.foreseenMs = 500;
-  input.waited = 300ms;
-  cr_assert(Admit(input).taken);
-  input.waited = 500ms;
-  cr_assert(!Admit(input).taken);
-}
-
 //! Found when trying limits: the largest tenth of the long prompts was
 //! served half as often as all of them.
 Test(admission, ALargePromptIsNotRefusedForItsSize)
@@ -413,72 +398,38 @@
   cr_assert(Admit(input).taken);
   input.foreseenMs = 1600;
   cr_assert(!Admit(input).taken);
+  input.insideShare = false;
+  input.foreseenMs = 1300;
+  cr_assert(Admit(input).taken);
+  input.foreseenMs = 1400;
+  cr_assert(!Admit(input).taken);
 }
 
-Test(admission, NothingIsRefusedWhilePlacesAreFree)
+Test(admission, WhoIsAheadGivesWayOnlyWhileOthersWait)
 {
   AdmissionInput input;
-  input.target = 100ms;
-  input.foreseenMs = 500;
-  input.passesLevel = false;
+  input.target = 1000ms;
+  input.timeLeft = 6000ms;
+  input.insideShare = false;
+  input.excess = 3;
+  input.foreseenMs = 100;
+  cr_assert(!Admit(input).taken);
   input.placesFree = true;
+  cr_assert(!Admit(input).taken);
+  input.othersWait = false;
+  cr_assert(Admit(input).taken);
+  input.placesFree = false;
   cr_assert(Admit(input).taken);
 }
 
-// ---- the level
-
-Test(level, NothingIsHeldBackWhileTheBacklogIsShort)
-{
-  LevelControl level;
-  WorkspaceRates rates;
-  rates[WorkspaceId(1)].asked = 500;
-  rates[WorkspaceId(2)].asked = 50;
-  for (int i = 0; i < 50; ++i) {
-    level.Update(10, 30, rates);
-  }
-  for (int i = 0; i < 20; ++i) {
-    cr_assert(level.Pass(WorkspaceId(1)));
-    cr_assert(level.Pass(WorkspaceId(2)));
-  }
-}
-
-Test(level, UnderALongBacklogAllGetTheSameAndWhatIsOwed)
-{
-  LevelControl level;
-  WorkspaceRates rates;
-  rates[WorkspaceId(1)].asked = 1000;
-  rates[WorkspaceId(2)].asked = 400;
-  rates[WorkspaceId(3)].asked = 80;
-  for (int i = 0; i < 200; ++i) {
-    level.Update(500, 100, rates);
-  }
-  cr_assert_float_eq(level.Level(), 100, 1e-6);
-  std::map<std::uint32_t, int> passed;
-  for (int i = 0; i < 1000; ++i) {
-    for (std::uint32_t id = 1; id <= 3; ++id) {
-      passed[id] += level.Pass(WorkspaceId(id)) ? 1 : 0;
-    }
-  }
-  cr_assert(passed[1] >= 99 && passed[1] <= 101);
-  cr_assert(passed[2] >= 249 && passed[2] <= 251);
-  cr_assert(passed[3] == 1000);
-}
-
-Test(level, ItBitesSoonAndRecoversSoon)
+Test(admission, NothingIsRefusedWhilePlacesAreFree)
 {
-  LevelControl level;
-  WorkspaceRates rates;
-  rates[WorkspaceId(1)].asked = 1000;
-  level.Update(0, 10, rates);
-  int steps = 0;
-  for (; level.Level() > 500 && steps < 100; ++steps) {
-    level.Update(300, 10, rates);
-  }
-  cr_assert(steps <= 6, "%d", steps);
-  for (steps = 0; level.Level() < 1000 && steps < 100; ++steps) {
-    level.Update(0, 10, rates);
-  }
-  cr_assert(steps <= 20, "%d", steps);
+  AdmissionInput input;
+  input.target = 100ms;
+  input.foreseenMs = 500;
+  input.insideShare = false;
+  input.placesFree = true;
+  cr_assert(Admit(input).taken);
 }
 
 // ---- failures and retries
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -262,8 +262,9 @@
     .Add("missing_tokens", aPlace.missingTokens)
     .Add("running", aPlace.running)
     .Add("rank", aPlace.rank)
-    .Add("passes_level", aPlace.passesLevel ? "yes" : "no")
-    .Add("level_part", aPlace.levelPart)
+    .Add("inside_share", aPlace.insideShare ? "yes" : "no")
+    .Add("excess", aPlace.excess)
+    .Add("far_behind", aPlace.farBehind ? "yes" : "no")
     .Add("peers_age_ms", aPlace.peersAge.count())
     .Add("config", m_config->version);
   if (aPlace.outcome == fleet::PlaceOutcome::Refused) {
