--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -403,35 +403,33 @@
   m_peers->Send(greeting, m_members.SeedsToTell(aNow));
 }
 
-//! In a small fleet every router reads the store. In a large one the first
-//! hub of a group does, and the others learn from hubs.
+//! In a small fleet every router reads the store, and turns to others when it
+//! is cut off from it. In a large one the first hub of a group reads it, and
+//! the others learn from hubs.
 void
 Gateway::ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow)
 {
-  const auto toRouter = [&](const base::Address& aTold) {
-    return fleet::NewsSource{ fleet::SourceKind::Router,
-                              { aTold.ip, m_settings.controlListen.port } };
-  };
   std::vector<fleet::NewsSource> options;
+  const auto add = [&](const std::vector<base::Address>& aRouters,
+                       std::size_t aMost) {
+    for (std::size_t i = 0; i < std::min(aMost, aRouters.size()); ++i) {
+      if (!(aRouters[i] == m_settings.peerListen)) {
+        options.push_back(
+          { fleet::SourceKind::Router,
+            { aRouters[i].ip, m_settings.controlListen.port } });
+      }
+    }
+  };
   const auto& hubs = aPlan.groupHubs;
   const bool reads = hubs.empty() || hubs.front() == m_settings.peerListen;
   if (reads) {
     options.emplace_back();
   }
-  for (const auto& hub : hubs) {
-    if (!(hub == m_settings.peerListen)) {
-      options.push_back(toRouter(hub));
-    }
-  }
-  for (std::size_t i = 0; i < std::min(aPlan.hubs.size(), kOtherSources); ++i) {
-    options.push_back(toRouter(aPlan.hubs[i]));
-  }
+  add(hubs, hubs.size());
+  add(hubs.empty() ? aPlan.tell : aPlan.hubs, kOtherSources);
   if (!reads) {
     options.emplace_back();
   }
-  if (hubs.empty()) {
-    options.resize(1);
-  }
   m_sources.SetOptions(options, aNow);
   if (m_sources.Tick(aNow) || !m_opened ||
       !(*m_opened == m_sources.Current())) {
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -131,8 +131,9 @@
   if (m_lost) {
     m_lost = false;
     base::LogLine("store-regained").Info();
-    m_events.OnStoreBack();
   }
+  //! NOTE also of a store that another follower of this router had lost.
+  m_events.OnStoreBack();
   if (m_step == Step::List) {
     TakeList();
   } else {
