--- /dev/null
+++ b/src/soak/chaosproxy.cpp
@@ -0,0 +1,211 @@
+#include "soak/chaosproxy.h"
+
+#include "eventloop/eventloop.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <vector>
+
+namespace hemlockgauge::soak {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+
+}
+
+//! One connection through the proxy: two sockets.
+class ProxyPair
+{
+public:
+  //! One of the two sockets.
+  class End : public eventloop::IIoHandler
+  {
+  public:
+    End(ProxyPair& aPair, bool aIsTarget)
+      : pair(aPair)
+      , isTarget(aIsTarget)
+    {
+    }
+    void OnIo(std::uint32_t) override { pair.Read(*this); }
+
+    ProxyPair& pair;
+    bool isTarget;
+    ACE_SOCK_Stream stream;
+    bool sawEnd = false;
+    bool paused = false;
+    //! Read here, to be written to the other end.
+    std::deque<std::pair<base::TimePoint, std::string>> waiting;
+  };
+
+  ProxyPair(ChaosProxy& aProxy, const ACE_SOCK_Stream& aCaller)
+    : m_proxy(aProxy)
+  {
+    m_caller.stream = aCaller;
+    const ACE_INET_Addr address(aProxy.m_target.port,
+                                aProxy.m_target.ip.c_str());
+    ACE_SOCK_Connector connector;
+    const ACE_Time_Value limit(0, 200000);
+    m_open = connector.connect(m_target.stream, address, &limit) == 0;
+    if (!m_open) {
+      m_caller.stream.close();
+      return;
+    }
+    m_target.stream.enable(ACE_NONBLOCK);
+    m_proxy.m_loop.Add(m_caller.stream.get_handle(), m_caller, EPOLLIN);
+    m_proxy.m_loop.Add(m_target.stream.get_handle(), m_target, EPOLLIN);
+  }
+
+  ~ProxyPair() { Close(false); }
+
+  bool IsOpen() const { return m_open; }
+
+  void Close(bool aReset)
+  {
+    if (!m_open) {
+      return;
+    }
+    m_open = false;
+    for (auto* end : { &m_caller, &m_target }) {
+      if (aReset) {
+        const linger hard{ 1, 0 };
+        setsockopt(
+          end->stream.get_handle(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+      }
+      if (!end->sawEnd) {
+        m_proxy.m_loop.Remove(end->stream.get_handle());
+      }
+      end->stream.close();
+    }
+  }
+
+  void Read(End& aEnd)
+  {
+    if (m_proxy.m_silent) {
+      aEnd.paused = true; // the bytes stay where they are
+      m_proxy.m_loop.Modify(aEnd.stream.get_handle(), 0);
+      return;
+    }
+    std::array<char, kReadBytes> bytes;
+    const auto got = aEnd.stream.recv(bytes.data(), bytes.size());
+    if (got > 0) {
+      const bool lost = m_proxy.m_oneWay && aEnd.isTarget;
+      if (!lost) {
+        aEnd.waiting.emplace_back(
+          m_proxy.m_loop.Now() + m_proxy.m_delay,
+          std::string(bytes.data(), static_cast<std::size_t>(got)));
+      }
+      Pass(m_proxy.m_loop.Now());
+      return;
+    }
+    if (got == -1 && (errno == EWOULDBLOCK || errno == EINTR)) {
+      return;
+    }
+    if (got == -1) {
+      Close(true);
+      m_proxy.Forget(*this);
+      return;
+    }
+    aEnd.sawEnd = true;
+    m_proxy.m_loop.Remove(aEnd.stream.get_handle());
+    Pass(m_proxy.m_loop.Now());
+  }
+
+  void Pass(base::TimePoint aNow)
+  {
+    if (!m_open || m_proxy.m_silent) {
+      return;
+    }
+    for (auto* end : { &m_caller, &m_target }) {
+      if (end->paused && !end->sawEnd) {
+        end->paused = false;
+        m_proxy.m_loop.Modify(end->stream.get_handle(), EPOLLIN);
+      }
+    }
+    PassFrom(m_caller, m_target, aNow);
+    PassFrom(m_target, m_caller, aNow);
+    const bool drained = m_caller.waiting.empty() && m_target.waiting.empty();
+    if (drained && (m_caller.sawEnd || m_target.sawEnd)) {
+      Close(false);
+      m_proxy.Forget(*this);
+    }
+  }
+
+private:
+  static void PassFrom(End& aFrom, End& aTo, base::TimePoint aNow)
+  {
+    while (!aFrom.waiting.empty() && aFrom.waiting.front().first <= aNow) {
+      auto& bytes = aFrom.waiting.front().second;
+      const auto put = aTo.stream.send(bytes.data(), bytes.size());
+      if (put <= 0) {
+        return;
+      }
+      bytes.erase(0, static_cast<std::size_t>(put));
+      if (bytes.empty()) {
+        aFrom.waiting.pop_front();
+      }
+    }
+  }
+
+  ChaosProxy& m_proxy;
+  End m_caller{ *this, false };
+  End m_target{ *this, true };
+  bool m_open = false;
+};
+
+ChaosProxy::ChaosProxy(eventloop::EventLoop& aLoop,
+                       const base::Address& aListen,
+                       const base::Address& aTarget)
+  : m_loop(aLoop)
+  , m_target(aTarget)
+  , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
+    auto pair = std::make_unique<ProxyPair>(*this, aStream);
+    if (pair->IsOpen()) {
+      auto* key = pair.get();
+      m_pairs[key] = std::move(pair);
+    }
+  })
+{
+}
+
+ChaosProxy::~ChaosProxy() = default;
+
+void
+ChaosProxy::Forget(ProxyPair& aPair)
+{
+  const auto found = m_pairs.find(&aPair);
+  if (found != m_pairs.end()) {
+    m_loop.DeleteLater(std::move(found->second));
+    m_pairs.erase(found);
+  }
+}
+
+void
+ChaosProxy::ResetAll()
+{
+  for (auto& [key, pair] : m_pairs) {
+    pair->Close(true);
+    m_loop.DeleteLater(std::move(pair));
+  }
+  m_pairs.clear();
+}
+
+void
+ChaosProxy::Tick(base::TimePoint aNow)
+{
+  std::vector<ProxyPair*> all;
+  for (const auto& [key, pair] : m_pairs) {
+    all.push_back(key);
+  }
+  for (auto* pair : all) {
+    pair->Pass(aNow);
+  }
+}
+
+}
--- /dev/null
+++ b/src/soak/soakrun.cpp
@@ -0,0 +1,493 @@
+#include "soak/soakrun.h"
+
+#include "base/hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace hemlockgauge::soak {
+
+using standins::Misbehaviour;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::Duration kTick = 5ms;
+constexpr base::Duration kRestartAfter = 300ms;
+//! Bounds of the promises, with what a busy test machine adds.
+constexpr base::Duration kLeavingBound = 6000ms;
+constexpr base::Duration kRevocationBound = 5000ms;
+constexpr base::Duration kMachineSlack = 500ms;
+constexpr base::Duration kCalm = 3000ms;
+constexpr base::Duration kGrace = 8000ms;
+//! After the last fault: what may still settle, and the time looked at.
+constexpr base::Duration kSettle = 7000ms;
+constexpr base::Duration kQuiet = 4000ms;
+constexpr double kServedWhenQuiet = 0.9;
+//! One request in so many is spoiled by its upstream.
+constexpr std::uint64_t kSpoilOneIn = 25;
+constexpr int kRouterNet = 10;
+
+std::string
+RouterIp(std::uint32_t aRouter)
+{
+  return "127.0.1." + std::to_string(kRouterNet + aRouter);
+}
+
+}
+
+SoakRun::SoakRun(const SoakSettings& aSettings,
+                 const std::string& aRouterProgram,
+                 const std::string& aDirectory,
+                 std::uint16_t aPort)
+  : m_settings(aSettings)
+  , m_directory(aDirectory)
+  , m_port(aPort)
+  , m_plan(MakePlan(aSettings))
+  , m_store(m_loop, At(10))
+  , m_shared{ m_loop, m_promises, {}, "", {}, {}, {}, {} }
+{
+  m_storeProxy = std::make_unique<ChaosProxy>(m_loop, At(11), At(10));
+  for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
+    AddUpstream(i);
+  }
+  PutConfig();
+  for (std::uint32_t i = 0; i < aSettings.routers; ++i) {
+    WriteSettings(i);
+    Router router;
+    router.process = std::make_unique<RouterProcess>(
+      aRouterProgram,
+      fmt::format("{}/r{}.ini", m_directory, i),
+      fmt::format("{}/r{}.log", m_directory, i));
+    m_routers.push_back(std::move(router));
+    m_shared.routers.push_back({ RouterIp(i), m_port });
+  }
+  for (std::uint32_t i = 0; i < aSettings.callers; ++i) {
+    m_callers.push_back(
+      std::make_unique<SoakCaller>(m_shared, i, aSettings.seed));
+  }
+}
+
+SoakRun::~SoakRun() = default;
+
+base::Address
+SoakRun::At(int aOffset) const
+{
+  return { "127.0.0.1", static_cast<std::uint16_t>(m_port + aOffset) };
+}
+
+void
+SoakRun::WriteSettings(std::uint32_t aRouter)
+{
+  const auto ip = RouterIp(aRouter);
+  std::ofstream file(fmt::format("{}/r{}.ini", m_directory, aRouter));
+  file << fmt::format("[gateway]\nid = r{0}\navailability_zone = z{1}\n"
+                      "callers_listen = {2}:{3}\nprobe_listen = {2}:{4}\n"
+                      "control_listen = {2}:{5}\npeer_listen = {2}:{6}\n"
+                      "stop_grace_ms = {7}\n[store]\naddress = {8}\n"
+                      "revocation_bound_ms = {9}\n[retries]\nslack = 50\n"
+                      "[peers]\nseeds = {10}:{5},{11}:{5}\n",
+                      aRouter,
+                      aRouter % 2,
+                      ip,
+                      m_port,
+                      m_port + 1,
+                      m_port + 2,
+                      m_port + 3,
+                      kGrace.count(),
+                      At(11).Text(),
+                      kRevocationBound.count(),
+                      RouterIp(0),
+                      RouterIp(1));
+}
+
+void
+SoakRun::PutConfig()
+{
+  const auto route = [](const char* aName,
+                        const char* aType,
+                        const char* aService,
+                        int aAttempts,
+                        bool aResumable) {
+    return fmt::format(R"({{"name":"{0}","host":"h.example","prefix":"/{0}/",)"
+                       R"("type":"{1}","timeoutMs":3500,)"
+                       R"("targetLatencyMs":1000,"service":"{2}",)"
+                       R"("maxAttempts":{3},"resumable":{4}}})",
+                       aName,
+                       aType,
+                       aService,
+                       aAttempts,
+                       aResumable ? "true" : "false");
+  };
+  // The workspace's name carries the number of the key: a run shows which
+  // key let it in.
+  m_shared.key = fmt::format("key-{}", m_keyNumber);
+  m_store.Put(
+    "op/config",
+    fmt::format(R"({{"version":{},"routes":[{},{},{},{}],"services":[)"
+                R"({{"name":"plain"}},{{"name":"engine","engine":)"
+                R"({{"slots":16,"kvCapacity":100000}}}}],)"
+                R"("limits":{{"tokensPerS":1000000}},"tenants":[)"
+                R"({{"name":"w-{}","apiKeys":["{}"]}}]}})",
+                ++m_configVersion,
+                route("safe", "safe", "plain", 2, false),
+                route("once", "unsafe", "plain", 1, false),
+                route("stream", "streaming", "engine", 1, false),
+                route("resumable", "streaming", "engine", 3, true),
+                m_keyNumber,
+                m_shared.key));
+}
+
+void
+SoakRun::AddUpstream(std::uint32_t aIndex)
+{
+  auto upstream = std::make_unique<Upstream>();
+  upstream->index = aIndex;
+  upstream->id = fmt::format("i-{}-{}", aIndex, m_upstreams.size());
+  standins::WorkerSettings settings;
+  settings.id = upstream->id;
+  settings.isEngine = aIndex % 2 == 0;
+  settings.slots = 16;
+  settings.workTime = 8ms;
+  const int slot = static_cast<int>(m_upstreams.size());
+  settings.listen = At(20 + slot);
+  upstream->worker =
+    std::make_unique<standins::WorkerStandin>(m_loop, settings);
+  upstream->proxy =
+    std::make_unique<ChaosProxy>(m_loop, At(60 + slot), At(20 + slot));
+  auto& kept = *upstream;
+  kept.worker->SetJudge([this](const standins::WorkerRun& aRun) {
+    const auto draw =
+      base::HashName(aRun.requestId + aRun.lastEventId) + m_settings.seed;
+    if (draw % kSpoilOneIn != 0) {
+      return Misbehaviour::None;
+    }
+    return static_cast<Misbehaviour>(1 + draw / kSpoilOneIn % 10);
+  });
+  kept.worker->SetObserver(
+    [this, &kept](const standins::WorkerRun& aRun) { OnRun(kept, aRun); });
+  List(kept, false);
+  m_upstreams.push_back(std::move(upstream));
+}
+
+void
+SoakRun::List(const Upstream& aUpstream, bool aDraining)
+{
+  const bool engine = aUpstream.index % 2 == 0;
+  const int slot = std::stoi(aUpstream.id.substr(aUpstream.id.rfind('-') + 1));
+  m_store.Put("servers/" + aUpstream.id,
+              fmt::format(R"({{"service":"{}","address":"{}","zone":"z0",)"
+                          R"("slots":16,"state":"{}"}})",
+                          engine ? "engine" : "plain",
+                          At(60 + slot).Text(),
+                          aDraining ? "draining" : "ready"));
+}
+
+void
+SoakRun::OnRun(const Upstream& aUpstream, const standins::WorkerRun& aRun)
+{
+  if (aRun.ended) {
+    return;
+  }
+  const bool mayRunAgain = aRun.requestId.starts_with("safe") ||
+                           aRun.requestId.starts_with("resumable");
+  m_promises.Ran(aRun.requestId, mayRunAgain, !aRun.lastEventId.empty());
+  m_promises.Check(Promise::OwnWorkspace,
+                   aRun.workspace.starts_with("w-") && !aRun.sawKey &&
+                     !aRun.sawOwnField,
+                   aRun.requestId + " came with foreign fields");
+  const auto now = m_loop.Now();
+  if (aUpstream.leftAt > base::TimePoint{}) {
+    m_promises.Check(Promise::NothingToLeaving,
+                     now - aUpstream.leftAt < kLeavingBound,
+                     aRun.requestId + " reached " + aUpstream.id +
+                       " long after it left");
+  }
+  const auto withdrawn = m_withdrawnAt.find(aRun.workspace);
+  if (withdrawn != m_withdrawnAt.end()) {
+    m_promises.Check(Promise::WithdrawnKeyStops,
+                     now - withdrawn->second < kRevocationBound + kMachineSlack,
+                     aRun.requestId + " ran for " + aRun.workspace);
+  }
+}
+
+bool
+SoakRun::IsCalm() const
+{
+  return m_running.empty() && m_loop.Now() - m_lastFaultAt > kCalm;
+}
+
+void
+SoakRun::BeginRouterFault(const Fault& aFault)
+{
+  auto& router = m_routers[aFault.target];
+  switch (aFault.kind) {
+    case FaultKind::KillRouter:
+      router.process->Signal(SIGKILL);
+      return;
+    case FaultKind::PauseRouter:
+      router.process->Signal(SIGSTOP);
+      return;
+    case FaultKind::StopRouter:
+      router.calmStop = IsCalm();
+      router.stopping = true;
+      router.process->Signal(SIGTERM);
+      return;
+    default:
+      router.process->Signal(SIGHUP);
+      return;
+  }
+}
+
+void
+SoakRun::BeginUpstreamFault(const Fault& aFault)
+{
+  // The newest life of this upstream.
+  Upstream* upstream = nullptr;
+  for (const auto& one : m_upstreams) {
+    if (one->index == aFault.target) {
+      upstream = one.get();
+    }
+  }
+  const bool leaves = aFault.kind == FaultKind::DrainUpstream ||
+                      aFault.kind == FaultKind::RemoveUpstream;
+  const bool room = m_upstreams.size() < 36;
+  if (leaves && !room) {
+    return;
+  }
+  switch (aFault.kind) {
+    case FaultKind::ResetUpstream:
+      upstream->proxy->ResetAll();
+      return;
+    case FaultKind::SilenceUpstream:
+      upstream->proxy->SetSilent(true);
+      return;
+    case FaultKind::CutUpstreamOneWay:
+      upstream->proxy->SetOneWay(true);
+      return;
+    case FaultKind::DelayUpstream:
+      upstream->proxy->SetDelay(150ms);
+      return;
+    default:
+      break;
+  }
+  AddUpstream(aFault.target);
+  upstream->leftAt = m_loop.Now();
+  if (aFault.kind == FaultKind::DrainUpstream) {
+    List(*upstream, true);
+  } else {
+    m_store.Remove("servers/" + upstream->id);
+  }
+}
+
+void
+SoakRun::BeginStoreFault(const Fault& aFault)
+{
+  switch (aFault.kind) {
+    case FaultKind::StoreMute:
+      m_store.faults.mute = true;
+      return;
+    case FaultKind::StoreRefuses:
+      m_store.faults.failStatus = 503;
+      return;
+    case FaultKind::StoreForgets:
+      m_store.ForgetHistory();
+      return;
+    case FaultKind::ResetStore:
+      m_storeProxy->ResetAll();
+      return;
+    case FaultKind::WithdrawKey:
+      m_withdrawnAt[fmt::format("w-{}", m_keyNumber)] = m_loop.Now();
+      m_keyNumber++;
+      PutConfig();
+      return;
+    default:
+      PutConfig();
+      return;
+  }
+}
+
+void
+SoakRun::Begin(const Fault& aFault)
+{
+  if (aFault.kind <= FaultKind::ReloadRouter) {
+    BeginRouterFault(aFault);
+  } else if (aFault.kind <= FaultKind::RemoveUpstream) {
+    BeginUpstreamFault(aFault);
+  } else {
+    BeginStoreFault(aFault);
+  }
+}
+
+void
+SoakRun::EndFault(const Fault& aFault)
+{
+  switch (aFault.kind) {
+    case FaultKind::PauseRouter:
+      m_routers[aFault.target].process->Signal(SIGCONT);
+      return;
+    case FaultKind::SilenceUpstream:
+    case FaultKind::CutUpstreamOneWay:
+    case FaultKind::DelayUpstream:
+      for (const auto& one : m_upstreams) {
+        if (one->index == aFault.target) {
+          one->proxy->SetSilent(false);
+          one->proxy->SetOneWay(false);
+          one->proxy->SetDelay({});
+        }
+      }
+      return;
+    case FaultKind::StoreMute:
+      m_store.faults.mute = false;
+      m_storeProxy->ResetAll();
+      return;
+    case FaultKind::StoreRefuses:
+      m_store.faults.failStatus = 0;
+      return;
+    default:
+      return;
+  }
+}
+
+void
+SoakRun::ReviveRouters(base::TimePoint aNow)
+{
+  for (std::size_t i = 0; i < m_routers.size(); ++i) {
+    auto& router = m_routers[i];
+    int exit = 0;
+    if (router.process->HasEnded(exit)) {
+      if (router.stopping && router.calmStop) {
+        m_promises.Check(Promise::GracefulStopCuts,
+                         exit == 0,
+                         fmt::format("r{} ended with {}", i, exit));
+      }
+      router.stopping = false;
+      router.startAt = aNow + kRestartAfter;
+    }
+    if (router.startAt > base::TimePoint{} && aNow >= router.startAt) {
+      router.startAt = {};
+      router.process->Start();
+    }
+  }
+}
+
+void
+SoakRun::Tick()
+{
+  const auto now = m_loop.Now();
+  while (m_nextFault < m_plan.size() &&
+         now - m_shared.startedAt >= m_plan[m_nextFault].at) {
+    const auto& fault = m_plan[m_nextFault++];
+    Begin(fault);
+    m_lastFaultAt = now;
+    m_running.emplace_back(now + fault.lasts, fault);
+  }
+  std::erase_if(m_running, [&](const auto& aOne) {
+    const bool over = now >= aOne.first;
+    if (over) {
+      EndFault(aOne.second);
+      m_lastFaultAt = now;
+    }
+    return over;
+  });
+  ReviveRouters(now);
+  m_storeProxy->Tick(now);
+  for (const auto& upstream : m_upstreams) {
+    upstream->proxy->Tick(now);
+  }
+  for (const auto& caller : m_callers) {
+    caller->Tick(now);
+  }
+}
+
+void
+SoakRun::RunUntil(base::TimePoint aUntil)
+{
+  while (m_loop.Now() < aUntil) {
+    m_loop.RunOnce();
+  }
+}
+
+bool
+SoakRun::Run()
+{
+  for (auto& router : m_routers) {
+    router.process->Start();
+  }
+  RunUntil(m_loop.Now() + 1500ms); // the routers find each other
+  m_shared.startedAt = m_loop.Now();
+  m_loop.Subscribe(kTick, [this] { Tick(); });
+  RunUntil(m_shared.startedAt + m_settings.length + kSettle);
+  const auto before = m_shared.ends;
+  RunUntil(m_loop.Now() + kQuiet);
+  double served = 0;
+  double all = 0;
+  for (std::size_t i = 0; i < kCallEnds; ++i) {
+    const auto ended = static_cast<double>(m_shared.ends[i] - before[i]);
+    all += ended;
+    served += i == static_cast<std::size_t>(CallEnd::Served) ? ended : 0.0;
+  }
+  m_promises.Check(Promise::Recovery,
+                   all > 0 && served >= kServedWhenQuiet * all,
+                   fmt::format("{:.0f} of {:.0f} served", served, all));
+  for (const auto& caller : m_callers) {
+    caller->Stop();
+  }
+  RunUntil(m_loop.Now() + 1000ms);
+  m_promises.Finish();
+  return m_promises.Broken().empty();
+}
+
+std::string
+SoakRun::Report() const
+{
+  auto text = fmt::format("soak seed={} routers={} upstreams={} callers={} "
+                          "served={} refused={} failed={}\n",
+                          m_settings.seed,
+                          m_settings.routers,
+                          m_settings.upstreams,
+                          m_settings.callers,
+                          m_shared.ends[0],
+                          m_shared.ends[1],
+                          m_shared.ends[2]);
+  text += fmt::format("first byte ms p50={:.1f} p95={:.1f} p99={:.1f}\n",
+                      m_shared.firstByteMs.Quantile(0.5),
+                      m_shared.firstByteMs.Quantile(0.95),
+                      m_shared.firstByteMs.Quantile(0.99));
+  for (std::size_t i = 0; i < kPromises; ++i) {
+    const auto promise = static_cast<Promise>(i);
+    text += fmt::format("promise {:<28} checked {}\n",
+                        kPromiseNames.NameOf(promise),
+                        m_promises.Checked(promise));
+  }
+  for (const auto& broken : m_promises.Broken()) {
+    text += "BROKEN " + broken + "\n";
+  }
+  text += "second served refused failed faults\n";
+  for (std::size_t s = 0; s < m_shared.bySecond.size(); ++s) {
+    const auto& ends = m_shared.bySecond[s];
+    text +=
+      fmt::format("{:>6} {:>6} {:>7} {:>6} {:<20}",
+                  s,
+                  ends[0],
+                  ends[1],
+                  ends[2],
+                  std::string(std::min<std::size_t>(ends[0] / 10, 20), '#'));
+    for (const auto& fault : m_plan) {
+      if (static_cast<std::size_t>(fault.at.count() / 1000) == s) {
+        text += fmt::format(" {}({},{} ms)",
+                            kFaultKindNames.NameOf(fault.kind),
+                            fault.target,
+                            fault.lasts.count());
+      }
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+}
--- /dev/null
+++ b/src/soak/soakrun.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "eventloop/eventloop.h"
+#include "soak/chaosproxy.h"
+#include "soak/promises.h"
+#include "soak/routerprocess.h"
+#include "soak/soakcaller.h"
+#include "soak/soakplan.h"
+#include "standins/storestandin.h"
+#include "standins/workerstandin.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hemlockgauge::soak {
+
+//! One seeded run: real routers as processes, stand-ins of store and
+//! upstreams behind proxies, callers, faults, and the promises watched.
+class SoakRun
+{
+public:
+  //! aPort: the first of a hundred free ports on loopback.
+  SoakRun(const SoakSettings& aSettings,
+          const std::string& aRouterProgram,
+          const std::string& aDirectory,
+          std::uint16_t aPort);
+  ~SoakRun();
+
+  //! Returns whether all promises held.
+  bool Run();
+  //! For a person: plan, promises, latencies, a plot by seconds.
+  std::string Report() const;
+
+private:
+  struct Upstream
+  {
+    std::string id;
+    std::uint32_t index = 0;
+    std::unique_ptr<standins::WorkerStandin> worker;
+    std::unique_ptr<ChaosProxy> proxy;
+    base::TimePoint leftAt{}; //!< 0: listed
+  };
+
+  struct Router
+  {
+    std::unique_ptr<RouterProcess> process;
+    base::TimePoint startAt{}; //!< 0: it runs
+    bool stopping = false;
+    bool calmStop = false; //!< no fault lately when it was told to stop
+  };
+
+  base::Address At(int aOffset) const;
+  void WriteSettings(std::uint32_t aRouter);
+  void AddUpstream(std::uint32_t aIndex);
+  void List(const Upstream& aUpstream, bool aDraining);
+  void PutConfig();
+  void Tick();
+  void Begin(const Fault& aFault);
+  void EndFault(const Fault& aFault);
+  void BeginRouterFault(const Fault& aFault);
+  void BeginUpstreamFault(const Fault& aFault);
+  void BeginStoreFault(const Fault& aFault);
+  void ReviveRouters(base::TimePoint aNow);
+  void OnRun(const Upstream& aUpstream, const standins::WorkerRun& aRun);
+  void RunUntil(base::TimePoint aUntil);
+  bool IsCalm() const;
+
+  SoakSettings m_settings;
+  std::string m_directory;
+  std::uint16_t m_port;
+  eventloop::EventLoop m_loop;
+  Promises m_promises;
+  std::vector<Fault> m_plan;
+  std::size_t m_nextFault = 0;
+  std::vector<std::pair<base::TimePoint, Fault>> m_running;
+  base::TimePoint m_lastFaultAt{};
+  standins::StoreStandin m_store;
+  std::unique_ptr<ChaosProxy> m_storeProxy;
+  std::vector<std::unique_ptr<Upstream>> m_upstreams;
+  std::vector<Router> m_routers;
+  CallerShared m_shared;
+  std::vector<std::unique_ptr<SoakCaller>> m_callers;
+  std::uint64_t m_configVersion = 0;
+  std::uint32_t m_keyNumber = 0;
+  std::map<std::string, base::TimePoint> m_withdrawnAt; //!< by key's workspace
+};
+
+}
--- /dev/null
+++ b/src/soak/tests/soaktests.cpp
@@ -0,0 +1,59 @@
+#include "soak/promises.h"
+#include "soak/soakplan.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace hemlockgauge;
+using namespace hemlockgauge::soak;
+
+Test(soakplan, TheSameSeedGivesTheSamePlan)
+{
+  SoakSettings settings;
+  settings.seed = 5;
+  const auto first = MakePlan(settings);
+  const auto second = MakePlan(settings);
+  cr_assert(first.size() == second.size() && !first.empty());
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    cr_assert(first[i].at == second[i].at && first[i].kind == second[i].kind);
+  }
+}
+
+Test(soakplan, SeedsCoverEveryKindOfFault)
+{
+  std::set<FaultKind> kinds;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SoakSettings settings;
+    settings.seed = seed;
+    for (const auto& fault : MakePlan(settings)) {
+      kinds.insert(fault.kind);
+      cr_assert(fault.target < settings.upstreams);
+    }
+  }
+  cr_assert(kinds.size() ==
+            static_cast<std::size_t>(FaultKind::WithdrawKey) + 1);
+}
+
+Test(promises, ASecondRunOfWhatMayRunOnceIsCaught)
+{
+  Promises promises;
+  promises.Ran("once-1", false, false);
+  cr_assert(promises.Broken().empty());
+  promises.Ran("once-1", false, false);
+  cr_assert(promises.Broken().size() == 1);
+  promises.Ran("safe-1", true, false);
+  promises.Ran("safe-1", true, false);
+  cr_assert(promises.Broken().size() == 1);
+}
+
+Test(promises, AnUntrueNotRunIsCaughtAlsoWhenItRunsLater)
+{
+  Promises promises;
+  promises.ToldNotRun("once-1");
+  promises.ToldNotRun("once-2");
+  promises.Ran("once-1", false, false);
+  promises.Finish();
+  cr_assert(promises.Broken().size() == 1);
+  cr_assert(promises.Checked(Promise::NotRunIsTrue) == 2);
+}
