--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/monotonicclock.h"
 #include "eventloop/iiohandler.h"
+#include "timer/periodichandler.h"
 
 #include <ace/Time_Value.h>
 
@@ -32,24 +33,6 @@
 
 }
 
-class PeriodicTimer : public ACE_Event_Handler
-{
-public:
-  explicit PeriodicTimer(std::function<void()> aCallback)
-    : m_callback(std::move(aCallback))
-  {
-  }
-
-  int handle_timeout(const ACE_Time_Value&, const void*) override
-  {
-    m_callback();
-    return 0;
-  }
-
-private:
-  std::function<void()> m_callback;
-};
-
 EventLoop::EventLoop()
   : m_poll(epoll_create1(EPOLL_CLOEXEC))
   , m_now(base::MonotonicNow())
@@ -112,7 +95,7 @@
 EventLoop::Subscribe(base::Duration aPeriod, std::function<void()> aCallback)
 {
   auto& timer = m_timers.emplace_back(
-    std::make_unique<PeriodicTimer>(std::move(aCallback)));
+    std::make_unique<timer::PeriodicHandler>(std::move(aCallback)));
   const auto first = ToAce(base::MonotonicNow() + aPeriod);
   if (m_queue.schedule(timer.get(), nullptr, first, ToAce(aPeriod)) == -1) {
     throw Error(ErrorCode::Internal, "no timer to be had");
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -12,10 +12,13 @@
 #include <memory>
 #include <vector>
 
+namespace hemlockgauge::timer {
+class PeriodicHandler;
+}
+
 namespace hemlockgauge::eventloop {
 
 class IIoHandler;
-class PeriodicTimer;
 
 //! One thread's sockets and timers. Sockets are polled with epoll directly:
 //! ACE's poll reactor takes three system calls for each event, and a router
@@ -79,7 +82,7 @@
   std::uint32_t m_nextGeneration = 1;
   std::vector<Registration> m_registrations;
   std::vector<std::function<void()>> m_deferred;
-  std::vector<std::unique_ptr<PeriodicTimer>> m_timers;
+  std::vector<std::unique_ptr<timer::PeriodicHandler>> m_timers;
   ACE_Timer_Heap m_queue;
 };
 
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -123,9 +123,11 @@
   plan.group = GroupOf(m_self, zoneSizes[m_self.zone]);
   plan.isHub = false;
   for (auto& [group, members] : groups) {
-    std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) {
-      return a.hash < b.hash;
-    });
+    std::sort(members.begin(),
+              members.end(),
+              [](const auto& aFirst, const auto& aSecond) {
+                return aFirst.hash < aSecond.hash;
+              });
     const auto hubs = std::min(members.size(), kHubsOfGroup);
     for (std::size_t i = 0; i < members.size(); ++i) {
       const bool self = members[i].address == m_self.address;
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -96,7 +96,7 @@
   bench.fleet.FirstToken(first.attempt, bench.now);
   const auto second = bench.Place(bench.Ask(7));
   cr_assert(second.upstream == first.upstream);
-  cr_assert(second.missingTokens == kPromptTokens / 2);
+  cr_assert(second.missingTokens == double{ kPromptTokens } / 2);
 }
 
 Test(core, AnUpstreamThatDrainsGetsNothingMore)
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -108,6 +108,7 @@
     "/", "/a/", "/a/b/", "/b/a/", "/a/b/c/"
   };
   std::vector<Route> routes;
+  routes.reserve(prefixes.size());
   for (const auto& prefix : prefixes) {
     routes.push_back(RouteOf("h", prefix));
   }
@@ -228,8 +229,8 @@
 {
   rc::check([] {
     WorkspaceRates rates;
-    const auto asked = *rc::gen::container<std::vector<double>>(
-      rc::gen::map(rc::gen::inRange(0, 10000), [](int a) { return a * 1.0; }));
+    const auto asked = *rc::gen::container<std::vector<double>>(rc::gen::map(
+      rc::gen::inRange(0, 10000), [](int aNumber) { return aNumber * 1.0; }));
     double sum = 0;
     for (std::size_t i = 0; i < asked.size(); ++i) {
       rates[WorkspaceId(static_cast<std::uint32_t>(i))].asked = asked[i];
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -62,11 +62,12 @@
   auto idle = All();
   std::erase_if(idle, [](const auto* aOne) { return !aOne->IsIdle(); });
   const auto count = std::min(aMost, idle.size());
-  std::partial_sort(
-    idle.begin(),
-    idle.begin() + static_cast<std::ptrdiff_t>(count),
-    idle.end(),
-    [](const auto* a, const auto* b) { return a->Since() < b->Since(); });
+  std::partial_sort(idle.begin(),
+                    idle.begin() + static_cast<std::ptrdiff_t>(count),
+                    idle.end(),
+                    [](const auto* aFirst, const auto* aSecond) {
+                      return aFirst->Since() < aSecond->Since();
+                    });
   for (std::size_t i = 0; i < count; ++i) {
     idle[i]->CloseIfIdle();
   }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -198,7 +198,7 @@
 }
 
 void
-ServerConnection::BeginAnswer(std::string aHead,
+ServerConnection::BeginAnswer(const std::string& aHead,
                               Framing aFraming,
                               std::uint64_t aLength)
 {
@@ -363,6 +363,12 @@
   }
 }
 
+base::Duration
+ServerConnection::ReadLimit() const
+{
+  return m_reader.HasHead() ? m_limits.idleTimeout : m_limits.headTimeout;
+}
+
 void
 ServerConnection::Sweep(base::TimePoint aNow)
 {
@@ -372,10 +378,7 @@
   } else if (m_state == State::Lingering && age > kLingerLimit) {
     Close();
     m_events.OnClosed(*this);
-  } else if (m_state == State::Reading && age > m_limits.headTimeout &&
-             !m_reader.HasHead()) {
-    Refuse(Fault::Timeout);
-  } else if (m_state == State::Reading && age > m_limits.idleTimeout) {
+  } else if (m_state == State::Reading && age > ReadLimit()) {
     Refuse(Fault::Timeout);
   }
 }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -64,7 +64,7 @@
 
   //! aHead: status line and fields without the blank line. The fields of
   //! the framing and of the connection are added here.
-  void BeginAnswer(std::string aHead,
+  void BeginAnswer(const std::string& aHead,
                    Framing aFraming,
                    std::uint64_t aLength = 0);
   void Write(std::string_view aBytes);
@@ -125,6 +125,7 @@
   void Flush();
   void FinishAnswer();
   void EndConnection();
+  base::Duration ReadLimit() const;
   void Linger();
   void Close();
   void LosePeer();
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -125,8 +125,7 @@
     "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc",
     "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc",
     "GET / HTTP/1.1\r\nX Y: 1\r\n\r\n",
-    "GET / HTTP/1.1\r\nX: a\x01"
-    "b\r\n\r\n",
+    std::string("GET / HTTP/1.1\r\nX: a\x01") + "b\r\n\r\n",
   };
   for (const auto& text : bad) {
     Recorder recorder;
--- a/src/soak/routerprocess.cpp
+++ b/src/soak/routerprocess.cpp
@@ -12,7 +12,7 @@
 namespace hemlockgauge::soak {
 
 RouterProcess::RouterProcess(std::string aProgram,
-                             std::string aSettings,
+                             const std::string& aSettings,
                              std::string aLog)
   : m_program(std::move(aProgram))
   , m_settings("--settings=" + aSettings)
--- a/src/soak/routerprocess.h
+++ b/src/soak/routerprocess.h
@@ -10,7 +10,9 @@
 class RouterProcess
 {
 public:
-  RouterProcess(std::string aProgram, std::string aSettings, std::string aLog);
+  RouterProcess(std::string aProgram,
+                const std::string& aSettings,
+                std::string aLog);
   ~RouterProcess();
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
--- a/src/timer/internal/reactortimerservice.cpp
+++ b/src/timer/internal/reactortimerservice.cpp
@@ -2,8 +2,8 @@
 
 #include "base/error.h"
 #include "base/monotonicclock.h"
+#include "timer/periodichandler.h"
 
-#include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <ace/Time_Value.h>
 
@@ -11,24 +11,6 @@
 
 namespace hemlockgauge::timer {
 
-class PeriodicHandler : public ACE_Event_Handler
-{
-public:
-  explicit PeriodicHandler(std::function<void()> aCallback)
-    : m_callback(std::move(aCallback))
-  {
-  }
-
-  int handle_timeout(const ACE_Time_Value&, const void*) override
-  {
-    m_callback();
-    return 0;
-  }
-
-private:
-  std::function<void()> m_callback;
-};
-
 ReactorTimerService::ReactorTimerService(ACE_Reactor& aReactor)
   : m_reactor(aReactor)
 {
