Large files split by what they are for; the soak speaks through the stand-ins

Change: filters, placing, news and pages stand in files of their own; callers' requests and store entries are spelled by the stand-ins. No behaviour changes.

Before and after: all unit and path tests pass.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -27,6 +27,10 @@
 class IUpstreamDialect;
 class UpstreamPool;
 
+//! When a caller is told to come back whose request only met a router that
+//! cannot serve right now: another one may.
+inline constexpr base::Duration kComeBackSoon{ 100 };
+
 //! What every exchange works with.
 struct ExchangeParts
 {
--- /dev/null
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -0,0 +1,130 @@
+#include "gateway/internal/exchange.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "gateway/icallerdialect.h"
+#include "gateway/iupstreamdialect.h"
+#include "gateway/upstreampool.h"
+#include "http/serverconnection.h"
+#include "metrics/metrics.h"
+
+#include <algorithm>
+
+//! The filters that a request passes before it looks for a place.
+namespace hemlockgauge::gateway {
+
+using base::LogLine;
+using base::Verdict;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! How old the configuration may be for "there is no such route or key" to
+//! be said; an older one may lack what was added since.
+constexpr base::Duration kDenyLimit = 2500ms;
+
+}
+
+void
+Exchange::Start(http::RequestHead&& aHead, std::string&& aBody)
+{
+  const bool admitted = Decode(std::move(aHead), std::move(aBody)) &&
+                        CheckRouter() && FindRoute() && CheckKey() &&
+                        FollowRoute();
+  if (admitted) {
+    PlaceFirst();
+  }
+}
+
+bool
+Exchange::Decode(http::RequestHead&& aHead, std::string&& aBody)
+{
+  const bool hasBody = aHead.length.has_value() || !aBody.empty();
+  try {
+    m_request = m_parts.callers.Decode(std::move(aHead));
+  } catch (const base::Error& error) {
+    LogLine("bad-request").Add("why", error.what()).Warn();
+    AnswerOwn(Refusal::BadRequest, Verdict::NotRun);
+    return false;
+  }
+  m_request.hasBody = hasBody;
+  m_request.body = std::move(aBody);
+  if (m_request.deadline) {
+    m_mustEndAt = m_arrivedAt + *m_request.deadline;
+  }
+  return true;
+}
+
+bool
+Exchange::CheckRouter()
+{
+  if (m_parts.fleet.Routes() == nullptr ||
+      !m_parts.fleet.Upstreams().IsKnown()) {
+    AnswerOwn(Refusal::NoConfig, Verdict::NotRun, kComeBackSoon);
+    return false;
+  }
+  if (m_owner.IsClosing()) {
+    AnswerOwn(Refusal::Draining, Verdict::NotRun, kComeBackSoon);
+    return false;
+  }
+  return true;
+}
+
+bool
+Exchange::FindRoute()
+{
+  const auto* routes = m_parts.fleet.Routes();
+  m_config = routes->Config();
+  m_route = routes->Match(m_request.host, m_request.Path());
+  if (m_route != nullptr) {
+    return true;
+  }
+  const auto age = m_parts.fleet.ConfigFreshness().Age(m_parts.loop.Now());
+  const bool sure = age < kDenyLimit;
+  AnswerOwn(sure ? Refusal::NoSuchRoute : Refusal::StaleConfig,
+            Verdict::NotRun,
+            sure ? 0ms : kComeBackSoon);
+  return false;
+}
+
+bool
+Exchange::CheckKey()
+{
+  if (!m_config->needsKeys || m_route->isPublic) {
+    return true;
+  }
+  const auto& freshness = m_parts.fleet.ConfigFreshness();
+  const auto now = m_parts.loop.Now();
+  const auto found = m_config->workspaceOfKey.find(m_request.apiKey);
+  const bool known = found != m_config->workspaceOfKey.end();
+  const bool sure = freshness.Age(now) < kDenyLimit;
+  if (!freshness.MayUseKeys(now) || (!known && !sure)) {
+    AnswerOwn(Refusal::StaleConfig, Verdict::NotRun, kComeBackSoon);
+    return false;
+  }
+  if (!known) {
+    AnswerOwn(Refusal::UnknownKey, Verdict::NotRun);
+    return false;
+  }
+  m_workspace = found->second;
+  return true;
+}
+
+//! Sets what follows from the route: the service and the time limit.
+bool
+Exchange::FollowRoute()
+{
+  const auto* service =
+    fleet::ChooseService(*m_route, base::HashName(m_request.id));
+  if (service == nullptr) {
+    AnswerOwn(Refusal::NoUpstream, Verdict::NotRun, kComeBackSoon);
+    return false;
+  }
+  m_service = *service;
+  m_mustEndAt = std::min(m_mustEndAt, m_arrivedAt + m_route->timeout);
+  return true;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -0,0 +1,148 @@
+#include "gateway/internal/exchange.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "gateway/icallerdialect.h"
+#include "gateway/iupstreamdialect.h"
+#include "gateway/upstreampool.h"
+#include "http/serverconnection.h"
+#include "metrics/metrics.h"
+
+#include <algorithm>
+
+//! How a request gets its place and goes there.
+namespace hemlockgauge::gateway {
+
+using base::LogLine;
+using base::Verdict;
+
+fleet::PlaceRequest
+Exchange::MakePlaceRequest() const
+{
+  fleet::PlaceRequest request;
+  request.route = m_route;
+  request.work = &m_request.work;
+  request.service = m_service;
+  request.workspace = fleet::WorkspaceIdOf(m_workspace);
+  request.key = base::HashName(m_request.id);
+  request.waited = Waited();
+  request.timeLeft = TimeLeft(m_parts.loop.Now());
+  request.avoid = m_tried;
+  return request;
+}
+
+void
+Exchange::PlaceFirst()
+{
+  const auto now = m_parts.loop.Now();
+  const auto request = MakePlaceRequest();
+  m_parts.fleet.Arrived(request, now);
+  const auto place = m_parts.fleet.Place(request, now);
+  switch (place.outcome) {
+    case fleet::PlaceOutcome::Placed:
+      LogPlace("placed", place);
+      Send(place);
+      return;
+    case fleet::PlaceOutcome::Refused:
+      LogPlace("refused", place);
+      AnswerOwn(Refusal::Overload, Verdict::NotRun, place.retryAfter);
+      return;
+    case fleet::PlaceOutcome::NoUpstream:
+      AnswerOwn(Refusal::NoUpstream, Verdict::NotRun, kComeBackSoon);
+      return;
+  }
+}
+
+//! Returns false if there is nowhere to go.
+bool
+Exchange::PlaceAgain()
+{
+  const auto* routes = m_parts.fleet.Routes();
+  if (routes->Config() != m_config) {
+    //! NOTE a retry follows the configuration of now, not of its arrival.
+    const auto* route = routes->Match(m_request.host, m_request.Path());
+    if (route == nullptr) {
+      return false;
+    }
+    const auto* service =
+      fleet::ChooseService(*route, base::HashName(m_request.id));
+    if (service == nullptr) {
+      return false;
+    }
+    m_config = routes->Config();
+    m_route = route;
+    m_service = *service;
+  }
+  if (!m_workspace.empty()) {
+    const bool withdrawn =
+      !m_config->workspaceOfKey.contains(m_request.apiKey) ||
+      !m_parts.fleet.ConfigFreshness().MayUseKeys(m_parts.loop.Now());
+    if (withdrawn) {
+      return false;
+    }
+  }
+  auto request = MakePlaceRequest();
+  request.admitted = true;
+  const auto now = m_parts.loop.Now();
+  const auto place = m_parts.fleet.Place(request, now);
+  if (place.outcome != fleet::PlaceOutcome::Placed) {
+    return false;
+  }
+  m_parts.fleet.Retries().Take(m_service, now);
+  m_parts.metrics.Count("retries_total");
+  LogPlace("retried", place);
+  Send(place);
+  return true;
+}
+
+void
+Exchange::LogPlace(const char* aEvent, const fleet::PlaceResult& aPlace)
+{
+  if (!m_logged) {
+    return;
+  }
+  LogLine line(aEvent);
+  line.Add("request", m_request.id)
+    .Add("workspace", m_workspace)
+    .Add("route", m_route->name)
+    .Add("upstream", aPlace.upstreamId)
+    .Add("foreseen_ms", aPlace.foreseenMs)
+    .Add("unread_tokens", aPlace.unreadTokens)
+    .Add("missing_tokens", aPlace.missingTokens)
+    .Add("running", aPlace.running)
+    .Add("rank", aPlace.rank)
+    .Add("inside_share", aPlace.insideShare ? "yes" : "no")
+    .Add("excess", aPlace.excess)
+    .Add("far_behind", aPlace.farBehind ? "yes" : "no")
+    .Add("peers_age_ms", aPlace.peersAge.count())
+    .Add("config", m_config->version);
+  if (aPlace.outcome == fleet::PlaceOutcome::Refused) {
+    line.Add("retry_after_ms", aPlace.retryAfter.count());
+  }
+  line.Info();
+}
+
+void
+Exchange::Send(const fleet::PlaceResult& aPlace)
+{
+  m_attempt = aPlace.attempt;
+  m_upstreamId = aPlace.upstreamId;
+  m_tried.push_back(aPlace.upstream);
+  m_answer = UpstreamAnswer{};
+  m_body.clear();
+  m_holding = true;
+  m_hasFailureAnswer = false;
+  m_sentAt = m_parts.loop.Now();
+  SendContext context;
+  context.upstreamId = aPlace.upstreamId;
+  context.workspace = m_workspace;
+  context.timeLeft = TimeLeft(m_sentAt);
+  context.lastEventId =
+    m_events.LastId() ? m_events.LastId() : m_request.lastEventId;
+  m_upstream = &m_parts.pool.Acquire(aPlace.upstreamId, aPlace.address, *this);
+  m_upstream->Send(m_parts.upstreams.Encode(m_request, context),
+                   m_request.method == "HEAD");
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -0,0 +1,236 @@
+#include "gateway/gateway.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "gateway/istoredialect.h"
+#include "gateway/newsfollower.h"
+#include "gateway/newsserver.h"
+#include "gateway/peerlink.h"
+#include "gateway/storefollower.h"
+
+#include <algorithm>
+
+//! What a gateway learns from the platform's store and from other routers,
+//! and what it tells them.
+namespace hemlockgauge::gateway {
+
+using base::LogLine;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! Hubs of other groups that a router turns to when its own are cut off.
+constexpr std::size_t kOtherSources = 2;
+//! Longest pause between failed calls to the store: of a router that reads
+//! it always, and of one that turns to it last of all, with many others.
+constexpr base::Duration kStorePause = 400ms;
+constexpr base::Duration kStorePauseLastResort = 2000ms;
+
+}
+
+void
+Gateway::TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom)
+{
+  const auto now = m_loop.Now();
+  const bool wasAlone = m_members.IsAlone(now);
+  m_members.Heard(aFrom, aTelling.zone, now);
+  m_members.Learn(aTelling.members, now);
+  if (wasAlone) {
+    LogLine("routers-found").Add("first", aFrom.Text()).Info();
+  }
+  if (aTelling.wantsMembers) {
+    fleet::Telling reply;
+    reply.router = m_settings.id;
+    reply.zone = base::HashName(m_settings.zone);
+    reply.members = m_members.Known(now);
+    m_peers->Send(reply, { aFrom });
+  }
+  m_fleet.Take(aTelling, now);
+}
+
+void
+Gateway::TellOthers(base::TimePoint aNow)
+{
+  for (const auto& address : m_members.Forget(aNow)) {
+    LogLine("router-lost").Add("address", address).Info();
+  }
+  const auto plan = m_members.Plan(aNow);
+  m_fleet.SetPlan(plan);
+  ChooseSource(plan, aNow);
+  auto own = m_fleet.Tell(aNow);
+  own.zone = base::HashName(m_settings.zone);
+  const bool withMembers = own.sequence % fleet::kMembersEvery == 0;
+  if (withMembers) {
+    own.members = m_members.Known(aNow);
+  }
+  m_peers->Send(own, plan.tell);
+  if (plan.isHub && !plan.hubs.empty()) {
+    m_peers->Send(m_fleet.TellGroup(own), plan.hubs);
+    m_peers->Send(m_fleet.TellFleet(own), plan.followers);
+  }
+  auto greeting = own;
+  greeting.wantsMembers = true;
+  m_peers->Send(greeting, m_members.SeedsToTell(aNow));
+}
+
+//! In a small fleet every router reads the store, and turns to others when it
+//! is cut off from it. In a large one the first hub of a group reads it, and
+//! the others learn from hubs.
+void
+Gateway::ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow)
+{
+  std::vector<fleet::NewsSource> options;
+  const auto add = [&](const std::vector<base::Address>& aRouters,
+                       std::size_t aMost) {
+    for (std::size_t i = 0; i < std::min(aMost, aRouters.size()); ++i) {
+      if (!(aRouters[i] == m_settings.peerListen)) {
+        options.push_back(
+          { fleet::SourceKind::Router,
+            { aRouters[i].ip, m_settings.controlListen.port } });
+      }
+    }
+  };
+  const auto& hubs = aPlan.groupHubs;
+  const bool reads = hubs.empty() || hubs.front() == m_settings.peerListen;
+  if (reads) {
+    options.emplace_back();
+  }
+  add(hubs, hubs.size());
+  add(hubs.empty() ? aPlan.tell : aPlan.hubs, kOtherSources);
+  if (!reads) {
+    options.emplace_back();
+  }
+  m_sources.SetOptions(options, aNow);
+  if (m_sources.Tick(aNow) || !m_opened ||
+      !(*m_opened == m_sources.Current())) {
+    OpenSource();
+  }
+}
+
+void
+Gateway::OpenSource()
+{
+  const auto& source = m_sources.Current();
+  m_opened = source;
+  LogLine("news-source")
+    .Add("kind", fleet::kSourceKindNames.NameOf(source.kind))
+    .Add("address", source.address.Text())
+    .Info();
+  if (source.kind == fleet::SourceKind::Store) {
+    m_news = std::make_unique<StoreFollower>(
+      m_loop,
+      m_settings.store,
+      m_dialects.store,
+      *this,
+      m_metrics,
+      m_sources.IsPreferred() ? kStorePause : kStorePauseLastResort);
+    return;
+  }
+  m_news = std::make_unique<NewsFollower>(
+    m_loop,
+    source.address,
+    *this,
+    [this] { return m_fleet.ConfigVersion(); },
+    [this](base::Duration aProofAge) {
+      m_sources.Answered(aProofAge, m_loop.Now());
+    });
+}
+
+//! Called with what each change of the list brought.
+void
+Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
+{
+  m_fleet.FollowUpstreams();
+  m_newsLog.SetUpstreams(m_fleet.Upstreams().Entries());
+  for (const auto& notice : aNotices) {
+    LogLine("upstream-entry")
+      .Add("upstream", notice.id)
+      .Add("change", fleet::kEntryChangeNames.NameOf(notice.change))
+      .Info();
+    if (notice.change == fleet::EntryChange::Gone ||
+        notice.change == fleet::EntryChange::Draining) {
+      m_pool.CloseIdle(notice.id);
+    }
+  }
+}
+
+void
+Gateway::OnStoredConfig(const std::string& aBytes)
+{
+  try {
+    if (SetConfig(m_dialects.store.DecodeConfig(aBytes))) {
+      m_newsLog.SetConfig(m_fleet.ConfigVersion(), aBytes);
+    }
+  } catch (const base::Error& error) {
+    m_metrics.Count("configs_refused_total");
+    LogLine("config-refused")
+      .Add("why", error.what())
+      .Add("in_force", m_fleet.ConfigVersion())
+      .Error();
+  }
+}
+
+bool
+Gateway::SetConfig(fleet::ConfigPtr aConfig)
+{
+  const auto& limits = aConfig->limits;
+  const auto version = aConfig->version;
+  const http::ServerLimits serverLimits{ limits.maxHeadBytes,
+                                         limits.maxBodyBytes,
+                                         limits.headTimeout,
+                                         limits.idleTimeout };
+  if (!m_fleet.SetConfig(std::move(aConfig))) {
+    return false;
+  }
+  m_limits = serverLimits;
+  const auto& config = *m_fleet.Routes()->Config();
+  LogLine("config-in-force")
+    .Add("version", version)
+    .Add("routes", static_cast<std::uint64_t>(config.routes.size()))
+    .Add("keys", static_cast<std::uint64_t>(config.workspaceOfKey.size()))
+    .Info();
+  return true;
+}
+
+void
+Gateway::OnListed(const std::vector<fleet::UpstreamEntry>& aEntries)
+{
+  TakeNotices(m_fleet.Upstreams().Replace(aEntries, m_loop.Now()));
+}
+
+void
+Gateway::OnUpstream(const fleet::UpstreamEntry& aEntry)
+{
+  TakeNotices(m_fleet.Upstreams().Put(aEntry));
+}
+
+void
+Gateway::OnRemoved(const std::string& aId)
+{
+  TakeNotices(m_fleet.Upstreams().Remove(aId, m_loop.Now()));
+}
+
+void
+Gateway::OnProven(base::TimePoint aAt)
+{
+  m_fleet.ConfigFreshness().Proven(aAt);
+  if (m_sources.Current().kind == fleet::SourceKind::Store) {
+    m_sources.Answered(base::Duration{}, m_loop.Now());
+  }
+}
+
+void
+Gateway::OnStoreLost(const std::string&)
+{
+  m_fleet.Upstreams().StoreLost(m_loop.Now());
+}
+
+void
+Gateway::OnStoreBack()
+{
+  m_fleet.Upstreams().StoreBack(m_loop.Now());
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -0,0 +1,79 @@
+#include "gateway/gateway.h"
+
+#include "eventloop/eventloop.h"
+#include "gateway/newsserver.h"
+
+#include <fmt/format.h>
+
+//! The pages of a gateway for the balancer and for operators.
+namespace hemlockgauge::gateway {
+
+void
+Gateway::PublishGauges(base::TimePoint aNow)
+{
+  const auto set = [&](const char* aName, double aValue) {
+    m_metrics.Set(aName, aValue);
+  };
+  set("running", static_cast<double>(m_exchanges.size()));
+  set("callers", static_cast<double>(m_connections.Size()));
+  set("upstream_connections", static_cast<double>(m_pool.Open()));
+  set("upstream_connections_opened", static_cast<double>(m_pool.Opened()));
+  set("routers_heard", static_cast<double>(m_fleet.Peers().Routers()));
+  set("config_version", static_cast<double>(m_fleet.ConfigVersion()));
+  set("config_age_ms",
+      static_cast<double>(m_fleet.ConfigFreshness().Age(aNow).count()));
+}
+
+std::string
+Gateway::StatusText() const
+{
+  const auto now = m_loop.Now();
+  auto text = fmt::format(
+    "router={} ready={} draining={} config={} config_age_ms={} source={} "
+    "routers_seen={} running={} callers={}\n",
+    m_settings.id,
+    IsReady() ? "yes" : "no",
+    m_stopBeganAt ? "yes" : "no",
+    m_fleet.ConfigVersion(),
+    m_fleet.ConfigFreshness().Age(now).count(),
+    fleet::kSourceKindNames.NameOf(m_sources.Current().kind),
+    m_fleet.Peers().Routers(),
+    m_exchanges.size(),
+    m_connections.Size());
+  for (const auto& one : m_fleet.Status(now)) {
+    text += fmt::format("upstream={} service={} draining={} ejected={} "
+                        "unread_tokens={:.0f} running={} read_rate={:.1f} "
+                        "failure_part={:.2f}\n",
+                        one.id,
+                        one.service,
+                        one.draining ? "yes" : "no",
+                        one.ejected ? "yes" : "no",
+                        one.unreadTokens,
+                        one.running,
+                        one.readRate,
+                        one.failurePart);
+  }
+  return text;
+}
+
+ProbePage
+Gateway::Page(const std::string& aTarget)
+{
+  if (aTarget == "/readyz") {
+    const bool ready = IsReady();
+    return { ready ? 200 : 503, "text/plain", ready ? "ready\n" : "no\n" };
+  }
+  if (aTarget == "/healthz") {
+    return { 200, "text/plain", "ok\n" };
+  }
+  if (aTarget == "/status") {
+    return { 200, "text/plain", StatusText() };
+  }
+  if (aTarget == "/metrics") {
+    PublishGauges(m_loop.Now());
+    return { 200, "text/plain; version=0.0.4", m_metrics.Text() };
+  }
+  return { 404, "text/plain", "no such page\n" };
+}
+
+}
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakcaller.h"
 
 #include "eventloop/eventloop.h"
+#include "standins/platformtext.h"
 #include "standins/workerstandin.h"
 
 #include <fmt/format.h>
@@ -85,28 +86,20 @@
     m_connection = std::make_unique<http::ClientConnection>(
       m_shared.loop, routers[m_random() % routers.size()], *this);
   }
-  const auto tokens =
-    stream ? fmt::format("Hemlockgauge-Token-Count: 300,{0}\r\n"
-                         "Hemlockgauge-Prefix-Hash: {1:x}:200,{2:x}:100\r\n",
-                         m_events * kTokensPerEvent,
-                         1 + m_random() % 5,
-                         m_random())
-           : std::string();
-  const auto body = kind == 0 ? std::string() : "body of " + m_id;
-  const auto length =
-    body.empty() ? "" : fmt::format("Content-Length: {}\r\n", body.size());
-  m_connection->Send(fmt::format("{} /{}/x HTTP/1.1\r\nHost: h.example\r\n"
-                                 "Hemlockgauge-Attempt-Id: {}\r\n"
-                                 "Hemlockgauge-Deadline-Ms: {}\r\n"
-                                 "Authorization: Bearer {}\r\n{}{}\r\n{}",
-                                 kind == 0 ? "GET" : "POST",
-                                 kPaths[kind],
-                                 m_id,
-                                 kDeadline.count(),
-                                 m_shared.key,
-                                 tokens,
-                                 length,
-                                 body));
+  standins::CallText call;
+  call.method = kind == 0 ? "GET" : "POST";
+  call.path = fmt::format("/{}/x", kPaths[kind]);
+  call.id = m_id;
+  call.key = m_shared.key;
+  call.deadlineMs = kDeadline.count();
+  call.body = kind == 0 ? "" : "body of " + m_id;
+  if (stream) {
+    call.promptTokens = 300;
+    call.outputTokens = static_cast<std::uint32_t>(m_events * kTokensPerEvent);
+    call.promptParts =
+      fmt::format("{:x}:200,{:x}:100", 1 + m_random() % 5, m_random());
+  }
+  m_connection->Send(standins::EncodeCall(call));
 }
 
 std::string
@@ -126,11 +119,10 @@
 SoakCaller::OnAnswerHead(http::ClientConnection&, http::ResponseHead&& aHead)
 {
   m_status = aHead.status;
-  const auto* id = aHead.headers.Find("Hemlockgauge-Attempt-Id");
-  const bool own = id == nullptr || *id == m_id;
-  m_shared.promises.Check(Promise::OwnWholeAnswer,
-                          own,
-                          m_id + " got the answer of " + (own ? "" : *id));
+  const auto id = standins::AnsweredRequest(aHead.headers);
+  const bool own = id.empty() || id == m_id;
+  m_shared.promises.Check(
+    Promise::OwnWholeAnswer, own, m_id + " got the answer of " + id);
   return HeadVerdict::Take;
 }
 
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -126,8 +126,7 @@
   // The workspace's name carries the number of the key: a run shows which
   // key let it in.
   m_shared.key = fmt::format("key-{}", m_keyNumber);
-  m_store.Put(
-    "op/config",
+  m_store.PutConfig(
     fmt::format(R"({{"version":{},"routes":[{},{},{},{}],"services":[)"
                 R"({{"name":"plain"}},{{"name":"engine","engine":)"
                 R"({{"slots":16,"kvCapacity":100000}}}}],)"
@@ -179,12 +178,13 @@
 {
   const bool engine = aUpstream.index % 2 == 0;
   const int slot = std::stoi(aUpstream.id.substr(aUpstream.id.rfind('-') + 1));
-  m_store.Put("servers/" + aUpstream.id,
-              fmt::format(R"({{"service":"{}","address":"{}","zone":"z0",)"
-                          R"("slots":16,"state":"{}"}})",
-                          engine ? "engine" : "plain",
-                          At(60 + slot).Text(),
-                          aDraining ? "draining" : "ready"));
+  m_store.PutUpstream(
+    aUpstream.id,
+    fmt::format(R"({{"service":"{}","address":"{}","zone":"z0",)"
+                R"("slots":16,"state":"{}"}})",
+                engine ? "engine" : "plain",
+                At(60 + slot).Text(),
+                aDraining ? "draining" : "ready"));
 }
 
 void
@@ -280,7 +280,7 @@
   if (aFault.kind == FaultKind::DrainUpstream) {
     List(*upstream, true);
   } else {
-    m_store.Remove("servers/" + upstream->id);
+    m_store.RemoveUpstream(upstream->id);
   }
 }
 
--- /dev/null
+++ b/standins/platformtext.cpp
@@ -0,0 +1,39 @@
+#include "standins/platformtext.h"
+
+#include <fmt/format.h>
+
+namespace hemlockgauge::standins {
+
+std::string
+EncodeCall(const CallText& aCall)
+{
+  auto text = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n"
+                          "Hemlockgauge-Attempt-Id: {}\r\n"
+                          "Hemlockgauge-Deadline-Ms: {}\r\n"
+                          "Authorization: Bearer {}\r\n",
+                          aCall.method,
+                          aCall.path,
+                          aCall.id,
+                          aCall.deadlineMs,
+                          aCall.key);
+  if (aCall.promptTokens > 0) {
+    text += fmt::format("Hemlockgauge-Token-Count: {},{}\r\n"
+                        "Hemlockgauge-Prefix-Hash: {}\r\n",
+                        aCall.promptTokens,
+                        aCall.outputTokens,
+                        aCall.promptParts);
+  }
+  if (!aCall.body.empty()) {
+    text += fmt::format("Content-Length: {}\r\n", aCall.body.size());
+  }
+  return text + "\r\n" + aCall.body;
+}
+
+std::string
+AnsweredRequest(const http::HeaderList& aHeaders)
+{
+  const auto* id = aHeaders.Find("Hemlockgauge-Attempt-Id");
+  return id == nullptr ? std::string() : *id;
+}
+
+}
--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -92,6 +92,24 @@
       .dump());
 }
 
+void
+StoreStandin::PutConfig(const std::string& aText)
+{
+  Put("op/config", aText);
+}
+
+void
+StoreStandin::PutUpstream(const std::string& aId, const std::string& aText)
+{
+  Put("servers/" + aId, aText);
+}
+
+void
+StoreStandin::RemoveUpstream(const std::string& aId)
+{
+  Remove("servers/" + aId);
+}
+
 void
 StoreStandin::ForgetHistory()
 {
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -38,6 +38,10 @@
 
   void Put(const std::string& aKey, const std::string& aData);
   void Remove(const std::string& aKey);
+  //! The configuration, and the entry of an upstream.
+  void PutConfig(const std::string& aText);
+  void PutUpstream(const std::string& aId, const std::string& aText);
+  void RemoveUpstream(const std::string& aId);
   //! Watches from before now get 410.
   void ForgetHistory();
 
