--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -20,6 +20,9 @@
 //! Over a call's own time, until its connection is taken for dead.
 constexpr base::Duration kCallLimit = 900ms;
 constexpr base::Duration kFirstPause = 50ms;
+//! After a change the next call waits a little, so that changes that come
+//! together are told together; a twentieth of the shortest bound.
+constexpr base::Duration kGather = 100ms;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 constexpr std::size_t kMostBody = 16U << 20;
@@ -134,15 +137,16 @@
   }
   //! NOTE also of a store that another follower of this router had lost.
   m_events.OnStoreBack();
-  if (m_step == Step::List) {
-    TakeList();
-  } else {
-    TakeWatch();
+  const bool watched = m_step == Step::Watch;
+  const bool changed = watched ? TakeWatch() : TakeList();
+  if (watched && changed) {
+    m_nextCallAt = m_loop.Now() + kGather;
+    return;
   }
   Call();
 }
 
-void
+bool
 StoreFollower::TakeList()
 {
   const auto page = m_dialect.DecodeList(m_body);
@@ -161,7 +165,7 @@
   }
   if (page.hasMore && !page.lastKey.empty()) {
     m_listAfter = page.lastKey;
-    return;
+    return true;
   }
   m_listAfter.clear();
   m_step = Step::Watch;
@@ -173,9 +177,10 @@
   m_events.OnProven(m_listBeganAt);
   m_listed.clear();
   m_listedConfig.clear();
+  return true;
 }
 
-void
+bool
 StoreFollower::TakeWatch()
 {
   const auto page = m_dialect.DecodeWatch(m_body);
@@ -184,6 +189,7 @@
   }
   m_revision = std::max(m_revision, page.revision);
   m_events.OnProven(m_calledAt);
+  return !page.items.empty();
 }
 
 void
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -60,8 +60,9 @@
 
   void Call();
   void TakeAnswer();
-  void TakeList();
-  void TakeWatch();
+  //! Whether something was told.
+  bool TakeList();
+  bool TakeWatch();
   void TakeItem(const StoreItem& aItem);
   void Fail(const std::string& aWhy);
   void DropConnection();
