--- a/src/gateway/internal/probeserver.cpp
+++ b/src/gateway/internal/probeserver.cpp
@@ -43,8 +43,7 @@
   http::AppendStatusLine(
     head, page.status, page.status == 200 ? "OK" : "Unavailable");
   http::AppendField(head, "Content-Type", page.contentType);
-  aConnection.BeginAnswer(
-    std::move(head), http::Framing::Length, page.body.size());
+  aConnection.BeginAnswer(head, http::Framing::Length, page.body.size());
   aConnection.Write(page.body);
   aConnection.EndAnswer();
 }
@@ -54,7 +53,7 @@
 {
   std::string head;
   http::AppendStatusLine(head, 400, "Bad Request");
-  aConnection.BeginAnswer(std::move(head), http::Framing::Length, 0);
+  aConnection.BeginAnswer(head, http::Framing::Length, 0);
   aConnection.EndAnswer();
 }
 
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -117,8 +117,8 @@
 Test(messagereader, SmuggledFramingIsRefused)
 {
   const std::vector<std::string> bad{
-    "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked"
-    "\r\n\r\n0\r\n\r\n",
+    std::string("POST / HTTP/1.1\r\nContent-Length: 3\r\n") +
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
     "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nabc",
     "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
