--- a/src/base/boundedsink.cpp
+++ b/src/base/boundedsink.cpp
@@ -1,5 +1,7 @@
 #include "base/boundedsink.h"
 
+#include "base/monotonicclock.h"
+
 #include <fmt/format.h>
 
 #include <poll.h>
@@ -10,16 +12,19 @@
 
 namespace hemlockgauge::base {
 
-BoundedSink::BoundedSink(int aDescriptor, std::size_t aMostBytes)
+BoundedSink::BoundedSink(int aDescriptor,
+                         std::size_t aMostBytes,
+                         double aMostPerSecond)
   : m_descriptor(aDescriptor)
   , m_mostBytes(aMostBytes)
+  , m_lines(aMostPerSecond)
 {
 }
 
 void
 BoundedSink::sink_it_(const spdlog::details::log_msg& aMessage)
 {
-  if (m_pending.size() > m_mostBytes) {
+  if (m_pending.size() > m_mostBytes || !m_lines.Take(MonotonicNow())) {
     m_dropped++;
     m_droppedUnsaid++;
     return;
--- a/src/base/logbudget.h
+++ b/src/base/logbudget.h
@@ -7,8 +7,8 @@
 
 namespace hemlockgauge::base {
 
-//! How many requests may have their lines in the log. A request is logged
-//! whole or not at all, so that what is there can be followed.
+//! How many things a second may be logged: lines, or requests with all of
+//! their lines, so that what is there can be followed.
 class LogBudget
 {
 public:
@@ -31,7 +31,7 @@
     return true;
   }
 
-  //! Requests without their lines since the last call.
+  //! How many were left out since the last call.
   std::uint64_t TakeLeftOut()
   {
     const auto left = m_left;
--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -96,6 +96,9 @@
 
 //! Some seconds of a busy router's lines.
 constexpr std::size_t kMostLogBytes = 1U << 20;
+//! Over the lines of all requests that a router logs a second, and of a
+//! restart with some hundred upstreams.
+constexpr double kMostLinesPerSecond = 1000;
 std::shared_ptr<BoundedSink> logSink;
 
 }
@@ -103,7 +106,8 @@
 void
 SetUpLog(std::string_view aProgram, std::string_view aLevel)
 {
-  logSink = std::make_shared<BoundedSink>(STDOUT_FILENO, kMostLogBytes);
+  logSink = std::make_shared<BoundedSink>(
+    STDOUT_FILENO, kMostLogBytes, kMostLinesPerSecond);
   auto logger =
     std::make_shared<spdlog::logger>(std::string(aProgram), logSink);
   logger->set_level(spdlog::level::from_str(std::string(aLevel)));
--- a/src/base/tests/basetests.cpp
+++ b/src/base/tests/basetests.cpp
@@ -43,7 +43,7 @@
 {
   int ends[2];
   cr_assert(pipe(ends) == 0);
-  const auto sink = std::make_shared<BoundedSink>(ends[1], 100000);
+  const auto sink = std::make_shared<BoundedSink>(ends[1], 100000, 1e6);
   spdlog::logger logger("test", sink);
   for (int i = 0; i < 5000; ++i) {
     logger.info("a line of some forty characters, number {}", i);
@@ -66,6 +66,21 @@
   close(ends[1]);
 }
 
+//! A reader that keeps up does not make the volume unbounded.
+Test(log, AFloodOfLinesIsBoundedByTheSecond)
+{
+  int ends[2];
+  cr_assert(pipe(ends) == 0);
+  const auto sink = std::make_shared<BoundedSink>(ends[1], 1U << 20, 100.0);
+  spdlog::logger logger("test", sink);
+  for (int i = 0; i < 500; ++i) {
+    logger.info("flood");
+  }
+  cr_assert(sink->Dropped() > 300);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 Test(log, TheBudgetBoundsARateAndCountsTheRest)
 {
   LogBudget budget(10);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -356,9 +356,10 @@
   for (const auto& use : aTelling.uses) {
     m_prefixes.Used(use.part, use.upstream, aNow);
   }
-  if (aTelling.scope == TellingScope::Router) {
+  if (m_sumsUp && aTelling.scope == TellingScope::Router) {
     Append(m_usesOfGroup, aTelling.uses);
-  } else if (aTelling.scope == TellingScope::Group) {
+  }
+  if (m_sumsUp && aTelling.scope == TellingScope::Group) {
     Append(m_usesOfOthers, aTelling.uses);
   }
   TakeProof(aTelling);
@@ -369,6 +370,11 @@
 Fleet::SetPlan(const ExchangePlan& aPlan)
 {
   m_group = aPlan.group;
+  m_sumsUp = aPlan.SumsUp();
+  if (!m_sumsUp) {
+    m_usesOfGroup.clear();
+    m_usesOfOthers.clear();
+  }
   m_peers.SetRole(aPlan.isHub, aPlan.group);
 }
 
@@ -412,7 +418,9 @@
   }
   telling.uses = std::move(m_usesHere);
   m_usesHere.clear();
-  Append(m_usesOfGroup, telling.uses);
+  if (m_sumsUp) {
+    Append(m_usesOfGroup, telling.uses);
+  }
   m_peers.Sent(telling);
   return telling;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -208,6 +208,7 @@
   bool m_othersWait = false; //!< see AdmissionInput
   double m_excessLevel; //!< the most if all that is served were split alike
   std::uint64_t m_group = 0;
+  bool m_sumsUp = false;                 //!< for others: see ExchangePlan
   std::vector<PrefixUse> m_usesHere;     //!< since the last telling
   std::vector<PrefixUse> m_usesOfGroup;  //!< since the last group sum
   std::vector<PrefixUse> m_usesOfOthers; //!< since the last fleet sum
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -19,6 +19,9 @@
   std::vector<base::Address> tell;      //!< get this router's own telling
   std::vector<base::Address> hubs;      //!< of other groups: get the group sum
   std::vector<base::Address> followers; //!< of our group: get the fleet sum
+
+  //! Whether this router sums up for others; in a small fleet none does.
+  bool SumsUp() const { return isHub && !(hubs.empty() && followers.empty()); }
 };
 
 //! The routers of the fleet, as far as known. Found through the seeds and
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -294,6 +294,22 @@
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
 }
 
+//! What a router sent long before it became a hub is no news to anyone.
+Test(core, AHubTellsOnlyWhatWasSentSinceItIsOne)
+{
+  Bench bench;
+  bench.List(2);
+  bench.Place(bench.Ask(7));
+  auto own = bench.fleet.Tell(bench.now);
+  cr_assert(own.uses.size() == 1);
+  ExchangePlan plan;
+  plan.group = 5;
+  plan.followers = { { "10.0.0.2", 1 } };
+  bench.fleet.SetPlan(plan);
+  own = bench.fleet.Tell(bench.now);
+  cr_assert(bench.fleet.TellFleet(own).uses.empty());
+}
+
 Test(core, ConfigurationNeverGoesBack)
 {
   Bench bench;
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -105,7 +105,7 @@
     }
     aRouter.view.Sent(own);
     Send(aRouter, own, plan.tell);
-    if (plan.isHub && !plan.hubs.empty()) {
+    if (plan.SumsUp()) {
       Send(aRouter, aRouter.view.GroupSum(own), plan.hubs);
       Send(aRouter, aRouter.view.FleetSum(own), plan.followers);
     }
@@ -177,6 +177,17 @@
   }
 }
 
+//! All routers in one availability zone, and too few for a second group:
+//! there is no other group to tell, but there are followers.
+Test(exchange, OneGroupAloneSeesItsWholeFleet)
+{
+  Net net(20, 1);
+  net.Steps(60);
+  for (const auto& router : net.routers) {
+    cr_assert(net.Seen(*router) == 19, "%u", net.Seen(*router));
+  }
+}
+
 Test(exchange, ALostHubIsReplaced)
 {
   Net net(40, 2);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -225,10 +225,8 @@
   if (found == m_exchanges.end()) {
     return;
   }
-  auto holder =
-    std::make_shared<std::unique_ptr<Exchange>>(std::move(found->second));
+  m_loop.DeleteLater(std::move(found->second));
   m_exchanges.erase(found);
-  m_loop.Defer([holder] { holder->reset(); });
 }
 
 bool
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -66,13 +66,15 @@
     own.members = m_members.Known(aNow);
   }
   m_peers->Send(own, plan.tell);
-  if (plan.isHub && !plan.hubs.empty()) {
+  if (plan.SumsUp()) {
     m_peers->Send(m_fleet.TellGroup(own), plan.hubs);
     m_peers->Send(m_fleet.TellFleet(own), plan.followers);
   }
-  auto greeting = own;
-  greeting.wantsMembers = true;
-  m_peers->Send(greeting, m_members.SeedsToTell(aNow));
+  const auto seeds = m_members.SeedsToTell(aNow);
+  if (!seeds.empty()) {
+    own.wantsMembers = true;
+    m_peers->Send(own, seeds);
+  }
 }
 
 //! In a small fleet every router reads the store, and turns to others when it
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -249,8 +249,7 @@
   }
 }
 
-//! Returns whether the connection goes on.
-bool
+void
 ClientConnection::EndMessage()
 {
   const bool allSent = m_sent == m_out.size();
@@ -258,11 +257,11 @@
   if (reusable) {
     m_state = State::Idle;
     m_since = m_loop.Now();
+    SetReading(true);
   } else {
     Close();
   }
   m_events->OnAnswerEnd(*this, reusable);
-  return reusable;
 }
 
 void
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -79,7 +79,8 @@
   void SetEvents(IClientEvents& aEvents) { m_events = &aEvents; }
   //! Ends it without a word to the owner.
   void Close();
-  //! Stops or goes on reading, for a reader behind that is slow.
+  //! Stops or goes on reading, for a reader behind that is slow. A pause
+  //! ends with its answer.
   void SetReading(bool aOn);
   //! Looks whether the other end has closed an idle connection or sent
   //! something; asked right before a request that must not be sent twice.
@@ -128,7 +129,7 @@
   void Read();
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(bool aReset);
-  bool EndMessage();
+  void EndMessage();
   void Fail(ClientFailure aFailure);
   ClientFailure BreakKind() const;
   void Watch();
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -243,8 +243,12 @@
     return static_cast<int>(statuses.size()) <= toSkip ? HeadVerdict::Skip
                                                        : HeadVerdict::Take;
   }
-  void OnAnswerBody(ClientConnection&, std::string_view aBytes) override
+  void OnAnswerBody(ClientConnection& aConnection,
+                    std::string_view aBytes) override
   {
+    if (pauseInBody) {
+      aConnection.SetReading(false);
+    }
     body += aBytes;
   }
   void OnAnswerEnd(ClientConnection&, bool aReusable) override
@@ -259,6 +263,7 @@
   void OnIdleClosed(ClientConnection&) override { idleClosed++; }
 
   int toSkip = 0;
+  bool pauseInBody = false;
   std::vector<int> statuses;
   std::vector<ClientFailure> failures;
   std::string body;
@@ -307,6 +312,21 @@
   cr_assert(server.targets[1] == "/second");
 }
 
+//! A slow reader behind may ask for a pause just as the answer ends.
+Test(connections, APauseEndsWithItsAnswer)
+{
+  eventloop::EventLoop loop;
+  EchoServer server(loop, 21009);
+  Caller caller;
+  caller.pauseInBody = true;
+  ClientConnection client(loop, { "127.0.0.1", 21009 }, caller);
+  client.Send(kPost);
+  RunUntil(loop, [&] { return caller.ends == 1; });
+  cr_assert(caller.reusable);
+  client.Send(kPost);
+  RunUntil(loop, [&] { return caller.ends == 2; });
+}
+
 Test(connections, AnAnswerThatIsBrokenOffDoesNotLookWhole)
 {
   eventloop::EventLoop loop;
