--- /dev/null
+++ b/src/base/callerlimits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/basetypes.h"
+
+#include <cstddef>
+
+namespace hemlockgauge::base {
+
+//! What a caller may send, and how long it may take or stay idle.
+struct CallerLimits
+{
+  std::size_t maxHeadBytes = 16384;
+  std::size_t maxBodyBytes = 4194304;
+  Duration headTimeout{ 3000 };
+  Duration idleTimeout{ 15000 };
+};
+
+}
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-//! Uses of prefixes in one telling: over what one router sends in a period
+//! Uses of prefixes in one report: over what one router sends in a period
 //! under the largest burst that it can carry, and what a sum has room for in
 //! one datagram.
 constexpr std::size_t kMostUsesTold = 256;
@@ -348,21 +348,21 @@
 }
 
 bool
-Fleet::Take(const Telling& aTelling, TimePoint aNow)
+Fleet::Take(const PeerReport& aReport, TimePoint aNow)
 {
-  if (!m_peers.Take(aTelling, aNow)) {
+  if (!m_peers.Take(aReport, aNow)) {
     return false;
   }
-  for (const auto& use : aTelling.uses) {
+  for (const auto& use : aReport.uses) {
     m_prefixes.Used(use.part, use.upstream, aNow);
   }
-  if (m_sumsUp && aTelling.scope == TellingScope::Router) {
-    Append(m_usesOfGroup, aTelling.uses);
+  if (m_sumsUp && aReport.scope == ReportScope::Router) {
+    Append(m_usesOfGroup, aReport.uses);
   }
-  if (m_sumsUp && aTelling.scope == TellingScope::Group) {
-    Append(m_usesOfOthers, aTelling.uses);
+  if (m_sumsUp && aReport.scope == ReportScope::Group) {
+    Append(m_usesOfOthers, aReport.uses);
   }
-  TakeProof(aTelling);
+  TakeProof(aReport);
   return true;
 }
 
@@ -382,59 +382,58 @@
 //! so its age is not known. The echo of this router's own clock bounds it:
 //! the sender wrote it after it heard that.
 void
-Fleet::TakeProof(const Telling& aTelling)
+Fleet::TakeProof(const PeerReport& aReport)
 {
-  if (aTelling.configVersion == 0 ||
-      aTelling.configVersion != ConfigVersion()) {
+  if (aReport.configVersion == 0 || aReport.configVersion != ConfigVersion()) {
     return;
   }
   const auto self = base::RouterId(base::HashName(m_settings.router));
-  for (const auto& heard : aTelling.heard) {
+  for (const auto& heard : aReport.heard) {
     if (heard.router == self) {
-      m_freshness.Proven(heard.sentAt - aTelling.configAge);
+      m_freshness.Proven(heard.sentAt - aReport.configAge);
     }
   }
 }
 
-Telling
+PeerReport
 Fleet::Tell(TimePoint aNow)
 {
-  Telling telling;
-  telling.router = m_settings.router;
-  telling.life = m_settings.life;
-  telling.sequence = ++m_tellingSequence;
-  telling.sentAt = aNow;
-  telling.group = m_group;
-  telling.heard = m_peers.Heard();
-  telling.configVersion = ConfigVersion();
-  telling.configAge = m_freshness.Age(aNow);
+  PeerReport report;
+  report.router = m_settings.router;
+  report.life = m_settings.life;
+  report.sequence = ++m_reportSequence;
+  report.sentAt = aNow;
+  report.group = m_group;
+  report.heard = m_peers.Heard();
+  report.configVersion = ConfigVersion();
+  report.configAge = m_freshness.Age(aNow);
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.running > 0) {
-      telling.loads.push_back({ id, upstream.unreadTokens, upstream.running });
+      report.loads.push_back({ id, upstream.unreadTokens, upstream.running });
     }
   }
   for (const auto& [workspace, rate] : m_demand.Rates(aNow)) {
-    telling.rates.push_back({ workspace, rate });
+    report.rates.push_back({ workspace, rate });
   }
-  telling.uses = std::move(m_usesHere);
+  report.uses = std::move(m_usesHere);
   m_usesHere.clear();
   if (m_sumsUp) {
-    Append(m_usesOfGroup, telling.uses);
+    Append(m_usesOfGroup, report.uses);
   }
-  m_peers.Sent(telling);
-  return telling;
+  m_peers.Sent(report);
+  return report;
 }
 
-Telling
-Fleet::TellGroup(const Telling& aOwn)
+PeerReport
+Fleet::TellGroup(const PeerReport& aOwn)
 {
   auto sum = m_peers.GroupSum(aOwn);
   sum.uses = m_usesOfGroup;
   return sum;
 }
 
-Telling
-Fleet::TellFleet(const Telling& aOwn)
+PeerReport
+Fleet::TellFleet(const PeerReport& aOwn)
 {
   auto sum = m_peers.FleetSum(aOwn);
   sum.uses = std::move(m_usesOfGroup);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,11 +132,11 @@
 
   // ---- other routers
   void SetPlan(const ExchangePlan& aPlan);
-  bool Take(const Telling& aTelling, TimePoint aNow);
+  bool Take(const PeerReport& aReport, TimePoint aNow);
   //! This router's own; to be followed by the sums if it is a hub.
-  Telling Tell(TimePoint aNow);
-  Telling TellGroup(const Telling& aOwn);
-  Telling TellFleet(const Telling& aOwn);
+  PeerReport Tell(TimePoint aNow);
+  PeerReport TellGroup(const PeerReport& aOwn);
+  PeerReport TellFleet(const PeerReport& aOwn);
   const PeerView& Peers() const { return m_peers; }
 
   void Tick(TimePoint aNow);
@@ -180,7 +180,7 @@
                                     std::vector<UpstreamId>& aIds,
                                     TimePoint aNow) const;
   void SetLevels();
-  void TakeProof(const Telling& aTelling);
+  void TakeProof(const PeerReport& aReport);
   Admission Judge(const PlaceRequest& aRequest,
                   const Candidate& aCandidate,
                   const PlaceResult& aResult) const;
@@ -209,14 +209,14 @@
   double m_excessLevel; //!< the most if all that is served were split alike
   std::uint64_t m_group = 0;
   bool m_sumsUp = false;                 //!< for others: see ExchangePlan
-  std::vector<PrefixUse> m_usesHere;     //!< since the last telling
+  std::vector<PrefixUse> m_usesHere;     //!< since the last report
   std::vector<PrefixUse> m_usesOfGroup;  //!< since the last group sum
   std::vector<PrefixUse> m_usesOfOthers; //!< since the last fleet sum
   std::map<UpstreamId, Upstream> m_upstreams;
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
   AttemptId m_nextAttempt = 1;
-  std::uint64_t m_tellingSequence = 0;
+  std::uint64_t m_reportSequence = 0;
 };
 
 }
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 
-//! Limits and weights of the decisions about requests. "Measured" means on
-//! the users' standard days; the figures are in docs/DESIGN.md.
+//! Limits and weights of the decisions about requests. What was tried beside
+//! them, with figures, is in docs/PLATFORM.md and docs/MEASUREMENTS.md.
 namespace hemlockgauge::fleet {
 
 using namespace std::chrono_literals;
@@ -107,10 +107,10 @@
 
 // ---- what routers tell each other
 
-inline constexpr base::Duration kTellPeriod = 100ms;
+inline constexpr base::Duration kReportPeriod = 100ms;
 //! What a router told counts for this long: ten periods, for datagrams get
 //! lost and a router without power is noticed so.
-inline constexpr base::Duration kTellingKept = 1000ms;
+inline constexpr base::Duration kReportKept = 1000ms;
 inline constexpr base::Duration kMemberKept = 10000ms;
 //! Not heard by anyone for this long, a router is passed over as a hub.
 inline constexpr base::Duration kMemberAlive = 3000ms;
@@ -120,8 +120,8 @@
 inline constexpr base::Duration kSeedPeriod = 1000ms;
 //! Up to so many routers tell each other directly.
 inline constexpr std::size_t kMeshMost = 12;
-//! Routers in a group: a hub on an eighth of a core gets as many datagrams
-//! a period.
+//! Routers in a group, on average at most: a hub on an eighth of a core gets as
+//! many datagrams a period.
 inline constexpr std::size_t kGroupMost = 24;
 //! Hubs of a group: one may be lost without a gap.
 inline constexpr std::size_t kHubsOfGroup = 2;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
+#include "base/callerlimits.h"
 #include "base/enumnames.h"
 #include "base/hash.h"
 #include "base/verdict.h"
@@ -49,7 +50,6 @@
   CallKind kind = CallKind::AtMostOnce;
   Duration timeout{ 30000 }; //!< a request has its final answer by then
   Duration target{ 1000 };   //!< first answer in time, from its arrival
-  Duration gapTarget{};      //!< longest pause between events in time
   std::uint32_t maxAttempts = 1;
   bool isPublic = false;  //!< needs no key
   bool resumable = false; //!< a stream may go on at another upstream
@@ -65,29 +65,18 @@
 struct Service
 {
   std::string name;
-  std::uint32_t maxConnections = 0; //!< of all callers at one upstream; 0: any
-  std::uint32_t engineSlots = 0;    //!< 0: not a model engine
-  std::uint32_t cacheTokens = 0;    //!< memory of an engine
+  std::uint32_t engineSlots = 0; //!< 0: not a model engine
 
   bool IsEngine() const { return engineSlots > 0; }
 };
 
-//! What callers may send.
-struct CallerLimits
-{
-  std::size_t maxHeadBytes = 16384;
-  std::size_t maxBodyBytes = 4194304;
-  Duration headTimeout{ 3000 };
-  Duration idleTimeout{ 15000 };
-};
-
 //! One version of the configuration; never changed once built.
 struct FleetConfig
 {
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<std::string, Service, std::less<>> services;
-  CallerLimits limits;
+  base::CallerLimits limits;
   //! What all engines together are said to do: tokens read once, tokens
   //! generated twice. 0: not said.
   double tokensPerSecond = 0;
--- a/src/fleet/internal/loadsum.cpp
+++ b/src/fleet/internal/loadsum.cpp
@@ -5,51 +5,51 @@
 namespace hemlockgauge::fleet {
 
 void
-LoadSum::Add(const Telling& aTelling)
+LoadSum::Add(const PeerReport& aReport)
 {
-  for (const auto& load : aTelling.loads) {
+  for (const auto& load : aReport.loads) {
     auto& sum = m_loads[load.upstream];
     sum.upstream = load.upstream;
     sum.unreadTokens += load.unreadTokens;
     sum.running += load.running;
   }
-  for (const auto& [workspace, rate] : aTelling.rates) {
+  for (const auto& [workspace, rate] : aReport.rates) {
     auto& sum = m_rates[workspace];
     sum.asked += rate.asked;
     sum.begun += rate.begun;
   }
-  m_routers += aTelling.routers;
+  m_routers += aReport.routers;
 }
 
 void
-LoadSum::TakeOut(const Telling& aTelling)
+LoadSum::TakeOut(const PeerReport& aReport)
 {
-  for (const auto& load : aTelling.loads) {
+  for (const auto& load : aReport.loads) {
     auto& sum = m_loads[load.upstream];
     sum.upstream = load.upstream;
     sum.unreadTokens -= std::min(sum.unreadTokens, load.unreadTokens);
     sum.running -= std::min(sum.running, load.running);
   }
-  for (const auto& [workspace, rate] : aTelling.rates) {
+  for (const auto& [workspace, rate] : aReport.rates) {
     auto& sum = m_rates[workspace];
     sum.asked = std::max(0.0, sum.asked - rate.asked);
     sum.begun = std::max(0.0, sum.begun - rate.begun);
   }
-  m_routers -= std::min(m_routers, aTelling.routers);
+  m_routers -= std::min(m_routers, aReport.routers);
 }
 
 void
-LoadSum::PutInto(Telling& aTelling) const
+LoadSum::PutInto(PeerReport& aReport) const
 {
-  aTelling.loads.clear();
-  aTelling.rates.clear();
+  aReport.loads.clear();
+  aReport.rates.clear();
   for (const auto& [id, load] : m_loads) {
-    aTelling.loads.push_back(load);
+    aReport.loads.push_back(load);
   }
   for (const auto& [workspace, rate] : m_rates) {
-    aTelling.rates.push_back({ workspace, rate });
+    aReport.rates.push_back({ workspace, rate });
   }
-  aTelling.routers = m_routers;
+  aReport.routers = m_routers;
 }
 
 void
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -163,7 +163,7 @@
   const auto alive = Alive(aNow);
   const auto period =
     alive <= 1
-      ? kTellPeriod
+      ? kReportPeriod
       : kSeedPeriod *
           std::max<std::int64_t>(1, static_cast<std::int64_t>(alive / 32));
   if (aNow - m_seedsToldAt < period) {
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-//! A view of more tellings than this is summed up once a period instead of
+//! A view of more reports than this is summed up once a period instead of
 //! at each of them.
 constexpr std::size_t kSumAtOnce = 12;
-//! Own tellings that a sum may still hold: as long as it counts.
+//! Own reports that a sum may still hold: as long as it counts.
 constexpr std::size_t kOwnKept =
-  static_cast<std::size_t>(kTellingKept / kTellPeriod) + 4;
+  static_cast<std::size_t>(kReportKept / kReportPeriod) + 4;
 
 bool
-IsOlder(const Telling& aNew, const Telling& aKnown)
+IsOlder(const PeerReport& aNew, const PeerReport& aKnown)
 {
   return aNew.life < aKnown.life ||
          (aNew.life == aKnown.life && aNew.sequence <= aKnown.sequence);
@@ -34,34 +34,34 @@
   m_group = aGroup;
   m_groups.erase(aGroup);
   std::erase_if(m_told, [&](const auto& aEntry) {
-    return aEntry.second.telling.group != aGroup;
+    return aEntry.second.report.group != aGroup;
   });
   Sum();
 }
 
 bool
-PeerView::Take(const Telling& aTelling, TimePoint aNow)
+PeerView::Take(const PeerReport& aReport, TimePoint aNow)
 {
   const auto keep = [&](auto& aTable, const auto& aKey) {
     const auto found = aTable.find(aKey);
     const bool known =
-      found != aTable.end() && found->second.telling.router == aTelling.router;
-    if (known && IsOlder(aTelling, found->second.telling)) {
+      found != aTable.end() && found->second.report.router == aReport.router;
+    if (known && IsOlder(aReport, found->second.report)) {
       return false;
     }
-    aTable[aKey] = { aTelling, aNow };
+    aTable[aKey] = { aReport, aNow };
     return true;
   };
   bool taken = false;
-  switch (aTelling.scope) {
-    case TellingScope::Router:
-      taken = aTelling.group == m_group && keep(m_told, aTelling.router);
+  switch (aReport.scope) {
+    case ReportScope::Router:
+      taken = aReport.group == m_group && keep(m_told, aReport.router);
       break;
-    case TellingScope::Group:
-      taken = aTelling.group != m_group && keep(m_groups, aTelling.group);
+    case ReportScope::Group:
+      taken = aReport.group != m_group && keep(m_groups, aReport.group);
       break;
-    case TellingScope::Fleet:
-      taken = keep(m_fleet, aTelling.router);
+    case ReportScope::Fleet:
+      taken = keep(m_fleet, aReport.router);
       break;
   }
   if (taken) {
@@ -71,7 +71,7 @@
 }
 
 void
-PeerView::Sent(const Telling& aOwn)
+PeerView::Sent(const PeerReport& aOwn)
 {
   m_own.push_back(aOwn);
   m_own.back().uses.clear();
@@ -85,7 +85,7 @@
 PeerView::Forget(TimePoint aNow)
 {
   const auto old = [&](const auto& aEntry) {
-    return aNow - aEntry.second.at > kTellingKept;
+    return aNow - aEntry.second.at > kReportKept;
   };
   const auto dropped = std::erase_if(m_told, old) +
                        std::erase_if(m_groups, old) +
@@ -95,8 +95,8 @@
   }
 }
 
-const Telling*
-PeerView::OwnPartOf(const Telling& aSum) const
+const PeerReport*
+PeerView::OwnPartOf(const PeerReport& aSum) const
 {
   for (const auto& own : m_own) {
     const auto self = base::RouterId(base::HashName(own.router));
@@ -126,10 +126,10 @@
   m_sum.Clear();
   if (m_isHub) {
     for (const auto& [router, told] : m_told) {
-      m_sum.Add(told.telling);
+      m_sum.Add(told.report);
     }
     for (const auto& [group, told] : m_groups) {
-      m_sum.Add(told.telling);
+      m_sum.Add(told.report);
     }
     return;
   }
@@ -142,8 +142,8 @@
   if (newest == nullptr) {
     return;
   }
-  m_sum.Add(newest->telling);
-  if (const auto* own = OwnPartOf(newest->telling)) {
+  m_sum.Add(newest->report);
+  if (const auto* own = OwnPartOf(newest->report)) {
     m_sum.TakeOut(*own);
   }
 }
@@ -154,33 +154,33 @@
   std::vector<HeardRouter> heard;
   for (const auto& [router, told] : m_told) {
     heard.push_back({ base::RouterId(base::HashName(router)),
-                      told.telling.sequence,
-                      told.telling.sentAt });
+                      told.report.sequence,
+                      told.report.sentAt });
   }
   return heard;
 }
 
-Telling
-PeerView::GroupSum(const Telling& aOwn) const
+PeerReport
+PeerView::GroupSum(const PeerReport& aOwn) const
 {
   LoadSum all;
   all.Add(aOwn);
   for (const auto& [router, told] : m_told) {
-    all.Add(told.telling);
+    all.Add(told.report);
   }
   auto sum = aOwn;
-  sum.scope = TellingScope::Group;
+  sum.scope = ReportScope::Group;
   all.PutInto(sum);
   return sum;
 }
 
-Telling
-PeerView::FleetSum(const Telling& aOwn) const
+PeerReport
+PeerView::FleetSum(const PeerReport& aOwn) const
 {
   auto all = m_sum;
   all.Add(aOwn);
   auto sum = aOwn;
-  sum.scope = TellingScope::Fleet;
+  sum.scope = ReportScope::Fleet;
   all.PutInto(sum);
   return sum;
 }
--- a/src/fleet/loadsum.h
+++ b/src/fleet/loadsum.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/telling.h"
+#include "fleet/peerreport.h"
 
 #include <cstdint>
 #include <map>
@@ -11,11 +11,11 @@
 class LoadSum
 {
 public:
-  void Add(const Telling& aTelling);
+  void Add(const PeerReport& aReport);
   //! Takes out what was added as part of a sum.
-  void TakeOut(const Telling& aTelling);
-  //! Replaces the telling's loads, rates and count of routers.
-  void PutInto(Telling& aTelling) const;
+  void TakeOut(const PeerReport& aReport);
+  //! Replaces the report's loads, rates and count of routers.
+  void PutInto(PeerReport& aReport) const;
   void Clear();
 
   UpstreamLoad LoadOf(UpstreamId aUpstream) const;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/telling.h"
+#include "fleet/peerreport.h"
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
   std::uint64_t group = 0;
   //! All hubs of this router's group by rank, itself too if it is one.
   std::vector<base::Address> groupHubs;
-  std::vector<base::Address> tell;      //!< get this router's own telling
+  std::vector<base::Address> tell;      //!< get this router's own report
   std::vector<base::Address> hubs;      //!< of other groups: get the group sum
   std::vector<base::Address> followers; //!< of our group: get the fleet sum
 
@@ -39,7 +39,7 @@
              std::uint32_t aZone,
              const std::vector<base::Address>& aSeeds);
 
-  //! A telling came from there.
+  //! A report came from there.
   void Heard(const base::Address& aMember, std::uint32_t aZone, TimePoint aNow);
   void Learn(const std::vector<KnownMember>& aMembers, TimePoint aNow);
   //! Drops who was not heard for long; returns their addresses.
--- a/src/fleet/newslog.h
+++ b/src/fleet/newslog.h
@@ -23,7 +23,6 @@
   bool HasNews(const NewsAsk& aAsk) const;
   //! aProofAge: since the store proved what is told.
   News Answer(const NewsAsk& aAsk, Duration aProofAge) const;
-  std::uint64_t Sequence() const { return m_sequence; }
 
 private:
   struct Change
--- a/src/fleet/telling.h
+++ b/src/fleet/peerreport.h
@@ -24,13 +24,13 @@
   UpstreamId upstream{};
 };
 
-struct WorkspaceTelling
+struct WorkspaceReport
 {
   WorkspaceId workspace{};
   WorkspaceRate rate;
 };
 
-//! The last telling that was heard from a router. The clock value lets it
+//! The last report that was heard from a router. The clock value lets it
 //! bound the age of what it is told; the sequence lets it take its own part
 //! out of a sum.
 struct HeardRouter
@@ -43,28 +43,28 @@
 //! A router as others know it.
 struct KnownMember
 {
-  base::Address address;  //!< for tellings
+  base::Address address;  //!< for reports
   std::uint32_t zone = 0; //!< hash of its availability zone's name
   Duration age{};         //!< since it was heard by someone
 };
 
-//! Whose loads and rates a telling holds.
-enum class TellingScope : std::uint8_t
+//! Whose loads and rates a report holds.
+enum class ReportScope : std::uint8_t
 {
   Router, //!< the sender's own
   Group,  //!< the sum of the sender's group
   Fleet   //!< the sum of all
 };
 
-//! What routers tell each other, each kTellPeriod. It may get lost; the
+//! What routers tell each other, each kReportPeriod. It may get lost; the
 //! next one says it anew.
-struct Telling
+struct PeerReport
 {
   std::string router;
   std::uint64_t life = 0; //!< higher at each start of the router
   std::uint64_t sequence = 0;
   TimePoint sentAt{}; //!< by the sender's clock, to be sent back only
-  TellingScope scope = TellingScope::Router;
+  ReportScope scope = ReportScope::Router;
   std::uint32_t zone = 0;    //!< hash of the sender's availability zone
   std::uint64_t group = 0;   //!< the sender's group
   std::uint32_t routers = 1; //!< how many it sums up
@@ -73,7 +73,7 @@
   bool wantsMembers = false; //!< the sender knows hardly anyone
   std::vector<HeardRouter> heard;
   std::vector<UpstreamLoad> loads;
-  std::vector<WorkspaceTelling> rates;
+  std::vector<WorkspaceReport> rates;
   std::vector<PrefixUse> uses;
   std::vector<KnownMember> members; //!< now and then
 };
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fleet/loadsum.h"
-#include "fleet/telling.h"
+#include "fleet/peerreport.h"
 
 #include <cstdint>
 #include <deque>
@@ -11,7 +11,7 @@
 
 namespace hemlockgauge::fleet {
 
-//! What the other routers have in progress and ask, from their tellings.
+//! What the other routers have in progress and ask, from their reports.
 class PeerView
 {
 public:
@@ -19,9 +19,9 @@
   //! of other groups. Otherwise it hears the sum of all from its hubs.
   void SetRole(bool aIsHub, std::uint64_t aGroup);
   //! Returns false for one that is older than what is known.
-  bool Take(const Telling& aTelling, TimePoint aNow);
+  bool Take(const PeerReport& aReport, TimePoint aNow);
   //! What this router itself told, to be taken out of sums again.
-  void Sent(const Telling& aOwn);
+  void Sent(const PeerReport& aOwn);
   //! Drops what is too old to count.
   void Forget(TimePoint aNow);
 
@@ -32,32 +32,32 @@
   const WorkspaceRates& Rates() const { return m_sum.Rates(); }
   //! How many routers the view covers, without this one.
   std::size_t Routers() const { return m_sum.Routers(); }
-  //! Routers heard directly, with the last telling of each.
+  //! Routers heard directly, with the last report of each.
   std::vector<HeardRouter> Heard() const;
   //! The sum over this router's group, itself included.
-  Telling GroupSum(const Telling& aOwn) const;
+  PeerReport GroupSum(const PeerReport& aOwn) const;
   //! The sum over the fleet, this router included.
-  Telling FleetSum(const Telling& aOwn) const;
-  //! Age of the oldest telling that counts.
+  PeerReport FleetSum(const PeerReport& aOwn) const;
+  //! Age of the oldest report that counts.
   Duration Age(TimePoint aNow) const;
 
 private:
   struct Told
   {
-    Telling telling;
+    PeerReport report;
     TimePoint at{};
   };
 
   void Sum();
   void SumSoon();
-  const Telling* OwnPartOf(const Telling& aSum) const;
+  const PeerReport* OwnPartOf(const PeerReport& aSum) const;
 
   bool m_isHub = true;
   std::uint64_t m_group = 0;
   std::map<std::string, Told> m_told;     //!< by router
   std::map<std::uint64_t, Told> m_groups; //!< sums of other groups
   std::map<std::string, Told> m_fleet;    //!< sums of all, by hub
-  std::deque<Telling> m_own;              //!< what was told lately
+  std::deque<PeerReport> m_own;           //!< what was told lately
   LoadSum m_sum;
   bool m_stale = false; //!< m_sum lacks what came last
 };
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -13,7 +13,6 @@
 {
   CallKind kind = CallKind::AtMostOnce;
   bool mayRunAgain = false;
-  base::Verdict verdict = base::Verdict::MayHaveRun;
   bool answerBegun = false;         //!< the caller has part of an answer
   std::uint32_t attemptsRun = 0;    //!< attempts that may have run, this too
   std::uint32_t attemptsNotRun = 0; //!< attempts that nothing ran, this too
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -137,12 +137,12 @@
 {
   Bench bench;
   bench.List(2);
-  Telling telling;
-  telling.router = "r2";
-  telling.life = 1;
-  telling.sequence = 1;
-  telling.loads = { { UpstreamIdOf("u0"), 50000, 20 } };
-  bench.fleet.Take(telling, bench.now);
+  PeerReport report;
+  report.router = "r2";
+  report.life = 1;
+  report.sequence = 1;
+  report.loads = { { UpstreamIdOf("u0"), 50000, 20 } };
+  bench.fleet.Take(report, bench.now);
   for (std::uint64_t i = 0; i < 10; ++i) {
     const auto place = bench.Place(bench.Ask(i));
     cr_assert(place.upstreamId == "u1");
@@ -154,12 +154,12 @@
 {
   Bench bench;
   bench.List(8);
-  Telling telling;
-  telling.router = "r2";
-  telling.life = 1;
-  telling.sequence = 1;
-  telling.uses = { { 7, UpstreamIdOf("u3") } };
-  bench.fleet.Take(telling, bench.now);
+  PeerReport report;
+  report.router = "r2";
+  report.life = 1;
+  report.sequence = 1;
+  report.uses = { { 7, UpstreamIdOf("u3") } };
+  bench.fleet.Take(report, bench.now);
   const auto place = bench.Place(bench.Ask(7, "w", 8000));
   cr_assert(place.upstreamId == "u3");
   cr_assert(place.missingTokens == 4000);
@@ -272,25 +272,25 @@
   settings.revocationBound = 5000ms;
   Fleet fleet(settings);
   fleet.SetConfig(Config(7));
-  Telling telling;
-  telling.router = "r2";
-  telling.life = 1;
-  telling.sequence = 1;
-  telling.configVersion = 7;
-  telling.configAge = 40ms;
-  fleet.Take(telling, bench.now);
+  PeerReport report;
+  report.router = "r2";
+  report.life = 1;
+  report.sequence = 1;
+  report.configVersion = 7;
+  report.configAge = 40ms;
+  fleet.Take(report, bench.now);
   cr_assert(!fleet.ConfigFreshness().MayUseKeys(bench.now));
-  telling.sequence = 2;
-  telling.heard = {
+  report.sequence = 2;
+  report.heard = {
     { base::RouterId(base::HashName("r1")), 1, bench.now - 200ms }
   };
   // The datagram may have waited for long: only the echo counts.
-  fleet.Take(telling, bench.now + 3000ms);
+  fleet.Take(report, bench.now + 3000ms);
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
-  telling.sequence = 3;
-  telling.configVersion = 6;
-  telling.heard[0].sentAt = bench.now + 2000ms;
-  fleet.Take(telling, bench.now + 3000ms);
+  report.sequence = 3;
+  report.configVersion = 6;
+  report.heard[0].sentAt = bench.now + 2000ms;
+  fleet.Take(report, bench.now + 3000ms);
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
 }
 
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -44,7 +44,7 @@
   int got = 0;
 };
 
-//! Routers that exchange tellings through a network that loses some. Each
+//! Routers that exchange reports through a network that loses some. Each
 //! has one request running at the one upstream there is.
 class Net
 {
@@ -60,7 +60,7 @@
 
   void Step()
   {
-    now += kTellPeriod;
+    now += kReportPeriod;
     for (auto& router : routers) {
       if (router->alive) {
         Tell(*router);
@@ -91,7 +91,7 @@
     aRouter.view.Forget(now);
     const auto plan = aRouter.members.Plan(now);
     aRouter.view.SetRole(plan.isHub, plan.group);
-    Telling own;
+    PeerReport own;
     own.router = aRouter.name;
     own.life = 1;
     own.sequence = ++aRouter.sequence;
@@ -115,7 +115,7 @@
   }
 
   void Send(Router& aFrom,
-            const Telling& aTelling,
+            const PeerReport& aReport,
             const std::vector<base::Address>& aTo)
   {
     for (const auto& address : aTo) {
@@ -125,17 +125,17 @@
       if (found == m_byAddress.end() || !found->second->alive || lost) {
         continue;
       }
-      Deliver(aFrom, aTelling, *found->second);
+      Deliver(aFrom, aReport, *found->second);
     }
   }
 
-  void Deliver(Router& aFrom, const Telling& aTelling, Router& aTo)
+  void Deliver(Router& aFrom, const PeerReport& aReport, Router& aTo)
   {
     aTo.got++;
-    aTo.members.Heard(aFrom.address, aTelling.zone, now);
-    aTo.members.Learn(aTelling.members, now);
-    aTo.view.Take(aTelling, now);
-    if (aTelling.wantsMembers) {
+    aTo.members.Heard(aFrom.address, aReport.zone, now);
+    aTo.members.Learn(aReport.members, now);
+    aTo.view.Take(aReport, now);
+    if (aReport.wantsMembers) {
       aFrom.members.Heard(aTo.address, aTo.zone, now);
       aFrom.members.Learn(aTo.members.Known(now), now);
     }
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -544,15 +544,15 @@
 Test(peerview, LoadsOfLiveRoutersAddUpAndLapse)
 {
   PeerView view;
-  Telling telling;
-  telling.router = "a";
-  telling.life = 1;
-  telling.sequence = 1;
-  telling.loads = { { UpstreamId(1), 100, 2 } };
-  cr_assert(view.Take(telling, 0ms));
-  telling.router = "b";
-  telling.loads = { { UpstreamId(1), 50, 1 } };
-  cr_assert(view.Take(telling, 500ms));
+  PeerReport report;
+  report.router = "a";
+  report.life = 1;
+  report.sequence = 1;
+  report.loads = { { UpstreamId(1), 100, 2 } };
+  cr_assert(view.Take(report, 0ms));
+  report.router = "b";
+  report.loads = { { UpstreamId(1), 50, 1 } };
+  cr_assert(view.Take(report, 500ms));
   cr_assert(view.LoadOf(UpstreamId(1)).unreadTokens == 150);
   cr_assert(view.Age(600ms) == 600ms);
   view.Forget(1200ms);
@@ -560,20 +560,20 @@
   cr_assert(view.Routers() == 1);
 }
 
-Test(peerview, AnOldTellingDoesNotReplaceANewOne)
+Test(peerview, AnOldReportDoesNotReplaceANewOne)
 {
   PeerView view;
-  Telling telling;
-  telling.router = "a";
-  telling.life = 2;
-  telling.sequence = 5;
-  cr_assert(view.Take(telling, 0ms));
-  telling.sequence = 4;
-  cr_assert(!view.Take(telling, 0ms));
-  telling.life = 1;
-  telling.sequence = 9;
-  cr_assert(!view.Take(telling, 0ms));
-  telling.life = 3;
-  telling.sequence = 1;
-  cr_assert(view.Take(telling, 0ms));
+  PeerReport report;
+  report.router = "a";
+  report.life = 2;
+  report.sequence = 5;
+  cr_assert(view.Take(report, 0ms));
+  report.sequence = 4;
+  cr_assert(!view.Take(report, 0ms));
+  report.life = 1;
+  report.sequence = 9;
+  cr_assert(!view.Take(report, 0ms));
+  report.life = 3;
+  report.sequence = 1;
+  cr_assert(view.Take(report, 0ms));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,8 +26,8 @@
 
 //! How exactly time limits of requests are kept.
 constexpr base::Duration kFastTick = 20ms;
-//! Time limits of connections, gauges, tellings.
-constexpr base::Duration kSlowTick = fleet::kTellPeriod;
+//! Time limits of connections, gauges, reports.
+constexpr base::Duration kSlowTick = fleet::kReportPeriod;
 //! A loop that did not come round for this long stood still.
 constexpr base::Duration kStoodStill = 1000ms;
 //! After the stop began, the balancer still sends new connections until it
@@ -60,7 +60,7 @@
   return settings;
 }
 
-//! The settings name the seeds' control addresses; tellings go to the same
+//! The settings name the seeds' control addresses; reports go to the same
 //! port at all routers.
 std::vector<base::Address>
 SeedsOf(const GatewaySettings& aSettings)
@@ -130,8 +130,8 @@
     m_loop,
     m_settings.peerListen,
     m_metrics,
-    [this](const fleet::Telling& aTelling, const base::Address& aFrom) {
-      TakeTelling(aTelling, aFrom);
+    [this](const fleet::PeerReport& aReport, const base::Address& aFrom) {
+      TakeReport(aReport, aFrom);
     });
   m_probes = std::make_unique<ProbeServer>(
     m_loop, m_settings.probeListen, [this](const std::string& aTarget) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -95,7 +95,7 @@
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
   void OpenSource();
-  void TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom);
+  void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
   void TellOthers(base::TimePoint aNow);
   void PublishGauges(base::TimePoint aNow);
   std::string StatusText() const;
@@ -108,7 +108,7 @@
   fleet::Fleet m_fleet;
   base::LogBudget m_logBudget;
   UpstreamPool m_pool;
-  http::ServerLimits m_limits;
+  base::CallerLimits m_limits;
   http::ConnectionSet m_connections;
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   fleet::NewsLog m_newsLog;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "document/inireader.h"
 #include "document/sectionreader.h"
+#include "document/settingsparser.h"
 
 namespace hemlockgauge::gateway {
 
@@ -141,4 +142,10 @@
   return settings;
 }
 
+GatewaySettings
+ReadGatewaySettings(const std::string& aFile)
+{
+  return ParseGatewaySettings(aFile, document::ReadTextFile(aFile));
+}
+
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -41,4 +41,8 @@
 GatewaySettings
 ParseGatewaySettings(const std::string& aFile, std::string_view aText);
 
+//! The same from the file itself; Error(Unreachable) if it can't be read.
+GatewaySettings
+ReadGatewaySettings(const std::string& aFile);
+
 }
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -57,7 +57,7 @@
   std::string requestId;    //!< which request it answers; empty: not said
   bool notRun = false;      //!< the upstream says that it ran nothing
   bool misdirected = false; //!< another upstream has the address
-  bool sealed = false;      //!< carries the proof that a success needs
+  bool hasProof = false;    //!< carries the proof that a success needs
   bool isEventStream = false;
   bool hasForeignCoding = false; //!< the body is not the upstream's own
   Duration keepAlive{};          //!< of the idle connection; 0: not said
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -84,7 +84,7 @@
     return HeadVerdict::Drop;
   }
   const bool unproven =
-    answer.IsSuccess() && (!answer.sealed || answer.hasForeignCoding);
+    answer.IsSuccess() && (!answer.hasProof || answer.hasForeignCoding);
   if (unproven) {
     return HeadVerdict::Drop;
   }
@@ -259,7 +259,6 @@
   fleet::FailedAttempt failed;
   failed.kind = m_route->kind;
   failed.mayRunAgain = m_route->MayRunAgain();
-  failed.verdict = aVerdict;
   failed.answerBegun = m_headSent;
   failed.attemptsRun = m_attemptsRun;
   failed.attemptsNotRun = m_attemptsNotRun;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -71,7 +71,6 @@
   void OnCallerDrained();
   //! Looks at the time limits.
   void Tick(base::TimePoint aNow);
-  bool IsOver() const { return m_over; }
 
   HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
                            http::ResponseHead&& aHead) override;
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -31,23 +31,24 @@
 }
 
 void
-Gateway::TakeTelling(const fleet::Telling& aTelling, const base::Address& aFrom)
+Gateway::TakeReport(const fleet::PeerReport& aReport,
+                    const base::Address& aFrom)
 {
   const auto now = m_loop.Now();
   const bool wasAlone = m_members.IsAlone(now);
-  m_members.Heard(aFrom, aTelling.zone, now);
-  m_members.Learn(aTelling.members, now);
+  m_members.Heard(aFrom, aReport.zone, now);
+  m_members.Learn(aReport.members, now);
   if (wasAlone) {
     LogLine("routers-found").Add("first", aFrom.Text()).Info();
   }
-  if (aTelling.wantsMembers) {
-    fleet::Telling reply;
+  if (aReport.wantsMembers) {
+    fleet::PeerReport reply;
     reply.router = m_settings.id;
     reply.zone = base::HashName(m_settings.zone);
     reply.members = m_members.Known(now);
     m_peers->Send(reply, { aFrom });
   }
-  m_fleet.Take(aTelling, now);
+  m_fleet.Take(aReport, now);
 }
 
 void
@@ -177,16 +178,12 @@
 bool
 Gateway::SetConfig(fleet::ConfigPtr aConfig)
 {
-  const auto& limits = aConfig->limits;
+  const auto limits = aConfig->limits;
   const auto version = aConfig->version;
-  const http::ServerLimits serverLimits{ limits.maxHeadBytes,
-                                         limits.maxBodyBytes,
-                                         limits.headTimeout,
-                                         limits.idleTimeout };
   if (!m_fleet.SetConfig(std::move(aConfig))) {
     return false;
   }
-  m_limits = serverLimits;
+  m_limits = limits;
   const auto& config = *m_fleet.Routes()->Config();
   LogLine("config-in-force")
     .Add("version", version)
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -3,7 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "eventloop/eventloop.h"
-#include "gateway/tellingcodec.h"
+#include "gateway/reportcodec.h"
 #include "metrics/metrics.h"
 
 #include <ace/INET_Addr.h>
@@ -22,10 +22,10 @@
 PeerLink::PeerLink(eventloop::EventLoop& aLoop,
                    const base::Address& aListen,
                    metrics::Metrics& aMetrics,
-                   OnTelling aOnTelling)
+                   OnReport aOnReport)
   : m_loop(aLoop)
   , m_metrics(aMetrics)
-  , m_onTelling(std::move(aOnTelling))
+  , m_onReport(std::move(aOnReport))
   , m_buffer(kMostDatagram)
 {
   const ACE_INET_Addr local(aListen.port, aListen.ip.c_str());
@@ -44,22 +44,22 @@
 }
 
 void
-PeerLink::Send(const fleet::Telling& aTelling,
+PeerLink::Send(const fleet::PeerReport& aReport,
                const std::vector<base::Address>& aTo)
 {
   if (aTo.empty()) {
     return;
   }
-  const auto bytes = EncodeTelling(aTelling);
+  const auto bytes = EncodeReport(aReport);
   std::uint64_t lost = 0;
   for (const auto& address : aTo) {
     const ACE_INET_Addr to(address.port, address.ip.c_str());
     lost += m_socket.send(bytes.data(), bytes.size(), to) == -1 ? 1 : 0;
   }
-  m_metrics.Count("tellings_sent_total", aTo.size());
-  m_metrics.Count("telling_bytes_sent_total", aTo.size() * bytes.size());
+  m_metrics.Count("reports_sent_total", aTo.size());
+  m_metrics.Count("report_bytes_sent_total", aTo.size() * bytes.size());
   if (lost > 0) {
-    m_metrics.Count("tellings_unsent_total", lost);
+    m_metrics.Count("reports_unsent_total", lost);
   }
 }
 
@@ -85,7 +85,7 @@
                const base::Address& aFrom)
 {
   try {
-    m_onTelling(DecodeTelling(aBytes, aSize), aFrom);
+    m_onReport(DecodeReport(aBytes, aSize), aFrom);
   } catch (const base::Error& error) {
     m_metrics.Count("bad_datagrams_total");
     base::LogLine("bad-datagram")
--- /dev/null
+++ b/src/gateway/internal/reportcodec.cpp
@@ -0,0 +1,168 @@
+#include "gateway/reportcodec.h"
+
+#include "base/error.h"
+#include "peerreport_generated.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+
+namespace hemlockgauge::gateway {
+
+namespace fb = hemlockgauge::wire::fb;
+
+namespace {
+
+std::uint32_t
+PackIp(const std::string& aIp)
+{
+  in_addr address{};
+  inet_pton(AF_INET, aIp.c_str(), &address);
+  return ntohl(address.s_addr);
+}
+
+std::string
+UnpackIp(std::uint32_t aIp)
+{
+  in_addr address{ htonl(aIp) };
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address, text, sizeof(text));
+  return text;
+}
+
+constexpr std::size_t kBufferBytes = 2048;
+
+std::uint8_t
+Raw(fleet::ReportScope aScope)
+{
+  return static_cast<std::uint8_t>(aScope);
+}
+
+//! Ages and clock values are never negative on the wire.
+std::uint64_t
+Unsigned(base::Duration aTime)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(aTime.count(), 0));
+}
+
+base::Duration
+Signed(std::uint64_t aMillis)
+{
+  return base::Duration(static_cast<std::int64_t>(aMillis));
+}
+
+template<typename Wire, typename List>
+auto
+Each(const List* aList, Wire aTake)
+{
+  if (aList != nullptr) {
+    for (const auto* item : *aList) {
+      aTake(*item);
+    }
+  }
+}
+
+}
+
+std::vector<std::uint8_t>
+EncodeReport(const fleet::PeerReport& aReport)
+{
+  std::vector<fb::Load> loads;
+  for (const auto& load : aReport.loads) {
+    loads.emplace_back(
+      base::Raw(load.upstream), load.unreadTokens, load.running);
+  }
+  std::vector<fb::Rate> rates;
+  for (const auto& [workspace, rate] : aReport.rates) {
+    rates.emplace_back(base::Raw(workspace),
+                       static_cast<float>(rate.asked),
+                       static_cast<float>(rate.begun));
+  }
+  std::vector<fb::Use> uses;
+  for (const auto& use : aReport.uses) {
+    uses.emplace_back(use.part, base::Raw(use.upstream));
+  }
+  std::vector<fb::HeardFrom> heard;
+  for (const auto& one : aReport.heard) {
+    heard.emplace_back(
+      base::Raw(one.router), one.sequence, Unsigned(one.sentAt));
+  }
+  std::vector<fb::Address> members;
+  for (const auto& member : aReport.members) {
+    members.emplace_back(PackIp(member.address.ip),
+                         member.zone,
+                         static_cast<std::uint32_t>(Unsigned(member.age)),
+                         member.address.port);
+  }
+  flatbuffers::FlatBufferBuilder builder(kBufferBytes);
+  const auto root = fb::CreatePeerReportDirect(builder,
+                                               aReport.router.c_str(),
+                                               aReport.life,
+                                               aReport.sequence,
+                                               Unsigned(aReport.sentAt),
+                                               Raw(aReport.scope),
+                                               aReport.zone,
+                                               aReport.group,
+                                               aReport.routers,
+                                               aReport.configVersion,
+                                               Unsigned(aReport.configAge),
+                                               aReport.wantsMembers,
+                                               &heard,
+                                               &loads,
+                                               &rates,
+                                               &uses,
+                                               &members);
+  fb::FinishPeerReportBuffer(builder, root);
+  const auto* data = builder.GetBufferPointer();
+  return { data, data + builder.GetSize() };
+}
+
+fleet::PeerReport
+DecodeReport(const std::uint8_t* aBytes, std::size_t aSize)
+{
+  flatbuffers::Verifier verifier(aBytes, aSize);
+  if (!fb::VerifyPeerReportBuffer(verifier)) {
+    throw base::Error(base::ErrorCode::BadFrame, "not a report");
+  }
+  const auto* wire = fb::GetPeerReport(aBytes);
+  if (wire->scope() > Raw(fleet::ReportScope::Fleet)) {
+    throw base::Error(base::ErrorCode::BadFrame, "a report of no scope");
+  }
+  fleet::PeerReport report;
+  report.router = wire->router()->str();
+  report.life = wire->life();
+  report.sequence = wire->sequence();
+  report.sentAt = Signed(wire->sent_at_ms());
+  report.scope = static_cast<fleet::ReportScope>(wire->scope());
+  report.zone = wire->zone();
+  report.group = wire->group();
+  report.routers = wire->routers();
+  report.configVersion = wire->config_version();
+  report.configAge = Signed(wire->config_age_ms());
+  report.wantsMembers = wire->wants_members();
+  Each(wire->heard(), [&](const fb::HeardFrom& aOne) {
+    report.heard.push_back({ base::RouterId(aOne.router()),
+                             aOne.sequence(),
+                             Signed(aOne.sent_at_ms()) });
+  });
+  Each(wire->loads(), [&](const fb::Load& aLoad) {
+    report.loads.push_back({ base::UpstreamId(aLoad.upstream()),
+                             aLoad.unread_tokens(),
+                             aLoad.running() });
+  });
+  Each(wire->rates(), [&](const fb::Rate& aRate) {
+    report.rates.push_back({ base::WorkspaceId(aRate.workspace()),
+                             { aRate.asked(), aRate.begun() } });
+  });
+  Each(wire->uses(), [&](const fb::Use& aUse) {
+    report.uses.push_back({ aUse.part(), base::UpstreamId(aUse.upstream()) });
+  });
+  Each(wire->members(), [&](const fb::Address& aMember) {
+    report.members.push_back({ { UnpackIp(aMember.ip()), aMember.port() },
+                               aMember.zone(),
+                               Signed(aMember.age_ms()) });
+  });
+  return report;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/settingswatch.cpp
@@ -0,0 +1,54 @@
+#include "gateway/settingswatch.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "gateway/gateway.h"
+#include "gateway/gatewaysettings.h"
+
+#include <sys/stat.h>
+
+namespace hemlockgauge::gateway {
+
+namespace {
+
+constexpr std::int64_t kNanosInSecond = 1000000000;
+
+//! When the file was last written, in ns; 0 if it can't be seen now.
+std::int64_t
+WrittenAt(const std::string& aFile)
+{
+  struct stat status
+  {};
+  if (stat(aFile.c_str(), &status) != 0) {
+    return 0;
+  }
+  return static_cast<std::int64_t>(status.st_mtim.tv_sec) * kNanosInSecond +
+         status.st_mtim.tv_nsec;
+}
+
+}
+
+SettingsWatch::SettingsWatch(std::string aFile, Gateway& aRouter)
+  : m_file(std::move(aFile))
+  , m_router(aRouter)
+  , m_writtenAt(WrittenAt(m_file))
+{
+}
+
+void
+SettingsWatch::Tick(int aRequests)
+{
+  const auto writtenAt = WrittenAt(m_file);
+  if (aRequests == m_requests && writtenAt == m_writtenAt) {
+    return;
+  }
+  m_requests = aRequests;
+  m_writtenAt = writtenAt;
+  try {
+    m_router.Reload(ReadGatewaySettings(m_file));
+  } catch (const base::Error& error) {
+    base::LogLine("settings-refused").Add("why", error.what()).Error();
+  }
+}
+
+}
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -46,7 +46,6 @@
     auto& connection = *idle.back();
     idle.pop_back();
     if (connection.PeerAddress() == aAddress && !connection.IsStale()) {
-      m_connections.at(&connection).idle = false;
       connection.SetEvents(aEvents);
       return connection;
     }
@@ -56,7 +55,7 @@
   auto made =
     std::make_unique<http::ClientConnection>(m_loop, aAddress, aEvents);
   auto& connection = *made;
-  m_connections[&connection] = { std::move(made), aUpstreamId, false };
+  m_connections[&connection] = { std::move(made), aUpstreamId };
   m_opened++;
   return connection;
 }
@@ -73,7 +72,6 @@
     return;
   }
   aConnection.SetEvents(*this);
-  found->second.idle = true;
   m_idle[found->second.upstreamId].push_back(&aConnection);
 }
 
--- a/src/gateway/newsserver.h
+++ b/src/gateway/newsserver.h
@@ -34,7 +34,6 @@
 
   //! Answers whoever waits and has news now, or has waited long enough.
   void Tick(base::TimePoint aNow);
-  std::size_t Followers() const { return m_followers.size(); }
 
   void OnFrame(framing::FrameConnection& aConnection,
                const std::vector<std::uint8_t>& aFrame) override;
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -2,7 +2,7 @@
 
 #include "base/address.h"
 #include "eventloop/iiohandler.h"
-#include "fleet/telling.h"
+#include "fleet/peerreport.h"
 
 #include <ace/SOCK_Dgram.h>
 
@@ -19,23 +19,23 @@
 
 namespace hemlockgauge::gateway {
 
-//! Carries tellings between routers, one datagram each.
+//! Carries reports between routers, one datagram each.
 class PeerLink : public eventloop::IIoHandler
 {
 public:
-  using OnTelling = std::function<void(const fleet::Telling& aTelling,
-                                       const base::Address& aFrom)>;
+  using OnReport = std::function<void(const fleet::PeerReport& aReport,
+                                      const base::Address& aFrom)>;
 
   //! Throws Error(Unreachable) if the address can't be bound.
   PeerLink(eventloop::EventLoop& aLoop,
            const base::Address& aListen,
            metrics::Metrics& aMetrics,
-           OnTelling aOnTelling);
+           OnReport aOnReport);
   ~PeerLink() override;
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
 
-  void Send(const fleet::Telling& aTelling,
+  void Send(const fleet::PeerReport& aReport,
             const std::vector<base::Address>& aTo);
 
   void OnIo(std::uint32_t aEvents) override;
@@ -47,7 +47,7 @@
 
   eventloop::EventLoop& m_loop;
   metrics::Metrics& m_metrics;
-  OnTelling m_onTelling;
+  OnReport m_onReport;
   ACE_SOCK_Dgram m_socket;
   std::vector<std::uint8_t> m_buffer;
 };
--- a/src/gateway/probeserver.h
+++ b/src/gateway/probeserver.h
@@ -42,7 +42,7 @@
 
 private:
   Handler m_handler;
-  http::ServerLimits m_limits;
+  base::CallerLimits m_limits;
   http::ConnectionSet m_connections;
   http::Listener m_listener;
 };
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -39,7 +39,6 @@
   //! Begins, goes on after a pause, and ends calls that take too long; to
   //! be called many times a second.
   void Tick(base::TimePoint aNow) override;
-  bool IsLost() const { return m_lost; }
 
   HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
                            http::ResponseHead&& aHead) override;
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -2,7 +2,7 @@
 #include "gateway/eventstreamfilter.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/newscodec.h"
-#include "gateway/tellingcodec.h"
+#include "gateway/reportcodec.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -105,76 +105,76 @@
   cr_assert(filter.LastId() == "7");
 }
 
-// ---- tellings
+// ---- reports
 
 namespace {
 
-fleet::Telling
-FullTelling()
+fleet::PeerReport
+FullReport()
 {
-  fleet::Telling telling;
-  telling.router = "r1";
-  telling.life = 1ULL << 40;
-  telling.sequence = 9;
-  telling.sentAt = base::TimePoint(123456789);
-  telling.scope = fleet::TellingScope::Group;
-  telling.zone = 77;
-  telling.group = 1ULL << 50;
-  telling.routers = 3;
-  telling.configVersion = 12;
-  telling.configAge = base::Duration(34);
-  telling.wantsMembers = true;
-  telling.loads = { { base::UpstreamId(1), 2, 3 } };
-  telling.rates = { { base::WorkspaceId(4), { 5.0, 6.0 } } };
-  telling.uses = { { 0xffffffffffffULL, base::UpstreamId(7) } };
-  telling.heard = { { base::RouterId(8), 5, base::TimePoint(9) } };
-  telling.members = { { { "10.1.0.33", 7400 }, 6, base::Duration(250) } };
-  return telling;
+  fleet::PeerReport report;
+  report.router = "r1";
+  report.life = 1ULL << 40;
+  report.sequence = 9;
+  report.sentAt = base::TimePoint(123456789);
+  report.scope = fleet::ReportScope::Group;
+  report.zone = 77;
+  report.group = 1ULL << 50;
+  report.routers = 3;
+  report.configVersion = 12;
+  report.configAge = base::Duration(34);
+  report.wantsMembers = true;
+  report.loads = { { base::UpstreamId(1), 2, 3 } };
+  report.rates = { { base::WorkspaceId(4), { 5.0, 6.0 } } };
+  report.uses = { { 0xffffffffffffULL, base::UpstreamId(7) } };
+  report.heard = { { base::RouterId(8), 5, base::TimePoint(9) } };
+  report.members = { { { "10.1.0.33", 7400 }, 6, base::Duration(250) } };
+  return report;
 }
 
 }
 
-Test(tellings, ATellingSurvivesTheWire)
+Test(reports, AReportSurvivesTheWire)
 {
-  const auto telling = FullTelling();
-  const auto bytes = EncodeTelling(telling);
-  const auto read = DecodeTelling(bytes.data(), bytes.size());
+  const auto report = FullReport();
+  const auto bytes = EncodeReport(report);
+  const auto read = DecodeReport(bytes.data(), bytes.size());
   cr_assert(read.router == "r1");
-  cr_assert(read.life == telling.life);
+  cr_assert(read.life == report.life);
   cr_assert(read.sequence == 9);
-  cr_assert(read.sentAt == telling.sentAt);
-  cr_assert(read.scope == fleet::TellingScope::Group);
-  cr_assert(read.zone == 77 && read.group == telling.group);
+  cr_assert(read.sentAt == report.sentAt);
+  cr_assert(read.scope == fleet::ReportScope::Group);
+  cr_assert(read.zone == 77 && read.group == report.group);
   cr_assert(read.routers == 3 && read.wantsMembers);
   cr_assert(read.configVersion == 12);
-  cr_assert(read.configAge == telling.configAge);
+  cr_assert(read.configAge == report.configAge);
   cr_assert(read.loads.at(0).running == 3);
   cr_assert(read.rates.at(0).rate.begun == 6.0);
   cr_assert(read.uses.at(0).part == 0xffffffffffffULL);
   cr_assert(read.heard.at(0).sequence == 5);
   cr_assert(read.heard.at(0).sentAt == base::TimePoint(9));
-  cr_assert(read.members.at(0).address == telling.members[0].address);
+  cr_assert(read.members.at(0).address == report.members[0].address);
   cr_assert(read.members.at(0).age == base::Duration(250));
 }
 
-Test(tellings, RandomBytesAreRefused)
+Test(reports, RandomBytesAreRefused)
 {
   rc::check([](const std::vector<std::uint8_t>& aBytes) {
-    RC_ASSERT_THROWS_AS(DecodeTelling(aBytes.data(), aBytes.size()),
+    RC_ASSERT_THROWS_AS(DecodeReport(aBytes.data(), aBytes.size()),
                         base::Error);
   });
 }
 
-Test(tellings, ADamagedTellingIsReadOrRefused)
+Test(reports, ADamagedReportIsReadOrRefused)
 {
-  const auto bytes = EncodeTelling(FullTelling());
+  const auto bytes = EncodeReport(FullReport());
   rc::check([&] {
     auto damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
     damaged[at] = *rc::gen::arbitrary<std::uint8_t>();
     damaged.resize(*rc::gen::inRange<std::size_t>(1, damaged.size() + 1));
     try {
-      DecodeTelling(damaged.data(), damaged.size());
+      DecodeReport(damaged.data(), damaged.size());
     } catch (const base::Error&) {
       // refused: that is fine
     }
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -52,7 +52,6 @@
   {
     std::unique_ptr<http::ClientConnection> connection;
     std::string upstreamId;
-    bool idle = false;
   };
 
   void Forget(http::ClientConnection& aConnection);
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -7,7 +7,7 @@
 namespace hemlockgauge::http {
 
 ConnectionSet::ConnectionSet(eventloop::EventLoop& aLoop,
-                             const ServerLimits& aLimits,
+                             const base::CallerLimits& aLimits,
                              IServerEvents& aEvents)
   : m_loop(aLoop)
   , m_limits(aLimits)
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -22,7 +22,7 @@
 {
 public:
   ConnectionSet(eventloop::EventLoop& aLoop,
-                const ServerLimits& aLimits,
+                const base::CallerLimits& aLimits,
                 IServerEvents& aEvents);
   ~ConnectionSet();
   ConnectionSet(const ConnectionSet&) = delete;
@@ -42,7 +42,7 @@
   std::vector<ServerConnection*> All() const;
 
   eventloop::EventLoop& m_loop;
-  const ServerLimits& m_limits;
+  const base::CallerLimits& m_limits;
   IServerEvents& m_events;
   std::map<ServerConnection*, std::unique_ptr<ServerConnection>> m_connections;
 };
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -42,7 +42,6 @@
   //! Prepares for the next message; aNoBody if it answers a HEAD request.
   void Next(bool aNoBody = false);
 
-  bool IsAtStart() const { return !m_started; }
   bool HasEnded() const { return m_ended; }
   bool HasHead() const { return m_hasHead; }
   Fault GetFault() const { return m_fault; }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -58,7 +58,7 @@
 
 ServerConnection::ServerConnection(eventloop::EventLoop& aLoop,
                                    const ACE_SOCK_Stream& aStream,
-                                   const ServerLimits& aLimits,
+                                   const base::CallerLimits& aLimits,
                                    IServerEvents& aEvents)
   : m_loop(aLoop)
   , m_stream(aStream)
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/basetypes.h"
+#include "base/callerlimits.h"
 #include "eventloop/iiohandler.h"
 #include "http/httptypes.h"
 #include "http/messagereader.h"
@@ -19,15 +20,6 @@
 
 class ServerConnection;
 
-//! What a connection may send, and how long it may take or stay idle.
-struct ServerLimits
-{
-  std::size_t maxHeadBytes = 16384;
-  std::size_t maxBodyBytes = 4194304;
-  base::Duration headTimeout{ 3000 };
-  base::Duration idleTimeout{ 15000 };
-};
-
 //! Told what happens on a ServerConnection.
 class IServerEvents
 {
@@ -56,7 +48,7 @@
 public:
   ServerConnection(eventloop::EventLoop& aLoop,
                    const ACE_SOCK_Stream& aStream,
-                   const ServerLimits& aLimits,
+                   const base::CallerLimits& aLimits,
                    IServerEvents& aEvents);
   ~ServerConnection() override;
   ServerConnection(const ServerConnection&) = delete;
@@ -79,7 +71,6 @@
   //! Whether the other end has gone already although its request was read
   //! only now: a loop that lags behind reads what no one waits for.
   bool HasPeerGone() const;
-  bool HasBegunAnswer() const { return m_answerBegun; }
   bool IsIdle() const { return m_state == State::Idle; }
   //! When it became idle, or its request began, or its answer.
   base::TimePoint Since() const { return m_since; }
@@ -133,7 +124,7 @@
 
   eventloop::EventLoop& m_loop;
   ACE_SOCK_Stream m_stream;
-  const ServerLimits& m_limits;
+  const base::CallerLimits& m_limits;
   IServerEvents& m_events;
   Sink m_sink{ *this };
   MessageReader m_reader{ MessageReader::Side::Requests, m_sink };
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -222,7 +222,7 @@
   void OnDrained(ServerConnection&) override {}
   void OnClosed(ServerConnection&) override { closed++; }
 
-  ServerLimits limits;
+  base::CallerLimits limits;
   std::vector<std::unique_ptr<ServerConnection>> connections;
   std::vector<std::string> targets;
   std::vector<Fault> faults;
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -92,7 +92,7 @@
   std::string WatchBody(const std::string& aTarget) const;
 
   eventloop::EventLoop& m_loop;
-  http::ServerLimits m_limits;
+  base::CallerLimits m_limits;
   std::uint64_t m_revision = 1;
   std::uint64_t m_oldest = 1; //!< history before this is forgotten
   std::map<std::string, Item> m_items;
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -131,7 +131,7 @@
   WorkerSettings m_settings;
   Judge m_judge;
   Observer m_observer;
-  http::ServerLimits m_limits;
+  base::CallerLimits m_limits;
   std::vector<std::unique_ptr<WorkerRun>> m_runs;
   std::vector<Work> m_works;
   http::ConnectionSet m_connections;
