Only the store itself is its return: what a peer proved before the loss is none

A router that learned from another router since an outage turned to the store five seconds later, took that for the store's return and kept an upstream that had left just then as if its entry had lapsed.

Change: the list is told at which moment the store was there (StoreReached), by its own watch or by the proof in another router's news; only the first proof from after the loss is a return. Ruled out: telling the list of each change of the source, which says nothing about the store.

--- a/src/fleet/internal/upstreamlist.cpp
+++ b/src/fleet/internal/upstreamlist.cpp
@@ -15,11 +15,14 @@
 }
 
 void
-UpstreamList::StoreBack(TimePoint aNow)
+UpstreamList::StoreReached(TimePoint aAt)
 {
-  if (m_lostAt && aNow - *m_lostAt >= m_lapseAfter) {
-    m_lapsesUntil = aNow + kLapseNoticed;
-    m_graceUntil = aNow + kLapseGrace;
+  if (!m_lostAt || aAt < *m_lostAt) {
+    return;
+  }
+  if (aAt - *m_lostAt >= m_lapseAfter) {
+    m_lapsesUntil = aAt + kLapseNoticed;
+    m_graceUntil = aAt + kLapseGrace;
   }
   m_lostAt.reset();
 }
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -164,7 +164,7 @@
   cr_assert(!list.MayGetWork("a"));
   list.StoreLost(100ms);
   cr_assert(!list.MayGetWork("a"));
-  list.StoreBack(9000ms);
+  list.StoreReached(9000ms);
   const auto notices = list.Replace({ Entry("b") }, 9001ms);
   cr_assert(notices.at(0).change == EntryChange::Gone);
 }
@@ -174,7 +174,7 @@
   UpstreamList list;
   list.Replace({ Entry("a"), Entry("b"), Entry("c") }, 0ms);
   list.StoreLost(100ms);
-  list.StoreBack(6000ms);
+  list.StoreReached(6000ms);
   list.Replace({ Entry("c") }, 6001ms);
   cr_assert(list.MayGetWork("a"));
   list.Put(Entry("a"));
@@ -192,20 +192,31 @@
   UpstreamList list;
   list.Replace({ Entry("a") }, 0ms);
   list.StoreLost(100ms);
-  list.StoreBack(9300ms);
+  list.StoreReached(9300ms);
   list.Replace({ Entry("a") }, 9300ms);
   const auto notices = list.Remove("a", 10100ms);
   cr_assert(notices.at(0).change == EntryChange::Gone);
   cr_assert(!list.MayGetWork("a"));
 }
 
+Test(upstreamlist, WhatWasProvenBeforeTheLossIsNoReturn)
+{
+  UpstreamList list;
+  list.Replace({ Entry("a") }, 0ms);
+  list.StoreLost(1000ms);
+  list.StoreReached(900ms); // another router's proof, still from before
+  list.StoreReached(6000ms);
+  list.Replace({}, 6001ms);
+  cr_assert(list.MayGetWork("a"));
+}
+
 Test(upstreamlist, AShortAbsenceOfTheStoreLetsNothingLapse)
 {
   UpstreamList list;
   list.Configure(2400ms);
   list.Replace({ Entry("a") }, 0ms);
   list.StoreLost(100ms);
-  list.StoreBack(900ms);
+  list.StoreReached(900ms);
   list.Replace({}, 901ms);
   cr_assert(!list.MayGetWork("a"));
 }
--- a/src/fleet/upstreamlist.h
+++ b/src/fleet/upstreamlist.h
@@ -39,7 +39,9 @@
   void Configure(Duration aLapseAfter) { m_lapseAfter = aLapseAfter; }
 
   void StoreLost(TimePoint aNow);
-  void StoreBack(TimePoint aNow);
+  //! The store was there at aAt, whether this router reached it or another
+  //! one that it learns from.
+  void StoreReached(TimePoint aAt);
 
   std::vector<EntryNotice> Put(const UpstreamEntry& aEntry);
   std::vector<EntryNotice> Remove(const std::string& aId, TimePoint aNow);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,7 +84,7 @@
   void OnRemoved(const std::string& aId) override;
   void OnProven(base::TimePoint aAt) override;
   void OnStoreLost(const std::string& aWhy) override;
-  void OnStoreBack() override;
+  void OnStoreReached(base::TimePoint aAt) override;
 
 private:
   void Accept(const ACE_SOCK_Stream& aStream);
--- a/src/gateway/inewssource.h
+++ b/src/gateway/inewssource.h
@@ -14,6 +14,8 @@
 public:
   virtual ~INewsEvents() = default;
 
+  //! The store was there at aAt; comes before what it held then.
+  virtual void OnStoreReached(base::TimePoint aAt) = 0;
   virtual void OnStoredConfig(const std::string& aBytes) = 0;
   //! Every upstream that is listed now.
   virtual void OnListed(const std::vector<fleet::UpstreamEntry>& aEntries) = 0;
@@ -22,7 +24,6 @@
   //! All that the store held at aAt has been told.
   virtual void OnProven(base::TimePoint aAt) = 0;
   virtual void OnStoreLost(const std::string& aWhy) = 0;
-  virtual void OnStoreBack() = 0;
 };
 
 //! Keeps up with what the platform's store holds.
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -227,9 +227,9 @@
 }
 
 void
-Gateway::OnStoreBack()
+Gateway::OnStoreReached(base::TimePoint aAt)
 {
-  m_fleet.Upstreams().StoreBack(m_loop.Now());
+  m_fleet.Upstreams().StoreReached(aAt);
 }
 
 }
--- a/src/gateway/internal/newsfollower.cpp
+++ b/src/gateway/internal/newsfollower.cpp
@@ -80,6 +80,10 @@
 {
   m_life = aNews.life;
   m_sequence = aNews.sequence;
+  //! NOTE the answer may have waited in a buffer, so its age is counted from
+  //! the question: the router answered after that.
+  const auto provenAt = m_askedAt - aNews.proofAge;
+  m_events.OnStoreReached(provenAt);
   if (!aNews.config.empty()) {
     m_events.OnStoredConfig(aNews.config);
   }
@@ -93,9 +97,7 @@
       m_events.OnRemoved(id);
     }
   }
-  //! NOTE the answer may have waited in a buffer, so its age is counted from
-  //! the question: the router answered after that.
-  m_events.OnProven(m_askedAt - aNews.proofAge);
+  m_events.OnProven(provenAt);
   m_onAnswer(aNews.proofAge);
 }
 
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -136,7 +136,7 @@
     base::LogLine("store-regained").Info();
   }
   //! NOTE also of a store that another follower of this router had lost.
-  m_events.OnStoreBack();
+  m_events.OnStoreReached(m_loop.Now());
   const bool watched = m_step == Step::Watch;
   const bool changed = watched ? TakeWatch() : TakeList();
   if (watched && changed) {
