A prefix goes to five engines, not to whichever of all looks empty

Cause: on a grown deployment (89 routers, 60 engines) what routers know of the load is 150 to 300 ms old. Placement looked at all engines, so all routers sent to the few that were empty in the last reports: in 0.2 s these went from 6,000 to 30,000 unread tokens.

Change: a prefix goes to the first five of its order; a request that is owed and finds no room there looks at eight engines drawn by its own key instead of the emptiest of all. The core test of the hot prefix asks for 90 instead of 60 requests, as five engines now hold 60: all eight must still be used and none refused.

What is beyond the shares still comes in waves, next.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -212,7 +212,7 @@
     //! NOTE its prefix's upstreams are full; it may still be in time where
     //! all of it has to be read. For what no one is owed that would be
     //! reading for nothing.
-    placed = fleet::Place(Spread(), candidates, key);
+    placed = fleet::Place(Spread(), candidates, aRequest.key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
   const auto& candidate = candidates[placed->candidate];
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -3,6 +3,7 @@
 #include "fleet/fleetconstants.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace hemlockgauge::fleet {
@@ -62,6 +63,18 @@
 {
   double operator()(const PrefixAffinity&) const { return kRereadWeight; }
   double operator()(const LeastWait&) const { return 0.0; }
+  double operator()(const SampledWait&) const { return 0.0; }
+};
+
+//! How many engines of the order are looked at.
+struct Reach
+{
+  int operator()(const PrefixAffinity&) const { return kPrefixReach; }
+  int operator()(const LeastWait&) const
+  {
+    return std::numeric_limits<int>::max();
+  }
+  int operator()(const SampledWait&) const { return kSampleSize; }
 };
 
 struct RankCost
@@ -74,6 +87,7 @@
   }
   //! Only breaks ties, so that routers do not all take the same one.
   double operator()(const LeastWait&) const { return 0.001 * rank; }
+  double operator()(const SampledWait&) const { return 0.001 * rank; }
 };
 
 }
@@ -104,7 +118,7 @@
 PlacementPolicy
 Spread()
 {
-  return LeastWait{};
+  return SampledWait{};
 }
 
 std::optional<Placed>
@@ -112,24 +126,25 @@
       const std::vector<Candidate>& aCandidates,
       std::uint64_t aKey)
 {
-  if (aCandidates.empty()) {
-    return std::nullopt;
-  }
   const auto ranks = RanksOf(aCandidates, aKey);
   const double rereadWeight = std::visit(RereadWeight{}, aPolicy);
-  Placed best;
+  const int reach = std::visit(Reach{}, aPolicy);
+  std::optional<Placed> best;
   double bestCost = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const auto& candidate = aCandidates[i];
+    if (candidate.isEngine && ranks[i] >= reach) {
+      continue;
+    }
     const double foreseen = candidate.ForeseenMs();
     const double rankCost = candidate.isEngine
                               ? std::visit(RankCost{ ranks[i] }, aPolicy)
                               : SpreadCost(candidate, ranks[i]);
     const double cost =
       foreseen + Reluctance(candidate, rereadWeight) + rankCost;
-    if (i == 0 || cost < bestCost) {
+    if (!best || cost < bestCost) {
       bestCost = cost;
-      best = { i, foreseen, ranks[i] };
+      best = Placed{ i, foreseen, ranks[i] };
     }
   }
   return best;
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -32,6 +32,9 @@
 //! at all routers without a message (rendezvous hashing), left for another
 //! rank as soon as that one is that much sooner. Answers the load pattern
 //! "few long prefixes, many requests": read once, found again after.
+//! Only the first kPrefixReach ranks count. What a router knows of the load
+//! is a few hundred ms old; if all looked at all engines, all would send to
+//! the same few that were empty then, and fill them for a second.
 struct PrefixAffinity
 {};
 
@@ -39,7 +42,12 @@
 struct LeastWait
 {};
 
-using PlacementPolicy = std::variant<PrefixAffinity, LeastWait>;
+//! The least foreseen wait of kSampleSize engines that are drawn by the key:
+//! routers with the same old view then draw different ones.
+struct SampledWait
+{};
+
+using PlacementPolicy = std::variant<PrefixAffinity, LeastWait, SampledWait>;
 
 enum class PlacementKind : std::uint8_t
 {
@@ -52,8 +60,8 @@
 PlacementPolicy
 MakePlacementPolicy(PlacementKind aKind);
 
-//! The least foreseen wait, whatever has to be read again for it: for a
-//! request that would be refused where the policy wants it.
+//! For a request that would be refused where the policy wants it: elsewhere,
+//! whatever has to be read again for that. Its key is the request's own.
 PlacementPolicy
 Spread();
 
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -239,7 +239,7 @@
   bench.List(8);
   std::map<std::string, int> used;
   int refused = 0;
-  for (int i = 0; i < 60; ++i) {
+  for (int i = 0; i < 90; ++i) {
     const auto place = bench.Place(bench.Ask(7));
     refused += place.outcome == PlaceOutcome::Refused ? 1 : 0;
     used[place.upstreamId]++;
