--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -256,6 +256,7 @@
   attempt.unreadTokens =
     static_cast<std::uint32_t>(std::max(aCandidate.missingTokens, 0.0));
   attempt.tokensAhead = aCandidate.unreadTokens + aCandidate.missingTokens;
+  attempt.foreseenMs = aCandidate.ForeseenMs();
   attempt.sentAt = aNow;
   upstream.running++;
   upstream.unreadTokens += attempt.unreadTokens;
@@ -300,6 +301,7 @@
   if (upstream != nullptr && upstream->isEngine) {
     const auto took = static_cast<double>((aNow - attempt.sentAt).count());
     upstream->readRate.Learn(attempt.tokensAhead, took);
+    m_forecastError.Learn(attempt.foreseenMs, took);
   }
   EndReading(upstream, attempt);
 }
@@ -517,7 +519,8 @@
   const double reading = m_demand.Reading() + m_peers.Reading();
   const double begunPerRead =
     reading > 0 ? std::max(aBegun / reading, 1.0) : 1.0;
-  return std::max(aOwed, kReadingUse * ReadingCapacity() * begunPerRead);
+  return std::max(
+    aOwed, m_forecastError.ReadingUse() * ReadingCapacity() * begunPerRead);
 }
 
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,6 +3,7 @@
 #include "fleet/admission.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
+#include "fleet/forecasterror.h"
 #include "fleet/freshness.h"
 #include "fleet/membership.h"
 #include "fleet/passlevel.h"
@@ -174,6 +175,7 @@
     UpstreamId upstream{};
     std::uint32_t unreadTokens = 0;
     double tokensAhead = 0; //!< unread there when it was sent, its own too
+    double foreseenMs = 0;  //!< to its first token
     TimePoint sentAt{};
     bool waitsForFirst = true;
   };
@@ -212,6 +214,7 @@
   bool m_othersWait = false; //!< see AdmissionInput
   double m_excessLevel; //!< the most if all that is served were split alike
   PassLevel m_passLevel;
+  ForecastError m_forecastError;
   bool m_newsIsOld = false; //!< reports come through hubs
   std::uint64_t m_group = 0;
   bool m_sumsUp = false;                 //!< for others: see ExchangePlan
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -91,10 +91,18 @@
 //! which shares are owed.
 inline constexpr base::Duration kShareMemory = 2000ms;
 //! The part of what all engines can read that may begin at once beyond the
-//! shares. The learned reading speed has the time for generated tokens in it.
-//! In the model 0.8 leaves a tenth of the engines idle, 1.2 makes the wait half
-//! as long again.
-inline constexpr double kReadingUse = 1.0;
+//! shares: of learned speeds, which have the time for generated tokens in
+//! them. In the model 0.8 leaves a tenth of the engines idle and 1.2 makes the
+//! wait half as long again; where forecasts hold, the wait bounds it anyway.
+inline constexpr double kReadingUseLeast = 1.0;
+inline constexpr double kReadingUseMost = 2.0;
+//! Mean errors of the foreseen wait, in ms: a calm day's, and one that makes
+//! requests of the shortest targets late.
+inline constexpr double kForecastErrorSmall = 40.0;
+inline constexpr double kForecastErrorLarge = 140.0;
+//! Weight of one more first token in the mean error: two seconds of one
+//! router's requests on a grown deployment.
+inline constexpr double kForecastGain = 0.04;
 
 // ---- failures
 
