Prefixes get old by what is read; how much may begin follows the forecasts

And after an outage of the store all prefixes were taken for gone (7 s without use), though nothing had been read meanwhile; requests were then refused for the time of reading all again (foreseen 270 to 770 ms, 1,000 refused a half second, seconds 27 to 31).

Change: ForecastError, the mean of how much later than foreseen first tokens came; the room of the level goes from all that engines can read to three times that as the error gets small. PrefixMap counts age in tokens that a mean engine has read since, 170,000 of 232,000.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -150,7 +150,7 @@
         static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
       candidate.missingTokens =
         static_cast<double>(aRequest.work->promptTokens) -
-        m_prefixes.Held(*aRequest.work, id, aNow);
+        m_prefixes.Held(*aRequest.work, id);
       candidate.readRate = upstream.readRate.TokensPerMs();
       candidate.running = upstream.running + told.running;
       candidate.slots = std::max(entry.slots, 1U);
@@ -261,7 +261,7 @@
   upstream.running++;
   upstream.unreadTokens += attempt.unreadTokens;
   for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
-    m_prefixes.Used(work.prompt[i].id, aUpstream, aNow);
+    m_prefixes.Used(work.prompt[i].id, aUpstream);
     if (m_usesHere.size() < kMostUsesTold) {
       m_usesHere.push_back({ work.prompt[i].id, aUpstream });
     }
@@ -363,7 +363,7 @@
     return false;
   }
   for (const auto& use : aReport.uses) {
-    m_prefixes.Used(use.part, use.upstream, aNow);
+    m_prefixes.Used(use.part, use.upstream);
   }
   if (m_sumsUp && aReport.scope == ReportScope::Router) {
     Append(m_usesOfGroup, aReport.uses);
@@ -454,11 +454,28 @@
   return sum;
 }
 
+void
+Fleet::AgePrefixes(TimePoint aNow)
+{
+  const auto engines =
+    std::count_if(m_upstreams.begin(),
+                  m_upstreams.end(),
+                  [](const auto& aEntry) { return aEntry.second.isEngine; });
+  const auto past = static_cast<double>((aNow - m_agedAt).count());
+  m_agedAt = aNow;
+  const double reading = m_demand.Reading() + m_peers.Reading();
+  if (engines > 0) {
+    m_prefixes.Advance(reading * past /
+                       (kMillisPerSecond * static_cast<double>(engines)));
+  }
+  m_prefixes.Forget();
+}
+
 void
 Fleet::Tick(TimePoint aNow)
 {
   m_peers.Forget(aNow);
-  m_prefixes.Forget(aNow);
+  AgePrefixes(aNow);
   m_retries.SetRouters(m_peers.Routers() + 1);
   m_fleetRates = m_demand.Rates(aNow);
   for (const auto& [workspace, rate] : m_peers.Rates()) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -186,6 +186,7 @@
   double ReadingCapacity() const;
   double RoomFor(double aOwed, double aBegun) const;
   void SetLevels();
+  void AgePrefixes(TimePoint aNow);
   void TakeProof(const PeerReport& aReport);
   Admission Judge(const PlaceRequest& aRequest,
                   const Candidate& aCandidate,
@@ -207,6 +208,7 @@
   RetryBudget m_retries;
   PeerView m_peers;
   PrefixMap m_prefixes;
+  TimePoint m_agedAt{}; //!< m_prefixes
   DemandMeter m_demand;
   WorkspaceRates m_fleetRates;
   double m_shareLevel;       //!< the most that a workspace is owed
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -12,9 +12,10 @@
 
 // ---- what an upstream holds and how fast it reads
 
-//! An engine is taken to hold a prompt's part for this long after its last
-//! use: 232,000 tokens of memory, 24,000 new ones a second at sheet rates.
-inline constexpr base::Duration kPrefixKept = 7000ms;
+//! An engine is taken to hold a prompt's part until it has read so many
+//! tokens since its last use: three quarters of the memory of today's engines
+//! (232,000), for what runs needs some.
+inline constexpr double kPrefixKeptTokens = 170000;
 //! Reading speed before anything was measured, in tokens a ms: three
 //! quarters of what today's engines do at their best.
 inline constexpr double kReadRatePrior = 28.0;
@@ -95,7 +96,7 @@
 //! them. In the model 0.8 leaves a tenth of the engines idle and 1.2 makes the
 //! wait half as long again; where forecasts hold, the wait bounds it anyway.
 inline constexpr double kReadingUseLeast = 1.0;
-inline constexpr double kReadingUseMost = 2.0;
+inline constexpr double kReadingUseMost = 3.0;
 //! Mean errors of the foreseen wait, in ms: a calm day's, and one that makes
 //! requests of the shortest targets late.
 inline constexpr double kForecastErrorSmall = 40.0;
--- a/src/fleet/internal/prefixmap.cpp
+++ b/src/fleet/internal/prefixmap.cpp
@@ -17,19 +17,25 @@
   return aPart ^ (std::uint64_t{ base::Raw(aUpstream) } * kSpread);
 }
 
+bool
+PrefixMap::IsOld(double aLastUse) const
+{
+  return m_read - aLastUse > kPrefixKeptTokens;
+}
+
 void
-PrefixMap::Used(std::uint64_t aPart, UpstreamId aUpstream, TimePoint aNow)
+PrefixMap::Used(std::uint64_t aPart, UpstreamId aUpstream)
 {
-  m_lastUse[KeyOf(aPart, aUpstream)] = aNow;
+  m_lastUse[KeyOf(aPart, aUpstream)] = m_read;
 }
 
 std::uint32_t
-PrefixMap::Held(const Work& aWork, UpstreamId aUpstream, TimePoint aNow) const
+PrefixMap::Held(const Work& aWork, UpstreamId aUpstream) const
 {
   std::uint32_t held = 0;
   for (const auto& part : aWork.prompt) {
     const auto found = m_lastUse.find(KeyOf(part.id, aUpstream));
-    if (found == m_lastUse.end() || aNow - found->second > kPrefixKept) {
+    if (found == m_lastUse.end() || IsOld(found->second)) {
       break;
     }
     held += part.tokens;
@@ -38,11 +44,10 @@
 }
 
 void
-PrefixMap::Forget(TimePoint aNow)
+PrefixMap::Forget()
 {
-  std::erase_if(m_lastUse, [&](const auto& aEntry) {
-    return aNow - aEntry.second > kPrefixKept;
-  });
+  std::erase_if(m_lastUse,
+                [&](const auto& aEntry) { return IsOld(aEntry.second); });
 }
 
 }
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -1,4 +1,5 @@
 #include "fleet/fleet.h"
+#include "fleet/fleetconstants.h"
 
 #include <criterion/criterion.h>
 
@@ -99,6 +100,22 @@
   cr_assert(second.missingTokens == double{ kPromptTokens } / 2);
 }
 
+//! The same from the outside: a pause of the callers makes no prefix old.
+Test(core, APrefixOutlastsAPauseInWhichNothingIsRead)
+{
+  Bench bench;
+  bench.List(8);
+  const auto first = bench.Place(bench.Ask(7));
+  bench.now += 300ms;
+  bench.fleet.FirstToken(first.attempt, bench.now);
+  for (int i = 0; i < 200; ++i) {
+    bench.now += kReportPeriod;
+    bench.fleet.Tick(bench.now);
+  }
+  const auto second = bench.Place(bench.Ask(7));
+  cr_assert(second.missingTokens == double{ kPromptTokens } / 2);
+}
+
 Test(core, AnUpstreamThatDrainsGetsNothingMore)
 {
   Bench bench;
