An answer of the store that can't be read is no return of the store

Cause: found by a router broken on purpose in the soak: a 200 whose body could not be decoded ended the outage before the decoding failed, so the pause between calls started anew each time (16 calls a second, priced ones), each call had its line store-lost, and the list of upstreams was told of a return.

Change: the page is decoded first; TakeReturn does what a return means. Ruled out: a pause of its own for answers that can't be read.

Before: the path test AnswersThatCannotBeReadAreNoReturnOfTheStore counts 4 losses in 5 calls; after: one loss, no return.

--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -129,6 +129,22 @@
     Fail("status " + std::to_string(m_status));
     return;
   }
+  //! NOTE an answer that can't be read is no return of the store.
+  const bool watched = m_step == Step::Watch;
+  const auto page =
+    watched ? m_dialect.DecodeWatch(m_body) : m_dialect.DecodeList(m_body);
+  TakeReturn();
+  const bool changed = watched ? TakeWatch(page) : TakeList(page);
+  if (watched && changed) {
+    m_nextCallAt = m_loop.Now() + kGather;
+    return;
+  }
+  Call();
+}
+
+void
+StoreFollower::TakeReturn()
+{
   m_pause = base::Duration{};
   m_everAnswered = true;
   if (m_lost) {
@@ -137,24 +153,16 @@
   }
   //! NOTE also of a store that another follower of this router had lost.
   m_events.OnStoreReached(m_loop.Now());
-  const bool watched = m_step == Step::Watch;
-  const bool changed = watched ? TakeWatch() : TakeList();
-  if (watched && changed) {
-    m_nextCallAt = m_loop.Now() + kGather;
-    return;
-  }
-  Call();
 }
 
 bool
-StoreFollower::TakeList()
+StoreFollower::TakeList(const StorePage& aPage)
 {
-  const auto page = m_dialect.DecodeList(m_body);
   //! NOTE pages are not a snapshot: the watch begins at the first one.
   if (m_listAfter.empty()) {
-    m_listRevision = page.revision;
+    m_listRevision = aPage.revision;
   }
-  for (const auto& item : page.items) {
+  for (const auto& item : aPage.items) {
     if (const auto* config = std::get_if<StoredConfig>(&item)) {
       m_listedConfig = config->bytes;
     } else if (const auto* upstream = std::get_if<StoredUpstream>(&item)) {
@@ -163,8 +171,8 @@
       TakeItem(item);
     }
   }
-  if (page.hasMore && !page.lastKey.empty()) {
-    m_listAfter = page.lastKey;
+  if (aPage.hasMore && !aPage.lastKey.empty()) {
+    m_listAfter = aPage.lastKey;
     return true;
   }
   m_listAfter.clear();
@@ -181,15 +189,14 @@
 }
 
 bool
-StoreFollower::TakeWatch()
+StoreFollower::TakeWatch(const StorePage& aPage)
 {
-  const auto page = m_dialect.DecodeWatch(m_body);
-  for (const auto& item : page.items) {
+  for (const auto& item : aPage.items) {
     TakeItem(item);
   }
-  m_revision = std::max(m_revision, page.revision);
+  m_revision = std::max(m_revision, aPage.revision);
   m_events.OnProven(m_calledAt);
-  return !page.items.empty();
+  return !aPage.items.empty();
 }
 
 void
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -59,9 +59,11 @@
 
   void Call();
   void TakeAnswer();
+  //! The store has answered what can be read.
+  void TakeReturn();
   //! Whether something was told.
-  bool TakeList();
-  bool TakeWatch();
+  bool TakeList(const StorePage& aPage);
+  bool TakeWatch(const StorePage& aPage);
   void TakeItem(const StoreItem& aItem);
   void Fail(const std::string& aWhy);
   void DropConnection();
