--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -12,6 +12,8 @@
 
 using namespace std::chrono_literals;
 
+//! One request in so many comes with a key that was withdrawn.
+constexpr std::uint64_t kOutdatedOneIn = 16;
 constexpr base::Duration kDeadline = 4000ms;
 //! Over the deadline: nothing may keep a caller longer.
 constexpr base::Duration kPatience = 6000ms;
@@ -90,7 +92,9 @@
   call.method = kind == 0 ? "GET" : "POST";
   call.path = fmt::format("/{}/x", kPaths[kind]);
   call.id = m_id;
-  call.key = m_shared.key;
+  const bool outdated =
+    !m_shared.withdrawnKey.empty() && m_random() % kOutdatedOneIn == 0;
+  call.key = outdated ? m_shared.withdrawnKey : m_shared.key;
   call.deadlineMs = kDeadline.count();
   call.body = kind == 0 ? "" : "body of " + m_id;
   if (stream) {
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -33,6 +33,7 @@
   Promises& promises;
   std::vector<base::Address> routers;
   std::string key;
+  std::string withdrawnKey; //!< the one before; empty: none
   std::array<std::uint64_t, kCallEnds> ends{};
   //! By second since the start: how calls ended.
   std::vector<std::array<std::uint32_t, kCallEnds>> bySecond;
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -49,7 +49,7 @@
   , m_port(aPort)
   , m_plan(MakePlan(aSettings))
   , m_store(m_loop, At(10))
-  , m_shared{ m_loop, m_promises, {}, "", {}, {}, {}, {} }
+  , m_shared{ m_loop, m_promises, {}, "", "", {}, {}, {}, {} }
 {
   m_storeProxy = std::make_unique<ChaosProxy>(m_loop, At(11), At(10));
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
@@ -303,6 +303,7 @@
     case FaultKind::WithdrawKey:
       m_withdrawnAt[fmt::format("w-{}", m_keyNumber)] = m_loop.Now();
       m_keyNumber++;
+      m_shared.withdrawnKey = m_shared.key;
       PutConfig();
       return;
     default:
@@ -434,6 +435,7 @@
   m_promises.Check(Promise::Recovery,
                    all > 0 && served >= kServedWhenQuiet * all,
                    fmt::format("{:.0f} of {:.0f} served", served, all));
+  StopOneInQuiet();
   for (const auto& caller : m_callers) {
     caller->Stop();
   }
@@ -442,6 +444,20 @@
   return m_promises.Broken().empty();
 }
 
+//! Faults come in series, so few planned stops among them are calm.
+void
+SoakRun::StopOneInQuiet()
+{
+  auto& router = m_routers.front();
+  BeginRouterFault({ {}, {}, FaultKind::StopRouter, 0 });
+  const auto limit = m_loop.Now() + kGrace + kMachineSlack;
+  while (router.stopping && m_loop.Now() < limit) {
+    m_loop.RunOnce();
+  }
+  m_promises.Check(
+    Promise::GracefulStopCuts, !router.stopping, "r0 did not end in its grace");
+}
+
 std::string
 SoakRun::Report() const
 {
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -65,6 +65,7 @@
   void ReviveRouters(base::TimePoint aNow);
   void OnRun(const Upstream& aUpstream, const standins::WorkerRun& aRun);
   void RunUntil(base::TimePoint aUntil);
+  void StopOneInQuiet();
   bool IsCalm() const;
 
   SoakSettings m_settings;
