Only the engines within reach are looked at

Cause: for each request, also each that a flood gets refused, placing looked at every upstream: loads of the others, three parts of the prompt, a sort of all (90 engines on a router of an eighth of a core).

Change: Eligible names them, KeepNearest keeps the first five of the prefix's order (eight of the request's own), and candidates are made of these alone; the reach of a policy stands in ReachOf instead of in the choice. Ruled out: an index by service, the names cost little now.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -180,9 +180,14 @@
     bool waitsForFirst = true;
   };
 
+  std::vector<UpstreamId> Eligible(const PlaceRequest& aRequest,
+                                   TimePoint aNow) const;
+  Candidate MakeCandidate(const PlaceRequest& aRequest,
+                          UpstreamId aUpstream) const;
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
-                                    std::vector<UpstreamId>& aIds,
-                                    TimePoint aNow) const;
+                                    std::vector<UpstreamId> aEligible,
+                                    const PlacementPolicy& aPolicy,
+                                    std::uint64_t aKey) const;
   double ReadingCapacity() const;
   double RoomFor(double aOwed, double aBegun) const;
   void SetLevels();
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -46,9 +46,9 @@
 inline constexpr int kMostRanks = 6;
 //! Engines that a prefix may go to. Of 3 to 8 the model of 40 routers over 30
 //! engines served most in time with 4 to 5 (see tests/loadtests.cpp).
-inline constexpr int kPrefixReach = 5;
+inline constexpr std::size_t kPrefixReach = 5;
 //! Engines that a request looks at which none of these can serve in time.
-inline constexpr int kSampleSize = 8;
+inline constexpr std::size_t kSampleSize = 8;
 //! The same for a plain service, as a part of its time for an answer: what
 //! a learned time may be off without drawing all work to one upstream.
 inline constexpr double kSpreadPart = 0.1;
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -29,47 +29,68 @@
   return found == m_fleetRates.end() ? 0.0 : found->second.begun;
 }
 
-std::vector<Candidate>
-Fleet::Candidates(const PlaceRequest& aRequest,
-                  std::vector<UpstreamId>& aIds,
-                  TimePoint aNow) const
+//! Upstreams of its service that may get it. Those that failed lately come in
+//! only if there are no others.
+std::vector<UpstreamId>
+Fleet::Eligible(const PlaceRequest& aRequest, TimePoint aNow) const
 {
-  std::vector<Candidate> candidates;
+  std::vector<UpstreamId> sound;
+  std::vector<UpstreamId> ejected;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const auto& entry = upstream.entry;
+    const bool fits =
+      entry.service == aRequest.service && !entry.draining &&
+      std::find(aRequest.avoid.begin(), aRequest.avoid.end(), id) ==
+        aRequest.avoid.end();
+    if (fits) {
+      (upstream.health.IsEjected(aNow) ? ejected : sound).push_back(id);
+    }
+  }
+  return sound.empty() ? ejected : sound;
+}
+
+Candidate
+Fleet::MakeCandidate(const PlaceRequest& aRequest, UpstreamId aUpstream) const
+{
+  const auto& upstream = m_upstreams.at(aUpstream);
+  const auto& entry = upstream.entry;
+  const auto told = m_peers.LoadOf(aUpstream);
   const auto known = m_serviceTimes.find(aRequest.service);
   const auto serviceTime =
     known == m_serviceTimes.end() ? ServiceTime{} : known->second;
-  const auto add = [&](bool aEjectedToo) {
-    for (const auto& [id, upstream] : m_upstreams) {
-      const auto& entry = upstream.entry;
-      const bool fits =
-        entry.service == aRequest.service && !entry.draining &&
-        std::find(aRequest.avoid.begin(), aRequest.avoid.end(), id) ==
-          aRequest.avoid.end();
-      if (!fits || (!aEjectedToo && upstream.health.IsEjected(aNow))) {
-        continue;
-      }
-      const auto told = m_peers.LoadOf(id);
-      Candidate candidate;
-      candidate.upstream = id;
-      candidate.isEngine = upstream.isEngine;
-      candidate.unreadTokens =
-        static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
-      candidate.missingTokens =
-        static_cast<double>(aRequest.work->promptTokens) -
-        m_prefixes.Held(*aRequest.work, id);
-      candidate.readRate = upstream.readRate.TokensPerMs();
-      candidate.running = upstream.running + told.running;
-      candidate.slots = std::max(entry.slots, 1U);
-      candidate.serviceMs = upstream.time.Millis(serviceTime);
-      candidate.failurePart = upstream.health.FailurePart();
-      candidate.sameZone = entry.zone == m_settings.zone;
-      candidates.push_back(candidate);
-      aIds.push_back(id);
-    }
-  };
-  add(false);
-  if (candidates.empty()) {
-    add(true);
+  Candidate candidate;
+  candidate.upstream = aUpstream;
+  candidate.isEngine = upstream.isEngine;
+  candidate.unreadTokens =
+    static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
+  candidate.missingTokens = static_cast<double>(aRequest.work->promptTokens) -
+                            m_prefixes.Held(*aRequest.work, aUpstream);
+  candidate.readRate = upstream.readRate.TokensPerMs();
+  candidate.running = upstream.running + told.running;
+  candidate.slots = std::max(entry.slots, 1U);
+  candidate.serviceMs = upstream.time.Millis(serviceTime);
+  candidate.failurePart = upstream.health.FailurePart();
+  candidate.sameZone = entry.zone == m_settings.zone;
+  return candidate;
+}
+
+//! Only those that aPolicy looks at: a router on an eighth of a core has no
+//! time to look at a hundred engines for each request of a flood.
+std::vector<Candidate>
+Fleet::Candidates(const PlaceRequest& aRequest,
+                  std::vector<UpstreamId> aEligible,
+                  const PlacementPolicy& aPolicy,
+                  std::uint64_t aKey) const
+{
+  const bool isEngine =
+    !aEligible.empty() && m_upstreams.at(aEligible.front()).isEngine;
+  if (isEngine) {
+    KeepNearest(aEligible, aKey, ReachOf(aPolicy));
+  }
+  std::vector<Candidate> candidates;
+  candidates.reserve(aEligible.size());
+  for (const auto id : aEligible) {
+    candidates.push_back(MakeCandidate(aRequest, id));
   }
   return candidates;
 }
@@ -102,11 +123,8 @@
 Fleet::Place(const PlaceRequest& aRequest, TimePoint aNow)
 {
   PlaceResult result;
-  std::vector<UpstreamId> ids;
-  const auto candidates = Candidates(aRequest, ids, aNow);
   const auto* shared = aRequest.work->LastShared();
   const auto key = shared != nullptr ? shared->id : aRequest.key;
-  auto placed = fleet::Place(m_policy, candidates, key);
   const double begun = BegunFor(aRequest.workspace);
   result.insideShare = begun < m_shareLevel;
   result.excess = begun / m_excessLevel;
@@ -114,6 +132,9 @@
   result.passesLevel = !aRequest.work->IsGeneration() || aRequest.admitted ||
                        m_passLevel.Pass(aRequest.workspace);
   result.peersAge = m_peers.Age(aNow);
+  const auto eligible = Eligible(aRequest, aNow);
+  auto candidates = Candidates(aRequest, eligible, m_policy, key);
+  auto placed = fleet::Place(m_policy, candidates, key);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
     return result;
@@ -125,6 +146,7 @@
     //! NOTE its prefix's upstreams are full; it may still be in time where
     //! all of it has to be read. For what no one is owed that would be
     //! reading for nothing.
+    candidates = Candidates(aRequest, eligible, Spread(), aRequest.key);
     placed = fleet::Place(Spread(), candidates, aRequest.key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
@@ -139,7 +161,7 @@
     result.retryAfter = admission.retryAfter;
     return result;
   }
-  const auto id = ids[placed->candidate];
+  const auto id = candidate.upstream;
   const auto& entry = m_upstreams.at(id).entry;
   result.outcome = PlaceOutcome::Placed;
   result.upstream = id;
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -69,12 +69,12 @@
 //! How many engines of the order are looked at.
 struct Reach
 {
-  int operator()(const PrefixAffinity&) const { return kPrefixReach; }
-  int operator()(const LeastWait&) const
+  std::size_t operator()(const PrefixAffinity&) const { return kPrefixReach; }
+  std::size_t operator()(const LeastWait&) const
   {
-    return std::numeric_limits<int>::max();
+    return std::numeric_limits<std::size_t>::max();
   }
-  int operator()(const SampledWait&) const { return kSampleSize; }
+  std::size_t operator()(const SampledWait&) const { return kSampleSize; }
 };
 
 struct RankCost
@@ -121,6 +121,34 @@
   return SampledWait{};
 }
 
+std::size_t
+ReachOf(const PlacementPolicy& aPolicy)
+{
+  return std::visit(Reach{}, aPolicy);
+}
+
+void
+KeepNearest(std::vector<UpstreamId>& aUpstreams,
+            std::uint64_t aKey,
+            std::size_t aReach)
+{
+  if (aUpstreams.size() <= aReach) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, UpstreamId>> order;
+  order.reserve(aUpstreams.size());
+  for (const auto id : aUpstreams) {
+    order.emplace_back(RankHash(aKey, id), id);
+  }
+  std::nth_element(order.begin(),
+                   order.begin() + static_cast<std::ptrdiff_t>(aReach),
+                   order.end());
+  aUpstreams.clear();
+  for (std::size_t i = 0; i < aReach; ++i) {
+    aUpstreams.push_back(order[i].second);
+  }
+}
+
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
@@ -128,14 +156,10 @@
 {
   const auto ranks = RanksOf(aCandidates, aKey);
   const double rereadWeight = std::visit(RereadWeight{}, aPolicy);
-  const int reach = std::visit(Reach{}, aPolicy);
   std::optional<Placed> best;
   double bestCost = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const auto& candidate = aCandidates[i];
-    if (candidate.isEngine && ranks[i] >= reach) {
-      continue;
-    }
     const double foreseen = candidate.ForeseenMs();
     const double rankCost = candidate.isEngine
                               ? std::visit(RankCost{ ranks[i] }, aPolicy)
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -65,6 +65,16 @@
 PlacementPolicy
 Spread();
 
+//! How many engines of the key's order aPolicy looks at.
+std::size_t
+ReachOf(const PlacementPolicy& aPolicy);
+
+//! Keeps the first aReach in the order of the key, in any order.
+void
+KeepNearest(std::vector<UpstreamId>& aUpstreams,
+            std::uint64_t aKey,
+            std::size_t aReach);
+
 struct Placed
 {
   std::size_t candidate = 0; //!< index
@@ -72,8 +82,9 @@
   int rank = 0; //!< in the order of the prefix; 0 for plain requests
 };
 
-//! aKey: by which the order of the upstreams is drawn: the shared part of
-//! the prompt, or anything that differs between requests without one.
+//! aCandidates: those within the policy's reach. aKey: by which the order of
+//! the upstreams is drawn: the shared part of the prompt, or anything that
+//! differs between requests without one.
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -84,6 +84,16 @@
 
 // ---- routes
 
+std::vector<UpstreamId>
+Ids(std::uint32_t aCount)
+{
+  std::vector<UpstreamId> ids;
+  for (std::uint32_t i = 0; i < aCount; ++i) {
+    ids.push_back(UpstreamIdOf("u" + std::to_string(i)));
+  }
+  return ids;
+}
+
 Test(routetable, TheLongestPrefixOfTheHostWins)
 {
   const RouteTable table(ConfigWith({ RouteOf("a.example", "/x/"),
@@ -343,6 +353,26 @@
   }
 }
 
+Test(placement, TheNearestAreTheFirstOfTheKeysOrder)
+{
+  const auto prefix = Ids(40);
+  auto nearest = prefix;
+  KeepNearest(nearest, 7, 5);
+  cr_assert(nearest.size() == 5);
+  auto without = prefix;
+  std::erase(without, nearest.front());
+  auto next = without;
+  KeepNearest(next, 7, 5);
+  int same = 0;
+  for (const auto id : next) {
+    same += std::count(nearest.begin(), nearest.end(), id) > 0 ? 1 : 0;
+  }
+  cr_assert(same == 4, "one that leaves is replaced, the others stay");
+  auto few = Ids(3);
+  KeepNearest(few, 7, 5);
+  cr_assert(few.size() == 3);
+}
+
 Test(placement, NowhereToGoIsSaid)
 {
   cr_assert(!Place(PrefixAffinity{}, {}, 1).has_value());
