Reverted: a starting router looks for others before it turns to the store

Change tried: for 300 ms after its start a router waits to hear of a large fleet.

Starts are not what makes the calls; who makes them is open (docs/MEASUREMENTS.md).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -121,7 +121,7 @@
 void
 Gateway::Start()
 {
-  m_startedAt = m_loop.Now();
+  OpenSource();
   m_newsServer = std::make_unique<NewsServer>(
     m_loop, m_settings.controlListen, m_newsLog, [this] {
       return m_fleet.ConfigFreshness().Age(m_loop.Now());
@@ -321,9 +321,7 @@
       exchange->Tick(now);
     }
   }
-  if (m_news) {
-    m_news->Tick(now);
-  }
+  m_news->Tick(now);
   m_newsServer->Tick(now);
   FollowStop(now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -114,13 +114,12 @@
   fleet::NewsLog m_newsLog;
   fleet::SourcePolicy m_sources;
   std::optional<fleet::NewsSource> m_opened; //!< what m_news follows
-  std::unique_ptr<INewsSource> m_news; //!< none until others were looked for
+  std::unique_ptr<INewsSource> m_news;
   std::unique_ptr<NewsServer> m_newsServer;
   fleet::Membership m_members;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<ProbeServer> m_probes;
   std::unique_ptr<http::Listener> m_listener;
-  base::TimePoint m_startedAt{};
   std::optional<base::TimePoint> m_stopBeganAt;
   bool m_ready = false;
   bool m_stopped = false;
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -27,10 +27,6 @@
 //! it always, and of one that turns to it last of all, with many others.
 constexpr base::Duration kStorePause = 400ms;
 constexpr base::Duration kStorePauseLastResort = 2000ms;
-//! How long a router that starts looks for others before it turns to the
-//! store: three periods of reports, so that all that start at once know each
-//! other.
-constexpr base::Duration kFindOthers = 300ms;
 
 }
 
@@ -88,11 +84,6 @@
 void
 Gateway::ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow)
 {
-  const bool looks = !m_opened && !m_settings.seeds.empty() &&
-                     !aPlan.IsLarge() && aNow - m_startedAt < kFindOthers;
-  if (looks) {
-    return;
-  }
   std::vector<fleet::NewsSource> options;
   const auto add = [&](const std::vector<base::Address>& aRouters,
                        std::size_t aMost) {
