A rate that is no number is refused; no level without shares

A report's rates are floats from the wire: one that is not a number, or is negative, would spoil the sums of the whole fleet. And a configuration that no longer says what engines do together left the level of the one before.

Ruled out: clamping to zero, which hides a fault of the sender.

Before: core test WithoutSharesThereIsNoLevel and the report test fail; after: pass.

--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -66,6 +66,8 @@
   m_mostBegun = 0;
   const double owed = m_routes ? m_routes->Config()->tokensPerSecond : 0.0;
   if (owed <= 0) {
+    m_othersWait = false;
+    m_passLevel.Update({}, owed);
     return;
   }
   double begun = 0;
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -265,6 +265,32 @@
   cr_assert(used.size() == 8);
 }
 
+//! A configuration that no longer says what the engines do leaves no level
+//! of an earlier one behind.
+Test(core, WithoutSharesThereIsNoLevel)
+{
+  Bench bench;
+  bench.List(2);
+  ExchangePlan plan;
+  plan.groupHubs = { { "10.0.0.1", 1 } };
+  bench.fleet.SetPlan(plan);
+  bench.fleet.SetConfig(Config(2, 1000));
+  for (std::uint64_t i = 0; i < 4000; ++i) {
+    bench.Place(bench.Ask(i));
+  }
+  bench.fleet.Tick(bench.now);
+  int passed = 0;
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    passed += bench.Place(bench.Ask(i)).passesLevel ? 1 : 0;
+  }
+  cr_assert(passed < 20, "%d", passed);
+  bench.fleet.SetConfig(Config(3));
+  bench.fleet.Tick(bench.now);
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    cr_assert(bench.Place(bench.Ask(i)).passesLevel);
+  }
+}
+
 //! The load: more prompts at once than can be read within their target.
 Test(core, ABurstIsRefusedAtOnceOnceItCannotBeInTime)
 {
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockgauge::gateway {
 
@@ -51,6 +52,16 @@
   return base::Duration(static_cast<std::int64_t>(aMillis));
 }
 
+//! One rate that is no number would spoil every sum over the fleet.
+double
+CheckedRate(float aRate)
+{
+  if (!std::isfinite(aRate) || aRate < 0) {
+    throw base::Error(base::ErrorCode::BadFrame, "a rate that is no rate");
+  }
+  return aRate;
+}
+
 template<typename Wire, typename List>
 auto
 Each(const List* aList, Wire aTake)
@@ -139,7 +150,7 @@
   report.zone = wire->zone();
   report.group = wire->group();
   report.routers = wire->routers();
-  report.reading = wire->reading();
+  report.reading = CheckedRate(wire->reading());
   report.configVersion = wire->config_version();
   report.configAge = Signed(wire->config_age_ms());
   report.wantsMembers = wire->wants_members();
@@ -154,8 +165,9 @@
                              aLoad.running() });
   });
   Each(wire->rates(), [&](const fb::Rate& aRate) {
-    report.rates.push_back({ base::WorkspaceId(aRate.workspace()),
-                             { aRate.asked(), aRate.begun() } });
+    report.rates.push_back(
+      { base::WorkspaceId(aRate.workspace()),
+        { CheckedRate(aRate.asked()), CheckedRate(aRate.begun()) } });
   });
   Each(wire->uses(), [&](const fb::Use& aUse) {
     report.uses.push_back({ aUse.part(), base::UpstreamId(aUse.upstream()) });
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -5,6 +5,8 @@
 #include "gateway/reportcodec.h"
 
 #include <criterion/criterion.h>
+
+#include <cmath>
 #include <rapidcheck.h>
 
 using namespace hemlockgauge;
@@ -121,6 +123,7 @@
   report.zone = 77;
   report.group = 1ULL << 50;
   report.routers = 3;
+  report.reading = 2000.0;
   report.configVersion = 12;
   report.configAge = base::Duration(34);
   report.wantsMembers = true;
@@ -146,6 +149,7 @@
   cr_assert(read.scope == fleet::ReportScope::Group);
   cr_assert(read.zone == 77 && read.group == report.group);
   cr_assert(read.routers == 3 && read.wantsMembers);
+  cr_assert(read.reading == 2000.0);
   cr_assert(read.configVersion == 12);
   cr_assert(read.configAge == report.configAge);
   cr_assert(read.loads.at(0).running == 3);
@@ -157,6 +161,20 @@
   cr_assert(read.members.at(0).age == base::Duration(250));
 }
 
+Test(reports, ARateThatIsNoNumberIsRefused)
+{
+  for (const double rate : { std::nan(""), -1.0, HUGE_VAL }) {
+    auto report = FullReport();
+    report.reading = rate;
+    auto bytes = EncodeReport(report);
+    cr_assert_throw(DecodeReport(bytes.data(), bytes.size()), base::Error);
+    report = FullReport();
+    report.rates[0].rate.asked = rate;
+    bytes = EncodeReport(report);
+    cr_assert_throw(DecodeReport(bytes.data(), bytes.size()), base::Error);
+  }
+}
+
 Test(reports, RandomBytesAreRefused)
 {
   rc::check([](const std::vector<std::uint8_t>& aBytes) {
