Entries of other writers name no upstream; what is learned ends with an incarnation

Cause: an entry without a state or with an unknown one was used, one that could not be read left the earlier good one in force, and one element without a key lost the store's whole page. An upstream that starts again under its id kept what was believed of the earlier start. An older start changes nothing; who once told its start always does. Ruled out: refusing entries without a start at all (the platform's entries of today have none), and cutting running requests at a restart (they may run at the new incarnation already). One test's entry got the fields that every entry has; it asks more than before (the unreadable one is unusable, not ignored).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -65,10 +65,15 @@
 Fleet::FollowUpstreams()
 {
   std::erase_if(m_upstreams, [&](const auto& aEntry) {
-    return !m_list.Entries().contains(aEntry.second.entry.id);
+    const auto found = m_list.Entries().find(aEntry.second.entry.id);
+    return found == m_list.Entries().end() || !found->second.usable ||
+           UpstreamIdOf(found->second) != aEntry.first;
   });
   for (const auto& [id, entry] : m_list.Entries()) {
-    auto& upstream = m_upstreams[UpstreamIdOf(id)];
+    if (!entry.usable) {
+      continue;
+    }
+    auto& upstream = m_upstreams[UpstreamIdOf(entry)];
     upstream.entry = entry;
     upstream.isEngine = false;
     if (m_routes) {
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -89,7 +89,12 @@
 //! One upstream as the platform lists it.
 struct UpstreamEntry
 {
-  std::string id; //!< new at each start of the upstream
+  std::string id; //!< may outlast a restart of the upstream
+  //! Unix time of the upstream's start, in ms; nothing if it isn't told.
+  std::optional<std::uint64_t> startedAt;
+  //! False where the entry can't be read or says what an upstream never says:
+  //! then only its id is known, and nothing is sent there.
+  bool usable = true;
   std::string service;
   base::Address address;
   std::string zone;
@@ -132,10 +137,24 @@
   }
 };
 
+//! Names one incarnation of an upstream: whatever is learned about it under
+//! this id (its speed, its health, what it holds, what runs there) ends with
+//! it, here and in what other routers tell.
 inline UpstreamId
-UpstreamIdOf(std::string_view aId)
+UpstreamIdOf(std::string_view aId, std::optional<std::uint64_t> aStartedAt = {})
 {
-  return UpstreamId(base::HashName(aId));
+  const auto name = base::HashName(aId);
+  if (!aStartedAt) {
+    return UpstreamId(name);
+  }
+  const auto start = base::HashName(std::to_string(*aStartedAt));
+  return UpstreamId(static_cast<std::uint32_t>(base::HashPair(name, start)));
+}
+
+inline UpstreamId
+UpstreamIdOf(const UpstreamEntry& aEntry)
+{
+  return UpstreamIdOf(aEntry.id, aEntry.startedAt);
 }
 
 inline WorkspaceId
--- a/src/fleet/internal/upstreamlist.cpp
+++ b/src/fleet/internal/upstreamlist.cpp
@@ -6,6 +6,25 @@
 
 namespace hemlockgauge::fleet {
 
+namespace {
+
+EntryNotice
+Notice(const UpstreamEntry& aEntry, EntryChange aChange)
+{
+  return { aEntry.id, aChange, UpstreamIdOf(aEntry) };
+}
+
+EntryChange
+ChangeOfNew(const UpstreamEntry& aEntry)
+{
+  if (!aEntry.usable) {
+    return EntryChange::Unusable;
+  }
+  return aEntry.draining ? EntryChange::Draining : EntryChange::Listed;
+}
+
+}
+
 void
 UpstreamList::StoreLost(TimePoint aNow)
 {
@@ -30,18 +49,44 @@
 std::vector<EntryNotice>
 UpstreamList::Put(const UpstreamEntry& aEntry)
 {
-  m_lapsed.erase(aEntry.id);
   const auto found = m_entries.find(aEntry.id);
-  const bool isNew = found == m_entries.end();
-  const bool drains = aEntry.draining && (isNew || !found->second.draining);
+  return found == m_entries.end() ? Add(aEntry) : Update(found->second, aEntry);
+}
+
+std::vector<EntryNotice>
+UpstreamList::Add(const UpstreamEntry& aEntry)
+{
   m_entries[aEntry.id] = aEntry;
-  if (drains) {
-    return { { aEntry.id, EntryChange::Draining } };
+  return { Notice(aEntry, ChangeOfNew(aEntry)) };
+}
+
+//! An upstream that once told its start always does, so an entry without it
+//! comes from another writer.
+std::vector<EntryNotice>
+UpstreamList::Update(UpstreamEntry& aKnown, const UpstreamEntry& aEntry)
+{
+  const auto before = aKnown;
+  if (aEntry.usable && aEntry.startedAt &&
+      before.startedAt > aEntry.startedAt) {
+    return { Notice(aEntry, EntryChange::Outdated) };
+  }
+  m_lapsed.erase(aEntry.id);
+  if (!aEntry.usable || (before.startedAt && !aEntry.startedAt)) {
+    aKnown.usable = false;
+    return before.usable ? std::vector{ Notice(before, EntryChange::Unusable) }
+                         : std::vector<EntryNotice>{};
+  }
+  aKnown = aEntry;
+  if (before.usable && before.startedAt != aEntry.startedAt) {
+    return { Notice(before, EntryChange::Restarted),
+             Notice(aEntry, ChangeOfNew(aEntry)) };
   }
-  if (isNew) {
-    return { { aEntry.id, EntryChange::Listed } };
+  if (!before.usable) {
+    return { Notice(aEntry, ChangeOfNew(aEntry)) };
   }
-  return {};
+  return aEntry.draining && !before.draining
+           ? std::vector{ Notice(aEntry, EntryChange::Draining) }
+           : std::vector<EntryNotice>{};
 }
 
 std::vector<EntryNotice>
@@ -51,15 +96,17 @@
   if (found == m_entries.end()) {
     return {};
   }
-  const bool mayComeBack = MayHaveLapsed(aNow) && !found->second.draining;
+  const auto entry = found->second;
+  const bool mayComeBack =
+    MayHaveLapsed(aNow) && entry.usable && !entry.draining;
   if (mayComeBack) {
     const bool isNew = m_lapsed.emplace(aId, m_graceUntil).second;
-    return isNew ? std::vector<EntryNotice>{ { aId, EntryChange::Lapsed } }
+    return isNew ? std::vector{ Notice(entry, EntryChange::Lapsed) }
                  : std::vector<EntryNotice>{};
   }
   m_entries.erase(found);
   m_lapsed.erase(aId);
-  return { { aId, EntryChange::Gone } };
+  return { Notice(entry, EntryChange::Gone) };
 }
 
 std::vector<EntryNotice>
@@ -97,8 +144,8 @@
       ++it;
       continue;
     }
-    m_entries.erase(it->first);
-    notices.push_back({ it->first, EntryChange::Gone });
+    const auto entry = m_entries.extract(it->first);
+    notices.push_back(Notice(entry.mapped(), EntryChange::Gone));
     it = m_lapsed.erase(it);
   }
   return notices;
@@ -108,7 +155,8 @@
 UpstreamList::MayGetWork(const std::string& aId) const
 {
   const auto found = m_entries.find(aId);
-  return found != m_entries.end() && !found->second.draining;
+  return found != m_entries.end() && found->second.usable &&
+         !found->second.draining;
 }
 
 }
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -54,6 +54,19 @@
     fleet.FollowUpstreams();
   }
 
+  //! One engine that started at aStartedAt.
+  void ListOne(std::uint64_t aStartedAt)
+  {
+    UpstreamEntry entry;
+    entry.id = "u0";
+    entry.service = "engines";
+    entry.slots = 64;
+    entry.zone = "zone-a";
+    entry.startedAt = aStartedAt;
+    fleet.Upstreams().Put(entry);
+    fleet.FollowUpstreams();
+  }
+
   PlaceRequest Ask(std::uint64_t aPrefix,
                    const std::string& aWorkspace = "w",
                    std::uint32_t aTokens = kPromptTokens)
@@ -116,6 +129,54 @@
   cr_assert(second.missingTokens == double{ kPromptTokens } / 2);
 }
 
+//! What was learned of an upstream ends with its incarnation.
+Test(core, ARestartedUpstreamHoldsAndRunsNothing)
+{
+  Bench bench;
+  bench.ListOne(1000);
+  const auto first = bench.Place(bench.Ask(7));
+  cr_assert(bench.Place(bench.Ask(7)).running == 1);
+  bench.ListOne(2000);
+  const auto after = bench.Place(bench.Ask(7));
+  cr_assert(after.upstreamId == first.upstreamId);
+  cr_assert(after.upstream != first.upstream);
+  cr_assert(after.missingTokens == kPromptTokens);
+  cr_assert(after.running == 0 && after.unreadTokens == 0);
+  bench.fleet.Ended(first.attempt, AttemptEnd::Broken, bench.now);
+  cr_assert(bench.Place(bench.Ask(8)).running == 1);
+}
+
+//! Others may not know of the restart yet.
+Test(core, WhatOthersTellOfAnEarlierIncarnationDoesNotCount)
+{
+  Bench bench;
+  bench.ListOne(2000);
+  PeerReport report;
+  report.router = "r2";
+  report.life = 1;
+  report.sequence = 1;
+  report.loads = { { UpstreamIdOf("u0", 1000), 50000, 20 } };
+  report.uses = { { 7, UpstreamIdOf("u0", 1000) } };
+  bench.fleet.Take(report, bench.now);
+  const auto place = bench.Place(bench.Ask(7));
+  cr_assert(place.running == 0);
+  cr_assert(place.missingTokens == kPromptTokens);
+}
+
+Test(core, AnUnusableEntryGetsNoWork)
+{
+  Bench bench;
+  bench.List(2);
+  UpstreamEntry bad;
+  bad.id = "u0";
+  bad.usable = false;
+  bench.fleet.Upstreams().Put(bad);
+  bench.fleet.FollowUpstreams();
+  for (std::uint64_t prefix = 0; prefix < 6; ++prefix) {
+    cr_assert(bench.Place(bench.Ask(prefix)).upstreamId == "u1");
+  }
+}
+
 Test(core, AnUpstreamThatDrainsGetsNothingMore)
 {
   Bench bench;
--- a/src/fleet/upstreamlist.h
+++ b/src/fleet/upstreamlist.h
@@ -15,15 +15,25 @@
   Listed,
   Draining,
   Lapsed, //!< missing after the store was away; may come back
-  Gone
+  Gone,
+  Restarted, //!< a later incarnation under the same id
+  Outdated,  //!< of an earlier incarnation than the known one; not taken
+  Unusable   //!< the entry names no upstream any more
 };
 inline constexpr auto kEntryChangeNames =
-  base::MakeEnumNames<EntryChange>("listed", "draining", "lapsed", "gone");
+  base::MakeEnumNames<EntryChange>("listed",
+                                   "draining",
+                                   "lapsed",
+                                   "gone",
+                                   "restarted",
+                                   "outdated",
+                                   "unusable");
 
 struct EntryNotice
 {
   std::string id;
   EntryChange change = EntryChange::Listed;
+  UpstreamId upstream{}; //!< the incarnation that the change befell
 };
 
 //! The upstreams that the platform's store lists, and those that may come
@@ -51,7 +61,7 @@
   //! Drops what did not come back in time.
   std::vector<EntryNotice> Tick(TimePoint aNow);
 
-  //! Those that may get work.
+  //! All that are known, also those that may get no work.
   const std::map<std::string, UpstreamEntry>& Entries() const
   {
     return m_entries;
@@ -61,6 +71,9 @@
 
 private:
   bool MayHaveLapsed(TimePoint aNow) const { return aNow < m_lapsesUntil; }
+  std::vector<EntryNotice> Add(const UpstreamEntry& aEntry);
+  std::vector<EntryNotice> Update(UpstreamEntry& aKnown,
+                                  const UpstreamEntry& aEntry);
 
   Duration m_lapseAfter{ 2400 };
   bool m_known = false;
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -141,7 +141,7 @@
   context.timeLeft = TimeLeft(m_sentAt);
   context.lastEventId =
     m_events.LastId() ? m_events.LastId() : m_request.lastEventId;
-  m_upstream = &m_parts.pool.Acquire(aPlace.upstreamId, aPlace.address, *this);
+  m_upstream = &m_parts.pool.Acquire(aPlace.upstream, aPlace.address, *this);
   m_upstream->Send(m_parts.upstreams.Encode(m_request, context),
                    m_request.method == "HEAD");
 }
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -28,6 +28,14 @@
 constexpr base::Duration kStorePause = 400ms;
 constexpr base::Duration kStorePauseLastResort = 2000ms;
 
+bool
+EndsKeptConnections(fleet::EntryChange aChange)
+{
+  using fleet::EntryChange;
+  return aChange == EntryChange::Gone || aChange == EntryChange::Draining ||
+         aChange == EntryChange::Restarted || aChange == EntryChange::Unusable;
+}
+
 }
 
 void
@@ -152,9 +160,8 @@
       .Add("upstream", notice.id)
       .Add("change", fleet::kEntryChangeNames.NameOf(notice.change))
       .Info();
-    if (notice.change == fleet::EntryChange::Gone ||
-        notice.change == fleet::EntryChange::Draining) {
-      m_pool.CloseIdle(notice.id);
+    if (EndsKeptConnections(notice.change)) {
+      m_pool.CloseIdle(notice.upstream);
     }
   }
 }
--- a/src/gateway/internal/newscodec.cpp
+++ b/src/gateway/internal/newscodec.cpp
@@ -35,7 +35,9 @@
       entry.slots,
       entry.draining,
       static_cast<std::uint32_t>(
-        std::max<std::int64_t>(entry.coldFor.count(), 0))));
+        std::max<std::int64_t>(entry.coldFor.count(), 0)),
+      entry.usable,
+      entry.startedAt ? *entry.startedAt + 1 : 0));
   }
   const std::vector<std::uint8_t> config(aNews.config.begin(),
                                          aNews.config.end());
@@ -76,6 +78,10 @@
   entry.slots = aWire.slots();
   entry.draining = aWire.draining();
   entry.coldFor = base::Duration(aWire.cold_ms());
+  entry.usable = aWire.usable();
+  if (aWire.started_at() > 0) {
+    entry.startedAt = aWire.started_at() - 1;
+  }
   return entry;
 }
 
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -166,6 +166,7 @@
     if (const auto* config = std::get_if<StoredConfig>(&item)) {
       m_listedConfig = config->bytes;
     } else if (const auto* upstream = std::get_if<StoredUpstream>(&item)) {
+      NoteUnusable(*upstream);
       m_listed.push_back(upstream->entry);
     } else {
       TakeItem(item);
@@ -205,6 +206,7 @@
   if (const auto* config = std::get_if<StoredConfig>(&aItem)) {
     m_events.OnStoredConfig(config->bytes);
   } else if (const auto* upstream = std::get_if<StoredUpstream>(&aItem)) {
+    NoteUnusable(*upstream);
     m_events.OnUpstream(upstream->entry);
   } else if (const auto* removed = std::get_if<RemovedUpstream>(&aItem)) {
     m_events.OnRemoved(removed->id);
@@ -217,6 +219,19 @@
   }
 }
 
+void
+StoreFollower::NoteUnusable(const StoredUpstream& aUpstream)
+{
+  if (aUpstream.entry.usable) {
+    return;
+  }
+  m_metrics.Count("upstream_entries_unusable_total");
+  base::LogLine("upstream-entry-unusable")
+    .Add("upstream", aUpstream.entry.id)
+    .Add("why", aUpstream.why)
+    .Warn();
+}
+
 void
 StoreFollower::OnFailed(http::ClientConnection&, http::ClientFailure aFailure)
 {
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -37,11 +37,11 @@
 UpstreamPool::~UpstreamPool() = default;
 
 http::ClientConnection&
-UpstreamPool::Acquire(const std::string& aUpstreamId,
+UpstreamPool::Acquire(base::UpstreamId aUpstream,
                       const base::Address& aAddress,
                       http::IClientEvents& aEvents)
 {
-  auto& idle = m_idle[aUpstreamId];
+  auto& idle = m_idle[aUpstream];
   while (!idle.empty()) {
     auto& connection = *idle.back();
     idle.pop_back();
@@ -55,7 +55,7 @@
   auto made =
     std::make_unique<http::ClientConnection>(m_loop, aAddress, aEvents);
   auto& connection = *made;
-  m_connections[&connection] = { std::move(made), aUpstreamId };
+  m_connections[&connection] = { std::move(made), aUpstream };
   m_opened++;
   return connection;
 }
@@ -72,7 +72,7 @@
     return;
   }
   aConnection.SetEvents(*this);
-  m_idle[found->second.upstreamId].push_back(&aConnection);
+  m_idle[found->second.upstream].push_back(&aConnection);
 }
 
 void
@@ -89,7 +89,7 @@
   if (found == m_connections.end()) {
     return;
   }
-  std::erase(m_idle[found->second.upstreamId], &aConnection);
+  std::erase(m_idle[found->second.upstream], &aConnection);
   //! NOTE this may be called from inside one of its callbacks.
   m_loop.DeleteLater(std::move(found->second.connection));
   m_connections.erase(found);
@@ -114,9 +114,9 @@
 }
 
 void
-UpstreamPool::CloseIdle(const std::string& aUpstreamId)
+UpstreamPool::CloseIdle(base::UpstreamId aUpstream)
 {
-  const auto found = m_idle.find(aUpstreamId);
+  const auto found = m_idle.find(aUpstream);
   if (found == m_idle.end()) {
     return;
   }
--- a/src/gateway/istoredialect.h
+++ b/src/gateway/istoredialect.h
@@ -20,6 +20,7 @@
 struct StoredUpstream
 {
   fleet::UpstreamEntry entry;
+  std::string why; //!< it isn't usable; empty: it is
 };
 
 struct RemovedUpstream
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -65,6 +65,7 @@
   bool TakeList(const StorePage& aPage);
   bool TakeWatch(const StorePage& aPage);
   void TakeItem(const StoreItem& aItem);
+  void NoteUnusable(const StoredUpstream& aUpstream);
   void Fail(const std::string& aWhy);
   void DropConnection();
 
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -15,8 +15,9 @@
 
 namespace hemlockgauge::gateway {
 
-//! All connections to upstreams; keeps idle ones for the next request. The
-//! last one used is used first, so the others can go.
+//! All connections to upstreams; keeps idle ones for the next request, apart
+//! for each incarnation: a restarted upstream knows none of the earlier ones.
+//! The last one used is used first, so the others can go.
 class UpstreamPool : public http::IClientEvents
 {
 public:
@@ -26,7 +27,7 @@
   //! An idle connection, or a new one. aEvents is told what happens on it
   //! until Release or Discard. A connection that has been closed meanwhile
   //! by the other end is not given.
-  http::ClientConnection& Acquire(const std::string& aUpstreamId,
+  http::ClientConnection& Acquire(base::UpstreamId aUpstream,
                                   const base::Address& aAddress,
                                   http::IClientEvents& aEvents);
   //! The request on it has ended and it can carry another.
@@ -34,7 +35,7 @@
   void Discard(http::ClientConnection& aConnection);
   //! Closes connections that have been idle for long.
   void Sweep(base::TimePoint aNow);
-  void CloseIdle(const std::string& aUpstreamId);
+  void CloseIdle(base::UpstreamId aUpstream);
 
   std::size_t Open() const { return m_connections.size(); }
   std::uint64_t Opened() const { return m_opened; }
@@ -51,14 +52,14 @@
   struct Kept
   {
     std::unique_ptr<http::ClientConnection> connection;
-    std::string upstreamId;
+    base::UpstreamId upstream{};
   };
 
   void Forget(http::ClientConnection& aConnection);
 
   eventloop::EventLoop& m_loop;
   std::map<http::ClientConnection*, Kept> m_connections;
-  std::map<std::string, std::vector<http::ClientConnection*>> m_idle;
+  std::map<base::UpstreamId, std::vector<http::ClientConnection*>> m_idle;
   std::uint64_t m_opened = 0;
 };
 
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -181,7 +181,8 @@
   m_store.PutUpstream(
     aUpstream.id,
     fmt::format(R"({{"service":"{}","address":"{}","zone":"z0",)"
-                R"("slots":16,"state":"{}"}})",
+                R"("version":"v1","slots":16,"state":"{}","sequence":1,)"
+                R"("coldRemainingMs":0}})",
                 engine ? "engine" : "plain",
                 At(60 + slot).Text(),
                 aDraining ? "draining" : "ready"));
