Engines copy prompt memory from each other instead of reading it again

Change: fleet/prefixcopy chooses the engine that holds most of a prompt as the source of a copy (same availability zone first, drawn among equals; not one that leaves, failed lately, is gone or restarted), where the copy takes at most twice the reading that it saves; engines' memory, bytes a token and links come from the configuration, and how long a prefix is taken to be held from that memory. Ruled out: copies where the configuration says no links.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "fleet/fleetconstants.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -52,9 +54,25 @@
   }
   m_routes = std::make_unique<RouteTable>(std::move(aConfig));
   FollowUpstreams();
+  SetKeptPrefixes();
   return true;
 }
 
+//! One age for all: services differ little, and what is believed too long
+//! costs less than a map for each.
+void
+Fleet::SetKeptPrefixes()
+{
+  double least = 0;
+  for (const auto& [name, service] : m_routes->Config()->services) {
+    if (service.IsEngine() && service.memoryTokens > 0) {
+      least = least > 0 ? std::min(least, service.memoryTokens)
+                        : service.memoryTokens;
+    }
+  }
+  m_prefixes.SetKept(least > 0 ? kMemoryForPrompts * least : kPrefixKeptUnsaid);
+}
+
 std::uint64_t
 Fleet::ConfigVersion() const
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -77,6 +77,10 @@
   double foreseenMs = 0;
   double unreadTokens = 0;
   double missingTokens = 0;
+  //! Where the upstream gets copiedTokens of the prompt from instead of
+  //! reading them; port 0: nowhere.
+  base::Address copyFrom;
+  double copiedTokens = 0;
   std::uint32_t running = 0;
   int rank = 0;
   bool insideShare = true;
@@ -182,10 +186,15 @@
 
   std::vector<UpstreamId> Eligible(const PlaceRequest& aRequest,
                                    TimePoint aNow) const;
+  std::vector<PrefixHolder> HoldersFor(const PlaceRequest& aRequest,
+                                       TimePoint aNow) const;
   Candidate MakeCandidate(const PlaceRequest& aRequest,
-                          UpstreamId aUpstream) const;
+                          UpstreamId aUpstream,
+                          const std::vector<PrefixHolder>& aHolders) const;
+  void SetKeptPrefixes();
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
                                     std::vector<UpstreamId> aEligible,
+                                    const std::vector<PrefixHolder>& aHolders,
                                     const PlacementPolicy& aPolicy,
                                     std::uint64_t aKey) const;
   double ReadingCapacity() const;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -12,10 +12,18 @@
 
 // ---- what an upstream holds and how fast it reads
 
-//! An engine is taken to hold a prompt's part until it has read so many
-//! tokens since its last use: three quarters of the memory of today's engines
-//! (232,000), for what runs needs some.
-inline constexpr double kPrefixKeptTokens = 170000;
+//! The part of an engine's memory that is taken to keep prompts: what runs
+//! needs the rest.
+inline constexpr double kMemoryForPrompts = 0.75;
+//! Tokens that an engine is taken to keep where its memory is not said: a
+//! small engine's, for to believe too much is dearer than to read again.
+inline constexpr double kPrefixKeptUnsaid = 170000;
+//! What one engine's copy of another's memory takes besides the transfer, in
+//! ms: a connection, a question and its answer within a region.
+inline constexpr double kCopySetupMs = 8.0;
+//! A copy is worth it up to so many times the reading that it saves: the
+//! copying request waits alone, all behind it wait for reading.
+inline constexpr double kCopyWorth = 2.0;
 //! Reading speed before anything was measured, in tokens a ms: three
 //! quarters of what today's engines do at their best.
 inline constexpr double kReadRatePrior = 28.0;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -66,6 +66,13 @@
 {
   std::string name;
   std::uint32_t engineSlots = 0; //!< 0: not a model engine
+  //! What an engine's memory holds, running requests and kept prompts
+  //! together. 0: not said.
+  double memoryTokens = 0;
+  double bytesPerToken = 0; //!< of that memory; 0: not said
+  //! Of the links over which engines copy it from each other, in Mbit/s; 0:
+  //! there are none.
+  double copyMbps = 0;
 
   bool IsEngine() const { return engineSlots > 0; }
 };
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -49,8 +49,33 @@
   return sound.empty() ? ejected : sound;
 }
 
+//! Engines that hold the shared parts of the request's prompt, as far as any
+//! does, and may be asked for them: what is leaving or failed lately may be
+//! gone before it has given anything.
+std::vector<PrefixHolder>
+Fleet::HoldersFor(const PlaceRequest& aRequest, TimePoint aNow) const
+{
+  std::vector<PrefixHolder> holders;
+  const auto& prompt = aRequest.work->prompt;
+  for (std::size_t i = prompt.size(); i > 1 && holders.empty(); --i) {
+    for (const auto id : m_prefixes.HoldersOf(prompt[i - 2].id)) {
+      const auto found = m_upstreams.find(id);
+      const bool gives = found != m_upstreams.end() &&
+                         !found->second.entry.draining &&
+                         found->second.entry.service == aRequest.service &&
+                         !found->second.health.IsEjected(aNow);
+      if (gives) {
+        holders.push_back({ id, m_prefixes.Held(*aRequest.work, id), true });
+      }
+    }
+  }
+  return holders;
+}
+
 Candidate
-Fleet::MakeCandidate(const PlaceRequest& aRequest, UpstreamId aUpstream) const
+Fleet::MakeCandidate(const PlaceRequest& aRequest,
+                     UpstreamId aUpstream,
+                     const std::vector<PrefixHolder>& aHolders) const
 {
   const auto& upstream = m_upstreams.at(aUpstream);
   const auto& entry = upstream.entry;
@@ -63,9 +88,21 @@
   candidate.isEngine = upstream.isEngine;
   candidate.unreadTokens =
     static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
-  candidate.missingTokens = static_cast<double>(aRequest.work->promptTokens) -
-                            m_prefixes.Held(*aRequest.work, aUpstream);
+  const auto held = m_prefixes.Held(*aRequest.work, aUpstream);
+  candidate.missingTokens =
+    static_cast<double>(aRequest.work->promptTokens) - held;
   candidate.readRate = upstream.readRate.TokensPerMs();
+  if (!aHolders.empty()) {
+    auto holders = aHolders;
+    for (auto& holder : holders) {
+      holder.sameZone =
+        m_upstreams.at(holder.upstream).entry.zone == entry.zone;
+    }
+    const auto& service = m_routes->Config()->services.at(aRequest.service);
+    candidate.copy =
+      ChooseCopy(service, holders, held, candidate.readRate, aRequest.key);
+    candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
+  }
   candidate.running = upstream.running + told.running;
   candidate.slots = std::max(entry.slots, 1U);
   candidate.serviceMs = upstream.time.Millis(serviceTime);
@@ -79,6 +116,7 @@
 std::vector<Candidate>
 Fleet::Candidates(const PlaceRequest& aRequest,
                   std::vector<UpstreamId> aEligible,
+                  const std::vector<PrefixHolder>& aHolders,
                   const PlacementPolicy& aPolicy,
                   std::uint64_t aKey) const
 {
@@ -90,7 +128,7 @@
   std::vector<Candidate> candidates;
   candidates.reserve(aEligible.size());
   for (const auto id : aEligible) {
-    candidates.push_back(MakeCandidate(aRequest, id));
+    candidates.push_back(MakeCandidate(aRequest, id, aHolders));
   }
   return candidates;
 }
@@ -133,7 +171,8 @@
                        m_passLevel.Pass(aRequest.workspace);
   result.peersAge = m_peers.Age(aNow);
   const auto eligible = Eligible(aRequest, aNow);
-  auto candidates = Candidates(aRequest, eligible, m_policy, key);
+  const auto holders = HoldersFor(aRequest, aNow);
+  auto candidates = Candidates(aRequest, eligible, holders, m_policy, key);
   auto placed = fleet::Place(m_policy, candidates, key);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
@@ -146,7 +185,8 @@
     //! NOTE its prefix's upstreams are full; it may still be in time where
     //! all of it has to be read. For what no one is owed that would be
     //! reading for nothing.
-    candidates = Candidates(aRequest, eligible, Spread(), aRequest.key);
+    candidates =
+      Candidates(aRequest, eligible, holders, Spread(), aRequest.key);
     placed = fleet::Place(Spread(), candidates, aRequest.key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
@@ -156,6 +196,10 @@
   result.unreadTokens = candidate.unreadTokens;
   result.missingTokens = candidate.missingTokens;
   result.running = candidate.running;
+  if (candidate.copy) {
+    result.copyFrom = m_upstreams.at(candidate.copy->from).entry.address;
+    result.copiedTokens = candidate.copy->tokens;
+  }
   if (!admission.taken && !aRequest.admitted) {
     result.outcome = PlaceOutcome::Refused;
     result.retryAfter = admission.retryAfter;
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -100,7 +100,8 @@
     const double reading = (unreadTokens + missingTokens) / readRate;
     //! NOTE without a free slot a request waits for one to end.
     const double slotWait = over > 0 ? over * kFirstTokenFixedMs : 0.0;
-    return kFirstTokenFixedMs + reading + slotWait;
+    const double copying = copy ? copy->millis : 0.0;
+    return kFirstTokenFixedMs + copying + reading + slotWait;
   }
   const double rounds = over > 0 ? over / slots : 0.0;
   return serviceMs * (1.0 + rounds);
--- /dev/null
+++ b/src/fleet/internal/prefixcopy.cpp
@@ -0,0 +1,56 @@
+#include "fleet/prefixcopy.h"
+
+#include "fleet/fleetconstants.h"
+
+#include <tuple>
+
+namespace hemlockgauge::fleet {
+
+namespace {
+
+constexpr double kBitsPerByte = 8.0;
+constexpr double kMbpsPerBitPerMs = 1000.0;
+
+}
+
+double
+CopyMillis(const Service& aService, double aTokens)
+{
+  const double bits = aTokens * aService.bytesPerToken * kBitsPerByte;
+  return kCopySetupMs + bits / (aService.copyMbps * kMbpsPerBitPerMs);
+}
+
+std::optional<PrefixCopy>
+ChooseCopy(const Service& aService,
+           const std::vector<PrefixHolder>& aHolders,
+           std::uint32_t aHeldTokens,
+           double aTokensPerMs,
+           std::uint64_t aKey)
+{
+  if (aService.copyMbps <= 0 || aService.bytesPerToken <= 0) {
+    return std::nullopt;
+  }
+  const auto preference = [&](const PrefixHolder& aHolder) {
+    const auto drawn =
+      base::HashPair(static_cast<std::uint32_t>(aKey ^ (aKey >> 32)),
+                     base::Raw(aHolder.upstream));
+    return std::make_tuple(aHolder.heldTokens, aHolder.sameZone, drawn);
+  };
+  const PrefixHolder* best = nullptr;
+  for (const auto& holder : aHolders) {
+    if (best == nullptr || preference(holder) > preference(*best)) {
+      best = &holder;
+    }
+  }
+  if (best == nullptr || best->heldTokens <= aHeldTokens) {
+    return std::nullopt;
+  }
+  const double tokens = best->heldTokens - aHeldTokens;
+  const double millis = CopyMillis(aService, tokens);
+  if (millis > kCopyWorth * tokens / aTokensPerMs) {
+    return std::nullopt;
+  }
+  return PrefixCopy{ best->upstream, tokens, millis };
+}
+
+}
--- a/src/fleet/internal/prefixmap.cpp
+++ b/src/fleet/internal/prefixmap.cpp
@@ -1,32 +1,33 @@
 #include "fleet/prefixmap.h"
 
-#include "fleet/fleetconstants.h"
+#include <algorithm>
 
 namespace hemlockgauge::fleet {
 
 namespace {
 
-//! Odd 64-bit constant that spreads an upstream's id over all bits.
-constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15ULL;
-
-}
-
-std::uint64_t
-PrefixMap::KeyOf(std::uint64_t aPart, UpstreamId aUpstream)
+template<typename Holders>
+auto
+FindIn(Holders& aHolders, UpstreamId aUpstream)
 {
-  return aPart ^ (std::uint64_t{ base::Raw(aUpstream) } * kSpread);
+  return std::find_if(
+    aHolders.begin(), aHolders.end(), [&](const PrefixMap::Holder& aHolder) {
+      return aHolder.upstream == aUpstream;
+    });
 }
 
-bool
-PrefixMap::IsOld(double aLastUse) const
-{
-  return m_read - aLastUse > kPrefixKeptTokens;
 }
 
 void
 PrefixMap::Used(std::uint64_t aPart, UpstreamId aUpstream)
 {
-  m_lastUse[KeyOf(aPart, aUpstream)] = m_read;
+  auto& holders = m_holders[aPart];
+  const auto found = FindIn(holders, aUpstream);
+  if (found == holders.end()) {
+    holders.push_back({ aUpstream, m_read });
+  } else {
+    found->lastUse = m_read;
+  }
 }
 
 std::uint32_t
@@ -34,8 +35,12 @@
 {
   std::uint32_t held = 0;
   for (const auto& part : aWork.prompt) {
-    const auto found = m_lastUse.find(KeyOf(part.id, aUpstream));
-    if (found == m_lastUse.end() || IsOld(found->second)) {
+    const auto known = m_holders.find(part.id);
+    if (known == m_holders.end()) {
+      break;
+    }
+    const auto found = FindIn(known->second, aUpstream);
+    if (found == known->second.end() || IsOld(*found)) {
       break;
     }
     held += part.tokens;
@@ -43,11 +48,41 @@
   return held;
 }
 
+std::vector<UpstreamId>
+PrefixMap::HoldersOf(std::uint64_t aPart) const
+{
+  std::vector<UpstreamId> holders;
+  const auto known = m_holders.find(aPart);
+  if (known == m_holders.end()) {
+    return holders;
+  }
+  for (const auto& holder : known->second) {
+    if (!IsOld(holder)) {
+      holders.push_back(holder.upstream);
+    }
+  }
+  return holders;
+}
+
 void
 PrefixMap::Forget()
 {
-  std::erase_if(m_lastUse,
-                [&](const auto& aEntry) { return IsOld(aEntry.second); });
+  for (auto& [part, holders] : m_holders) {
+    std::erase_if(holders,
+                  [&](const Holder& aHolder) { return IsOld(aHolder); });
+  }
+  std::erase_if(m_holders,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+std::size_t
+PrefixMap::Size() const
+{
+  std::size_t size = 0;
+  for (const auto& [part, holders] : m_holders) {
+    size += holders.size();
+  }
+  return size;
 }
 
 }
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -2,6 +2,7 @@
 
 #include "base/enumnames.h"
 #include "fleet/fleettypes.h"
+#include "fleet/prefixcopy.h"
 
 #include <optional>
 #include <string>
@@ -14,9 +15,10 @@
 struct Candidate
 {
   UpstreamId upstream{};
-  double unreadTokens = 0;  //!< at the upstream, of all routers
-  double missingTokens = 0; //!< of this request, not held there
-  double readRate = 1;      //!< tokens a ms
+  double unreadTokens = 0;        //!< at the upstream, of all routers
+  double missingTokens = 0;       //!< of this request, to be read there
+  std::optional<PrefixCopy> copy; //!< what it needs not read for that
+  double readRate = 1;            //!< tokens a ms
   std::uint32_t running = 0;
   std::uint32_t slots = 1;
   double serviceMs = 0; //!< mean time of an answer of a plain service
--- /dev/null
+++ b/src/fleet/prefixcopy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+
+#include <optional>
+#include <vector>
+
+namespace hemlockgauge::fleet {
+
+//! An engine that holds leading parts of a prompt.
+struct PrefixHolder
+{
+  UpstreamId upstream{};
+  std::uint32_t heldTokens = 0;
+  bool sameZone = true; //!< as the engine that would copy
+};
+
+//! A copy of prompt memory from one engine to another before reading begins.
+struct PrefixCopy
+{
+  UpstreamId from{};
+  double tokens = 0; //!< that need not be read again
+  double millis = 0; //!< until they are there
+};
+
+//! How long aService's engines take to copy the memory of aTokens.
+double
+CopyMillis(const Service& aService, double aTokens);
+
+//! Answers the load "a prefix is held by one engine, and another one is
+//! free": without copies it is read again at each, or waits for its holder.
+//! The holder with most is taken, one in the own zone before others, drawn by
+//! aKey among equals so that no holder gives to all. Nothing where engines
+//! have no links between them, or where reading is about as quick
+//! (kCopyWorth).
+std::optional<PrefixCopy>
+ChooseCopy(const Service& aService,
+           const std::vector<PrefixHolder>& aHolders,
+           std::uint32_t aHeldTokens,
+           double aTokensPerMs,
+           std::uint64_t aKey);
+
+}
--- a/src/fleet/prefixmap.h
+++ b/src/fleet/prefixmap.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/fleetconstants.h"
 #include "fleet/fleettypes.h"
 
 #include <cstdint>
@@ -15,22 +16,34 @@
 class PrefixMap
 {
 public:
+  struct Holder
+  {
+    UpstreamId upstream{};
+    double lastUse = 0; //!< what a mean engine had read by then, in tokens
+  };
+
+  //! How much an engine reads until it has given up what it did not use.
+  void SetKept(double aTokens) { m_kept = aTokens; }
   //! aPart was read, or found again, at aUpstream.
   void Used(std::uint64_t aPart, UpstreamId aUpstream);
   //! Tokens of the prompt's leading parts that aUpstream is taken to hold.
   std::uint32_t Held(const Work& aWork, UpstreamId aUpstream) const;
+  //! Those that are taken to hold aPart, in no order.
+  std::vector<UpstreamId> HoldersOf(std::uint64_t aPart) const;
   //! A mean engine has read aTokens more.
   void Advance(double aTokens) { m_read += aTokens; }
   void Forget();
-  std::size_t Size() const { return m_lastUse.size(); }
+  std::size_t Size() const;
 
 private:
-  static std::uint64_t KeyOf(std::uint64_t aPart, UpstreamId aUpstream);
-  bool IsOld(double aLastUse) const;
+  bool IsOld(const Holder& aHolder) const
+  {
+    return m_read - aHolder.lastUse > m_kept;
+  }
 
+  double m_kept = kPrefixKeptUnsaid;
   double m_read = 0; //!< tokens, by a mean engine
-  //! m_read at the last use, by part and upstream.
-  std::unordered_map<std::uint64_t, double> m_lastUse;
+  std::unordered_map<std::uint64_t, std::vector<Holder>> m_holders;
 };
 
 }
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -320,7 +320,7 @@
   Work work;
   work.prompt = { { 1, 100 }, { 2, 200 } };
   map.Used(1, UpstreamId(9));
-  map.Advance(kPrefixKeptTokens);
+  map.Advance(kPrefixKeptUnsaid);
   cr_assert(map.Held(work, UpstreamId(9)) == 100);
   map.Forget();
   cr_assert(map.Size() == 1);
--- /dev/null
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -0,0 +1,185 @@
+#include "fleet/fleet.h"
+#include "fleet/fleetconstants.h"
+#include "fleet/prefixcopy.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+//! When an engine copies what another one has read.
+using namespace hemlockgauge;
+using namespace hemlockgauge::fleet;
+
+namespace {
+
+constexpr double kTokensPerMs = 50;
+
+Service
+Linked()
+{
+  Service service;
+  service.name = "engines";
+  service.engineSlots = 64;
+  service.memoryTokens = 600000;
+  service.bytesPerToken = 18000;
+  service.copyMbps = 180000;
+  return service;
+}
+
+PrefixHolder
+Holder(std::uint32_t aId, std::uint32_t aTokens, bool aSameZone = true)
+{
+  return { UpstreamId(aId), aTokens, aSameZone };
+}
+
+//! A router over linked engines in two zones.
+struct LinkedFleet
+{
+  explicit LinkedFleet(int aEngines, Service aService = Linked())
+    : fleet({ "r1", "z0", 1 })
+  {
+    auto config = std::make_shared<FleetConfig>();
+    config->version = 1;
+    config->services["engines"] = aService;
+    fleet.SetConfig(config);
+    route.kind = CallKind::Stream;
+    route.target = 1000ms;
+    for (int i = 0; i < aEngines; ++i) {
+      UpstreamEntry entry;
+      entry.id = "e" + std::to_string(i);
+      entry.service = "engines";
+      entry.address = { "10.0.0." + std::to_string(i + 1), 80 };
+      entry.zone = "z" + std::to_string(i % 2);
+      entry.slots = 64;
+      entries.push_back(entry);
+    }
+    fleet.Upstreams().Replace(entries, now);
+    fleet.FollowUpstreams();
+  }
+
+  PlaceResult Place(std::uint64_t aPrefix, std::vector<UpstreamId> aAvoid = {})
+  {
+    work.promptTokens = 6000;
+    work.outputTokens = 50;
+    work.prompt = { { 1, 500 }, { aPrefix, 4500 }, { ++lastOwn, 1000 } };
+    PlaceRequest request;
+    request.route = &route;
+    request.work = &work;
+    request.service = "engines";
+    request.workspace = WorkspaceIdOf("w");
+    request.key = lastOwn * 7919;
+    request.timeLeft = 6000ms;
+    request.avoid = std::move(aAvoid);
+    request.admitted = true;
+    return fleet.Place(request, now);
+  }
+
+  Fleet fleet;
+  Route route;
+  Work work;
+  std::vector<UpstreamEntry> entries;
+  TimePoint now{ 100000 };
+  std::uint64_t lastOwn = 1000000;
+};
+
+}
+
+Test(prefixcopy, TheHolderOfMostGivesOneNearbyBeforeOthers)
+{
+  const auto service = Linked();
+  const std::vector<PrefixHolder> holders{ Holder(1, 500),
+                                           Holder(2, 5000, false),
+                                           Holder(3, 5000) };
+  const auto copy = ChooseCopy(service, holders, 500, kTokensPerMs, 9);
+  cr_assert(copy && copy->from == UpstreamId(3));
+  cr_assert(copy->tokens == 4500);
+  cr_assert(copy->millis < 4500 / kTokensPerMs);
+}
+
+Test(prefixcopy, ManyRequestsDoNotAllTurnToOneHolder)
+{
+  const std::vector<PrefixHolder> holders{ Holder(1, 5000),
+                                           Holder(2, 5000),
+                                           Holder(3, 5000) };
+  std::set<UpstreamId> used;
+  for (std::uint64_t key = 1; key < 50; ++key) {
+    used.insert(
+      ChooseCopy(Linked(), holders, 0, kTokensPerMs, key * 7919)->from);
+  }
+  cr_assert(used.size() == 3);
+}
+
+Test(prefixcopy, WhatIsReadAboutAsQuicklyIsRead)
+{
+  const auto little = std::vector{ Holder(1, 100) };
+  cr_assert(!ChooseCopy(Linked(), little, 0, kTokensPerMs, 9));
+  auto slow = Linked();
+  slow.copyMbps = 1000;
+  const auto much = std::vector{ Holder(1, 5000) };
+  cr_assert(!ChooseCopy(slow, much, 0, kTokensPerMs, 9));
+}
+
+Test(prefixcopy, EnginesWithoutLinksReadAll)
+{
+  auto unlinked = Linked();
+  unlinked.copyMbps = 0;
+  const auto holders = std::vector{ Holder(1, 5000) };
+  cr_assert(!ChooseCopy(unlinked, holders, 0, kTokensPerMs, 9));
+}
+
+Test(prefixcopy, AnotherEngineCopiesWhatOneHasRead)
+{
+  LinkedFleet bench(6);
+  const auto first = bench.Place(7);
+  cr_assert(first.copyFrom.port == 0);
+  cr_assert(first.missingTokens == 6000);
+  const auto second = bench.Place(7, { first.upstream });
+  cr_assert(second.upstream != first.upstream);
+  cr_assert(second.copyFrom == first.address);
+  cr_assert(second.copiedTokens == 5000);
+  cr_assert(second.missingTokens == 1000);
+}
+
+Test(prefixcopy, WhatLeavesOrIsGoneOrRestartedGivesNothing)
+{
+  for (const char* how : { "draining", "gone", "restarted" }) {
+    LinkedFleet bench(6);
+    const auto first = bench.Place(7);
+    auto entry = bench.fleet.Upstreams().Entries().at(first.upstreamId);
+    entry.draining = how == std::string("draining");
+    entry.startedAt = 5;
+    if (how == std::string("gone")) {
+      bench.fleet.Upstreams().Remove(entry.id, bench.now);
+    } else {
+      bench.fleet.Upstreams().Put(entry);
+    }
+    bench.fleet.FollowUpstreams();
+    cr_assert(bench.Place(7, { first.upstream }).copyFrom.port == 0, "%s", how);
+  }
+}
+
+//! Nothing of one deployment's engines is built in.
+Test(prefixcopy, HowLongAPrefixIsKeptFollowsFromTheMemoryThatIsSaid)
+{
+  for (const double memory : { 100000.0, 1000000.0 }) {
+    auto service = Linked();
+    service.memoryTokens = memory;
+    service.copyMbps = 0;
+    LinkedFleet bench(1, service);
+    bench.Place(7);
+    const auto read = [&] {
+      PeerReport report;
+      report.router = "r2";
+      report.life = 1;
+      report.sequence = 1;
+      report.reading = 300000;
+      bench.fleet.Tick(bench.now);
+      bench.fleet.Take(report, bench.now);
+      bench.now += 1000ms;
+      bench.fleet.Tick(bench.now);
+    };
+    read();
+    const bool held = bench.Place(7).missingTokens < 6000;
+    cr_assert(held == (memory > 300000));
+  }
+}
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/enumnames.h"
 #include "base/verdict.h"
 #include "fleet/fleettypes.h"
@@ -45,6 +46,8 @@
   std::string upstreamId; //!< another upstream at its address refuses
   std::string workspace;  //!< empty: the route is public
   Duration timeLeft{};    //!< the upstream stops its work then
+  //! An upstream that holds leading parts of the prompt; port 0: none.
+  base::Address copyFrom;
   //! A stream goes on after this event.
   std::optional<std::string> lastEventId;
 };
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -110,6 +110,8 @@
     .Add("foreseen_ms", aPlace.foreseenMs)
     .Add("unread_tokens", aPlace.unreadTokens)
     .Add("missing_tokens", aPlace.missingTokens)
+    .Add("copied_tokens", aPlace.copiedTokens)
+    .Add("copy_from", aPlace.copyFrom.Text())
     .Add("running", aPlace.running)
     .Add("rank", aPlace.rank)
     .Add("inside_share", aPlace.insideShare ? "yes" : "no")
@@ -139,6 +141,7 @@
   context.upstreamId = aPlace.upstreamId;
   context.workspace = m_workspace;
   context.timeLeft = TimeLeft(m_sentAt);
+  context.copyFrom = aPlace.copyFrom;
   context.lastEventId =
     m_events.LastId() ? m_events.LastId() : m_request.lastEventId;
   m_upstream = &m_parts.pool.Acquire(aPlace.upstream, aPlace.address, *this);
