--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -36,8 +36,7 @@
     status.service = upstream.entry.service;
     status.draining = upstream.entry.draining;
     status.ejected = upstream.health.IsEjected(aNow);
-    status.unreadTokens =
-      static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
+    status.unreadTokens = upstream.reading.Unread(aNow) + told.unreadTokens;
     status.running = upstream.running + told.running;
     status.readRate = upstream.readRate.TokensPerMs();
     status.failurePart = upstream.health.FailurePart();
@@ -110,15 +109,14 @@
 }
 
 void
-Fleet::EndReading(Upstream* aUpstream, Attempt& aAttempt)
+Fleet::EndReading(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt)
 {
   if (!aAttempt.waitsForFirst) {
     return;
   }
   aAttempt.waitsForFirst = false;
   if (aUpstream != nullptr) {
-    aUpstream->unreadTokens -=
-      std::min(aUpstream->unreadTokens, aAttempt.unreadTokens);
+    aUpstream->reading.Done(aId);
   }
 }
 
@@ -136,7 +134,7 @@
     upstream->readRate.Learn(attempt.tokensAhead, took);
     m_forecastError.Learn(attempt.foreseenMs, took);
   }
-  EndReading(upstream, attempt);
+  EndReading(upstream, aAttempt, attempt);
 }
 
 bool
@@ -164,7 +162,7 @@
   auto attempt = found->second;
   m_attempts.erase(found);
   auto* upstream = Find(attempt.upstream);
-  EndReading(upstream, attempt);
+  EndReading(upstream, aAttempt, attempt);
   if (upstream == nullptr) {
     return false;
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
 #include "fleet/prefixmap.h"
+#include "fleet/readingqueue.h"
 #include "fleet/readrate.h"
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
@@ -170,14 +171,13 @@
     ReadRate readRate;
     UpstreamTime time;
     UpstreamHealth health;
-    std::uint32_t unreadTokens = 0; //!< sent from here
-    std::uint32_t running = 0;      //!< sent from here
+    ReadingQueue reading;      //!< sent from here
+    std::uint32_t running = 0; //!< sent from here
   };
 
   struct Attempt
   {
     UpstreamId upstream{};
-    std::uint32_t unreadTokens = 0;
     double tokensAhead = 0; //!< unread there when it was sent, its own too
     double foreseenMs = 0;  //!< to its first token
     TimePoint sentAt{};
@@ -190,13 +190,15 @@
                                        TimePoint aNow) const;
   Candidate MakeCandidate(const PlaceRequest& aRequest,
                           UpstreamId aUpstream,
-                          const std::vector<PrefixHolder>& aHolders) const;
+                          const std::vector<PrefixHolder>& aHolders,
+                          TimePoint aNow) const;
   void SetKeptPrefixes();
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
                                     std::vector<UpstreamId> aEligible,
                                     const std::vector<PrefixHolder>& aHolders,
                                     const PlacementPolicy& aPolicy,
-                                    std::uint64_t aKey) const;
+                                    std::uint64_t aKey,
+                                    TimePoint aNow) const;
   double ReadingCapacity() const;
   double RoomFor(double aOwed, double aBegun) const;
   void SetLevels();
@@ -212,7 +214,7 @@
                   TimePoint aNow);
   bool MayEject(const Upstream& aUpstream, TimePoint aNow) const;
   Upstream* Find(UpstreamId aUpstream);
-  void EndReading(Upstream* aUpstream, Attempt& aAttempt);
+  void EndReading(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt);
 
   FleetSettings m_settings;
   PlacementPolicy m_policy;
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -75,7 +75,8 @@
 Candidate
 Fleet::MakeCandidate(const PlaceRequest& aRequest,
                      UpstreamId aUpstream,
-                     const std::vector<PrefixHolder>& aHolders) const
+                     const std::vector<PrefixHolder>& aHolders,
+                     TimePoint aNow) const
 {
   const auto& upstream = m_upstreams.at(aUpstream);
   const auto& entry = upstream.entry;
@@ -86,8 +87,7 @@
   Candidate candidate;
   candidate.upstream = aUpstream;
   candidate.isEngine = upstream.isEngine;
-  candidate.unreadTokens =
-    static_cast<double>(upstream.unreadTokens) + told.unreadTokens;
+  candidate.unreadTokens = upstream.reading.Unread(aNow) + told.unreadTokens;
   const auto held = m_prefixes.Held(*aRequest.work, aUpstream);
   candidate.missingTokens =
     static_cast<double>(aRequest.work->promptTokens) - held;
@@ -118,7 +118,8 @@
                   std::vector<UpstreamId> aEligible,
                   const std::vector<PrefixHolder>& aHolders,
                   const PlacementPolicy& aPolicy,
-                  std::uint64_t aKey) const
+                  std::uint64_t aKey,
+                  TimePoint aNow) const
 {
   const bool isEngine =
     !aEligible.empty() && m_upstreams.at(aEligible.front()).isEngine;
@@ -128,7 +129,7 @@
   std::vector<Candidate> candidates;
   candidates.reserve(aEligible.size());
   for (const auto id : aEligible) {
-    candidates.push_back(MakeCandidate(aRequest, id, aHolders));
+    candidates.push_back(MakeCandidate(aRequest, id, aHolders, aNow));
   }
   return candidates;
 }
@@ -172,7 +173,8 @@
   result.peersAge = m_peers.Age(aNow);
   const auto eligible = Eligible(aRequest, aNow);
   const auto holders = HoldersFor(aRequest, aNow);
-  auto candidates = Candidates(aRequest, eligible, holders, m_policy, key);
+  auto candidates =
+    Candidates(aRequest, eligible, holders, m_policy, key, aNow);
   auto placed = fleet::Place(m_policy, candidates, key);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
@@ -186,7 +188,7 @@
     //! all of it has to be read. For what no one is owed that would be
     //! reading for nothing.
     candidates =
-      Candidates(aRequest, eligible, holders, Spread(), aRequest.key);
+      Candidates(aRequest, eligible, holders, Spread(), aRequest.key, aNow);
     placed = fleet::Place(Spread(), candidates, aRequest.key);
     admission = Judge(aRequest, candidates[placed->candidate], result);
   }
@@ -225,13 +227,15 @@
   const auto& work = *aRequest.work;
   Attempt attempt;
   attempt.upstream = aUpstream;
-  attempt.unreadTokens =
-    static_cast<std::uint32_t>(std::max(aCandidate.missingTokens, 0.0));
+  const double toRead = std::max(aCandidate.missingTokens, 0.0);
   attempt.tokensAhead = aCandidate.unreadTokens + aCandidate.missingTokens;
   attempt.foreseenMs = aCandidate.ForeseenMs();
   attempt.sentAt = aNow;
   upstream.running++;
-  upstream.unreadTokens += attempt.unreadTokens;
+  const auto id = m_nextAttempt++;
+  const double aheadMs = aCandidate.unreadTokens / aCandidate.readRate;
+  upstream.reading.Sent(
+    id, toRead, aheadMs, toRead / aCandidate.readRate, aNow);
   for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
     m_prefixes.Used(work.prompt[i].id, aUpstream);
     if (m_usesHere.size() < kMostUsesTold) {
@@ -239,11 +243,10 @@
     }
   }
   if (work.IsGeneration() && !aRequest.admitted) {
-    m_demand.Begun(aRequest.workspace, work.Cost(), attempt.unreadTokens, aNow);
+    m_demand.Begun(aRequest.workspace, work.Cost(), toRead, aNow);
     m_fleetRates[aRequest.workspace].begun +=
       work.Cost() * 1000.0 / static_cast<double>(kShareMemory.count());
   }
-  const auto id = m_nextAttempt++;
   m_attempts.emplace(id, attempt);
   return id;
 }
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -85,7 +85,9 @@
   report.configAge = m_freshness.Age(aNow);
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.running > 0) {
-      report.loads.push_back({ id, upstream.unreadTokens, upstream.running });
+      const auto unread = upstream.reading.Unread(aNow);
+      report.loads.push_back(
+        { id, static_cast<std::uint32_t>(unread), upstream.running });
     }
   }
   for (const auto& [workspace, rate] : m_demand.Rates(aNow)) {
