The test of large prompts asks at the limit itself

Change: it asks 1 ms below and 1 ms above the limit, where it asked 44 ms away from it before; nothing else.

--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -1,5 +1,6 @@
 #include "fleet/admission.h"
 #include "fleet/fairshare.h"
+#include "fleet/fleetconstants.h"
 #include "fleet/forecasterror.h"
 #include "fleet/freshness.h"
 #include "fleet/passlevel.h"
@@ -369,9 +370,9 @@
   input.foreseenMs = 1600;
   cr_assert(!Admit(input).taken);
   input.insideShare = false;
-  input.foreseenMs = 1300;
+  input.foreseenMs = 1200 + kOutsideShareLimit * 800 - 1;
   cr_assert(Admit(input).taken);
-  input.foreseenMs = 1400;
+  input.foreseenMs = 1200 + kOutsideShareLimit * 800 + 1;
   cr_assert(!Admit(input).taken);
 }
 
