A refused request costs three system calls fewer

Cause: under a flood a router of an eighth of a core spends nearly all it has on requests that it refuses; each on a new connection took nine system calls. Change: accept4 gives a non-blocking connection in one call; closing a descriptor ends its polling by itself; whether the caller is still there is looked at only before a request is sent on.

--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -82,12 +82,18 @@
 }
 
 void
-EventLoop::Remove(int aDescriptor)
+EventLoop::RemoveClosing(int aDescriptor)
 {
   const auto index = static_cast<std::size_t>(aDescriptor);
   if (index < m_registrations.size()) {
     m_registrations[index] = {};
   }
+}
+
+void
+EventLoop::Remove(int aDescriptor)
+{
+  RemoveClosing(aDescriptor);
   epoll_ctl(m_poll, EPOLL_CTL_DEL, aDescriptor, nullptr);
 }
 
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -37,6 +37,9 @@
   void Modify(int aDescriptor, std::uint32_t aEvents);
   //! Events of the descriptor that are already fetched are dropped.
   void Remove(int aDescriptor);
+  //! The same right before the descriptor is closed, which ends its polling
+  //! without a call of its own.
+  void RemoveClosing(int aDescriptor);
 
   void Subscribe(base::Duration aPeriod,
                  std::function<void()> aCallback) override;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,12 +164,6 @@
                    http::RequestHead&& aHead,
                    std::string&& aBody)
 {
-  //! NOTE under a flood a connection waits to be accepted for longer than its
-  //! caller does; the request is then the first thing seen of it.
-  if (aConnection.HasPeerGone()) {
-    m_metrics.Count("requests_left_unread_total");
-    return; // the connection's own end follows
-  }
   if (m_stopBeganAt || m_connections.Size() > kManyCallers) {
     aConnection.CloseAfterAnswer();
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -93,6 +93,7 @@
   void PlaceFirst();
   bool PlaceAgain();
   fleet::PlaceRequest MakePlaceRequest() const;
+  void SendFirst(const fleet::PlaceResult& aPlace);
   void Send(const fleet::PlaceResult& aPlace);
   void LogPlace(const char* aEvent, const fleet::PlaceResult& aPlace);
 
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -43,7 +43,7 @@
   switch (place.outcome) {
     case fleet::PlaceOutcome::Placed:
       LogPlace("placed", place);
-      Send(place);
+      SendFirst(place);
       return;
     case fleet::PlaceOutcome::Refused:
       LogPlace("refused", place);
@@ -55,6 +55,21 @@
   }
 }
 
+//! Under a flood a connection waits to be accepted for longer than its caller
+//! does, and the request is the first thing seen of it. What is refused needs
+//! no such look, a system call: its answer is lost on nobody.
+void
+Exchange::SendFirst(const fleet::PlaceResult& aPlace)
+{
+  if (!m_caller->HasPeerGone()) {
+    Send(aPlace);
+    return;
+  }
+  m_parts.metrics.Count("requests_left_unread_total");
+  m_attempt = aPlace.attempt;
+  OnCallerGone(); // the connection's own end follows
+}
+
 //! Returns false if there is nowhere to go.
 bool
 Exchange::PlaceAgain()
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -93,7 +93,7 @@
     return;
   }
   if (m_registered) {
-    m_loop.Remove(m_stream.get_handle());
+    m_loop.RemoveClosing(m_stream.get_handle());
     m_registered = false;
   }
   m_stream.close();
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -7,7 +7,6 @@
 #include <ace/INET_Addr.h>
 
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace hemlockgauge::http {
@@ -59,13 +58,13 @@
 Listener::OnIo(std::uint32_t)
 {
   for (int i = 0; i < kAcceptsPerRound && m_open; ++i) {
-    ACE_SOCK_Stream stream;
-    if (m_acceptor.accept(stream) == -1) {
+    //! NOTE ACE takes a second call to make it non-blocking.
+    const int accepted = accept4(
+      m_acceptor.get_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted == -1) {
       return;
     }
-    int on = 1;
-    ioctl(stream.get_handle(), FIONBIO, &on);
-    m_onConnection(stream);
+    m_onConnection(ACE_SOCK_Stream(accepted));
   }
 }
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -73,7 +73,7 @@
 ServerConnection::~ServerConnection()
 {
   if (m_state != State::Closed) {
-    m_loop.Remove(m_stream.get_handle());
+    m_loop.RemoveClosing(m_stream.get_handle());
     m_stream.close();
   }
 }
@@ -335,7 +335,7 @@
   if (m_state == State::Closed) {
     return;
   }
-  m_loop.Remove(m_stream.get_handle());
+  m_loop.RemoveClosing(m_stream.get_handle());
   m_stream.close();
   m_state = State::Closed;
 }
