--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -35,7 +35,7 @@
 //! A router over linked engines in two zones.
 struct LinkedFleet
 {
-  explicit LinkedFleet(int aEngines, Service aService = Linked())
+  explicit LinkedFleet(int aEngines, const Service& aService = Linked())
     : fleet({ "r1", "z0", 1 })
   {
     auto config = std::make_shared<FleetConfig>();
