A service that no configuration names any more copies nothing

Cause: read again: a copy looked its service up with at(); a configuration that drops a service while its routes or upstreams stay would have thrown out of the event loop and ended the router. Change: CopyFor looks it up and copies nothing where it is missing; test with a configuration that drops the service.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -191,6 +191,11 @@
                                    TimePoint aNow) const;
   std::vector<PrefixHolder> HoldersFor(const PlaceRequest& aRequest,
                                        TimePoint aNow) const;
+  std::optional<PrefixCopy> CopyFor(const PlaceRequest& aRequest,
+                                    const UpstreamEntry& aEntry,
+                                    std::vector<PrefixHolder> aHolders,
+                                    std::uint32_t aHeldTokens,
+                                    double aTokensPerMs) const;
   Candidate MakeCandidate(const PlaceRequest& aRequest,
                           UpstreamId aUpstream,
                           const std::vector<PrefixHolder>& aHolders,
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -72,6 +72,29 @@
   return holders;
 }
 
+//! What aEntry's engine, which holds aHeldTokens of the prompt, would copy.
+std::optional<PrefixCopy>
+Fleet::CopyFor(const PlaceRequest& aRequest,
+               const UpstreamEntry& aEntry,
+               std::vector<PrefixHolder> aHolders,
+               std::uint32_t aHeldTokens,
+               double aTokensPerMs) const
+{
+  if (aHolders.empty() || m_routes == nullptr) {
+    return std::nullopt;
+  }
+  const auto& services = m_routes->Config()->services;
+  const auto service = services.find(aRequest.service);
+  if (service == services.end()) {
+    return std::nullopt;
+  }
+  for (auto& holder : aHolders) {
+    holder.sameZone = m_upstreams.at(holder.upstream).entry.zone == aEntry.zone;
+  }
+  return ChooseCopy(
+    service->second, aHolders, aHeldTokens, aTokensPerMs, aRequest.key);
+}
+
 Candidate
 Fleet::MakeCandidate(const PlaceRequest& aRequest,
                      UpstreamId aUpstream,
@@ -92,17 +115,8 @@
   candidate.missingTokens =
     static_cast<double>(aRequest.work->promptTokens) - held;
   candidate.readRate = upstream.readRate.TokensPerMs();
-  if (!aHolders.empty()) {
-    auto holders = aHolders;
-    for (auto& holder : holders) {
-      holder.sameZone =
-        m_upstreams.at(holder.upstream).entry.zone == entry.zone;
-    }
-    const auto& service = m_routes->Config()->services.at(aRequest.service);
-    candidate.copy =
-      ChooseCopy(service, holders, held, candidate.readRate, aRequest.key);
-    candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
-  }
+  candidate.copy = CopyFor(aRequest, entry, aHolders, held, candidate.readRate);
+  candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
   candidate.running = upstream.running + told.running;
   candidate.slots = std::max(entry.slots, 1U);
   candidate.serviceMs = upstream.time.Millis(serviceTime);
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -158,6 +158,19 @@
   }
 }
 
+//! A configuration may drop a service whose routes or upstreams stay.
+Test(prefixcopy, AServiceThatIsNoLongerNamedCopiesNothing)
+{
+  LinkedFleet bench(6);
+  const auto first = bench.Place(7);
+  auto config = std::make_shared<FleetConfig>();
+  config->version = 2;
+  bench.fleet.SetConfig(config);
+  const auto second = bench.Place(7, { first.upstream });
+  cr_assert(second.outcome == PlaceOutcome::Placed);
+  cr_assert(second.copyFrom.port == 0);
+}
+
 //! Nothing of one deployment's engines is built in.
 Test(prefixcopy, HowLongAPrefixIsKeptFollowsFromTheMemoryThatIsSaid)
 {
