Three routers read the store for a large fleet, the others follow them

Proofs aged by the time that an asker waits on each way.

Change: an order of readers, the same by all views and of different availability zones (fleet/exchangeplan); three read, hubs follow them, the others their hubs (fleet/sourceoptions). Routers tell each other the freshest reader; whose source is cut off goes there. If none is known the others take over one after another, by rank and the age of their proof. Who starts asks a seed. An answer of news says how long it waited, so that its age is bounded without counting the wait, and a newer proof is news. Who was never told anything tells nothing.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -175,13 +175,41 @@
 inline constexpr base::Duration kRouterSilent = kNewsWait + 600ms;
 //! The same for the store: a watch of a second, and its answer.
 inline constexpr base::Duration kStoreSilent = 2500ms;
+//! The same where another router is known to be answered: a watch, and some
+//! of the way.
+inline constexpr base::Duration kStoreLate = 1300ms;
+//! Another's proof that is newer by this says that one's own source is worse:
+//! a watch ends once a second.
+inline constexpr base::Duration kProofBetter = 1000ms;
 //! A source whose own proof is older is cut off from the store.
 inline constexpr base::Duration kSourceStale = 2600ms;
 //! A source is kept at least this long, or all routers would go round in
-//! circles while the store is away.
+//! circles while the store is away; up to the second figure if all are cut off.
 inline constexpr base::Duration kSourceDwell = 500ms;
+inline constexpr base::Duration kSourceDwellMost = 4000ms;
 //! After this long with another source the first one is tried again.
 inline constexpr base::Duration kSourceRetry = 5000ms;
+//! Routers of a large fleet that read the store for all. Each waits in a call
+//! of a second; two may be lost or cut off without a gap.
+inline constexpr std::size_t kStoreReaders = 3;
+//! A proof this old says that no reader reaches the store: a watch, the age
+//! that its answer has already, and two ways from router to router.
+inline constexpr base::Duration kTakeoverAfter = 2600ms;
+//! Between the routers that then turn to the store, by their order: a dozen
+//! have tried before keys may no longer be used, and an outage of ten seconds
+//! brings about fifty routers to the store, not all.
+inline constexpr base::Duration kTakeoverStep = 150ms;
+//! Until a router that took over in vain does so again.
+inline constexpr base::Duration kTakeoverPause = 2000ms;
+//! How long a router that starts waits for a seed's first answer before it
+//! asks the next one, and then the store.
+inline constexpr base::Duration kStartPatience = 150ms;
+//! After this long a router that started knows the fleet: its seeds have told
+//! it, and its hubs have heard of it.
+inline constexpr base::Duration kSourceSettle = 2000ms;
+//! A follower is told of a proof that is newer by this, without a question:
+//! else proofs would age by kNewsWait on each way from router to router.
+inline constexpr base::Duration kProofStep = 500ms;
 //! Margin under the time within which a withdrawn key must stop working.
 inline constexpr base::Duration kRevocationMargin = 500ms;
 
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -23,7 +23,7 @@
 Membership::Membership(const base::Address& aSelf,
                        std::uint32_t aZone,
                        const std::vector<base::Address>& aSeeds)
-  : m_self{ aSelf, aZone, HashOf(aSelf), {} }
+  : m_self{ aSelf, aZone, HashOf(aSelf) }
 {
   for (const auto& seed : aSeeds) {
     if (!(seed == aSelf)) {
@@ -88,71 +88,17 @@
                }));
 }
 
-std::uint64_t
-Membership::GroupOf(const Member& aMember, std::size_t aZoneSize) const
-{
-  const auto groups = (aZoneSize + kGroupMost - 1) / kGroupMost;
-  const auto index = aMember.hash % std::max<std::size_t>(groups, 1);
-  return (std::uint64_t{ aMember.zone } << 32) | index;
-}
-
 ExchangePlan
 Membership::Plan(TimePoint aNow) const
 {
-  ExchangePlan plan;
-  std::vector<Member> alive{ m_self };
-  std::map<std::uint32_t, std::size_t> zoneSizes{ { m_self.zone, 1 } };
+  std::vector<FleetMember> alive;
+  alive.reserve(m_members.size());
   for (const auto& [text, member] : m_members) {
     if (IsAlive(member, aNow)) {
       alive.push_back(member);
-      zoneSizes[member.zone]++;
-    }
-  }
-  if (alive.size() <= kMeshMost) {
-    for (const auto& member : alive) {
-      if (!(member.address == m_self.address)) {
-        plan.tell.push_back(member.address);
-      }
     }
-    return plan;
-  }
-  std::map<std::uint64_t, std::vector<Member>> groups;
-  for (const auto& member : alive) {
-    groups[GroupOf(member, zoneSizes[member.zone])].push_back(member);
-  }
-  plan.group = GroupOf(m_self, zoneSizes[m_self.zone]);
-  plan.isHub = false;
-  for (auto& [group, members] : groups) {
-    std::sort(members.begin(),
-              members.end(),
-              [](const auto& aFirst, const auto& aSecond) {
-                return aFirst.hash < aSecond.hash;
-              });
-    const auto hubs = std::min(members.size(), kHubsOfGroup);
-    for (std::size_t i = 0; i < members.size(); ++i) {
-      const bool self = members[i].address == m_self.address;
-      const bool hub = i < hubs;
-      if (hub && group == plan.group) {
-        plan.groupHubs.push_back(members[i].address);
-      }
-      if (group != plan.group) {
-        if (hub) {
-          plan.hubs.push_back(members[i].address);
-        }
-      } else if (self) {
-        plan.isHub = hub;
-      } else {
-        if (hub) {
-          plan.tell.push_back(members[i].address);
-        }
-        plan.followers.push_back(members[i].address);
-      }
-    }
-  }
-  if (!plan.isHub) {
-    plan.followers.clear();
   }
-  return plan;
+  return MakeExchangePlan(m_self, alive);
 }
 
 std::vector<base::Address>
--- a/src/fleet/internal/newslog.cpp
+++ b/src/fleet/internal/newslog.cpp
@@ -49,6 +49,7 @@
     }
   }
   m_upstreams = aEntries;
+  m_hasUpstreams = true;
 }
 
 bool
--- a/src/fleet/internal/sourcepolicy.cpp
+++ b/src/fleet/internal/sourcepolicy.cpp
@@ -6,59 +6,134 @@
 
 namespace hemlockgauge::fleet {
 
+SourcePolicy::SourcePolicy()
+  : m_dwell(kSourceDwell)
+{
+}
+
 void
-SourcePolicy::SetOptions(const std::vector<NewsSource>& aOptions,
-                         TimePoint aNow)
+SourcePolicy::SetOptions(const SourceOptions& aOptions, TimePoint aNow)
 {
-  if (aOptions == m_options) {
+  const bool sameOrder = aOptions.order == m_options.order;
+  m_options = aOptions;
+  if (!m_hasBegun) {
+    Use(0, aNow);
     return;
   }
-  const bool wasPreferred = IsPreferred();
-  m_options = aOptions;
-  if (wasPreferred) {
-    if (!(m_options[0] == m_current)) {
+  if (sameOrder || m_hasTakenOver) {
+    m_index = std::min(m_index, m_options.order.size() - 1);
+    return;
+  }
+  const auto& order = m_options.order;
+  const auto found = std::find(order.begin(), order.end(), m_current);
+  if (IsPreferred() || found == order.end()) {
+    if (!(order[0] == m_current)) {
       Use(0, aNow);
     }
     return;
   }
-  const auto found = std::find(m_options.begin(), m_options.end(), m_current);
-  if (found == m_options.end()) {
-    Use(0, aNow);
-  } else {
-    m_index = static_cast<std::size_t>(found - m_options.begin());
-  }
+  m_index = static_cast<std::size_t>(found - order.begin());
 }
 
 void
-SourcePolicy::Use(std::size_t aIndex, TimePoint aNow)
+SourcePolicy::Begin(const NewsSource& aSource, TimePoint aNow)
 {
-  m_index = aIndex;
-  m_current = m_options[aIndex];
+  m_hasBegun = true;
+  m_current = aSource;
   m_usedSince = aNow;
   m_answeredAt = aNow;
   m_proofAge.reset();
 }
 
+void
+SourcePolicy::Use(std::size_t aIndex, TimePoint aNow)
+{
+  m_hasTakenOver = false;
+  m_index = aIndex;
+  Begin(m_options.order[aIndex], aNow);
+}
+
+void
+SourcePolicy::TakeOver(TimePoint aNow)
+{
+  m_hasTakenOver = true;
+  m_readWell = false;
+  Begin(NewsSource{}, aNow);
+}
+
 void
 SourcePolicy::Answered(Duration aProofAge, TimePoint aNow)
 {
   m_answeredAt = aNow;
   m_proofAge = aProofAge;
+  if (!IsStale(aNow)) {
+    m_dwell = kSourceDwell;
+    m_readWell = m_readWell || m_hasTakenOver;
+  }
+}
+
+bool
+SourcePolicy::IsSilent(TimePoint aNow) const
+{
+  auto limit =
+    m_current.kind == SourceKind::Store ? kStoreSilent : kRouterSilent;
+  if (!m_proofAge && m_options.patience &&
+      m_current.kind == SourceKind::Router) {
+    limit = *m_options.patience;
+  }
+  return aNow - m_answeredAt > limit;
+}
+
+bool
+SourcePolicy::IsStale(TimePoint aNow) const
+{
+  return m_proofAge && *m_proofAge + (aNow - m_answeredAt) > kSourceStale;
+}
+
+//! A store that answers no more, while another router reads it, turns this
+//! one away.
+bool
+SourcePolicy::IsBehindKnown(TimePoint aNow) const
+{
+  if (!m_options.known) {
+    return false;
+  }
+  if (m_current.kind == SourceKind::Store) {
+    return aNow - m_answeredAt > kStoreLate;
+  }
+  return m_index != *m_options.known && IsStale(aNow);
+}
+
+//! On to the next one. If all are cut off, each is kept longer than the one
+//! before: going round brings nothing, and each change costs a whole list.
+void
+SourcePolicy::Move(TimePoint aNow)
+{
+  m_dwell = std::min(m_dwell * 2, kSourceDwellMost);
+  if (m_hasTakenOver) {
+    m_mayTakeOverAt = aNow + kTakeoverPause;
+  }
+  Use(m_hasTakenOver ? 0 : (m_index + 1) % m_options.order.size(), aNow);
 }
 
 bool
 SourcePolicy::Tick(TimePoint aNow)
 {
   const auto before = m_current;
-  const bool alone = m_options.size() == 1;
-  const auto limit =
-    m_current.kind == SourceKind::Store ? kStoreSilent : kRouterSilent;
-  const bool silent = aNow - m_answeredAt > limit;
-  const bool cutOff = m_proofAge && *m_proofAge > kSourceStale;
-  const bool settled = aNow - m_usedSince > kSourceDwell;
-  if (!alone && (silent || (cutOff && settled))) {
-    Use((m_index + 1) % m_options.size(), aNow);
-  } else if (m_index > 0 && aNow - m_usedSince > kSourceRetry) {
+  const auto used = aNow - m_usedSince;
+  const bool settled = used > m_dwell;
+  const bool isDue = m_options.takesOver && aNow >= m_mayTakeOverAt;
+  const bool wasRight = m_readWell && IsStale(aNow);
+  const bool canMove = m_hasTakenOver || m_options.order.size() > 1;
+  if (IsBehindKnown(aNow)) {
+    Use(*m_options.known, aNow);
+  } else if (!m_hasTakenOver && (isDue || wasRight)) {
+    TakeOver(aNow);
+  } else if (m_options.known && IsStale(aNow) && m_index != *m_options.known) {
+    Use(*m_options.known, aNow);
+  } else if (canMove && (IsSilent(aNow) || (IsStale(aNow) && settled))) {
+    Move(aNow);
+  } else if (!IsPreferred() && used > kSourceRetry) {
     Use(0, aNow);
   }
   return !(before == m_current);
--- a/src/fleet/news.h
+++ b/src/fleet/news.h
@@ -23,6 +23,7 @@
   std::uint64_t sequence = 0;
   bool full = false;   //!< upstreams are all that there are
   Duration proofAge{}; //!< since the store proved all this
+  Duration waited{};   //!< from the question to this answer
   std::string config;  //!< as the store holds it; empty: nothing newer
   std::vector<UpstreamEntry> upstreams;
   std::vector<std::string> removed;
--- a/src/fleet/newslog.h
+++ b/src/fleet/newslog.h
@@ -20,6 +20,9 @@
   //! Notes what differs from the last call.
   void SetUpstreams(const std::map<std::string, UpstreamEntry>& aEntries);
 
+  //! Whether the store was listed: who has just started and was told nothing
+  //! must not be taken for an empty store.
+  bool IsKnown() const { return m_hasUpstreams; }
   bool HasNews(const NewsAsk& aAsk) const;
   //! aProofAge: since the store proved what is told.
   News Answer(const NewsAsk& aAsk, Duration aProofAge) const;
@@ -38,6 +41,7 @@
   std::uint64_t m_sequence = 1;
   std::uint64_t m_configVersion = 0;
   std::string m_config;
+  bool m_hasUpstreams = false;
   std::map<std::string, UpstreamEntry> m_upstreams;
   std::deque<Change> m_changes;
 };
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -70,7 +70,11 @@
   std::uint32_t routers = 1; //!< how many it sums up
   double reading = 0;        //!< tokens a second to be read for what was begun
   std::uint64_t configVersion = 0;
-  Duration configAge{};      //!< since the version was proven the newest
+  Duration configAge{}; //!< since the version was proven the newest
+  //! The freshest reader of the store that the sender knows of, and since when
+  //! what that one tells is proven; port 0: none.
+  base::Address reader;
+  Duration readerAge{};
   bool wantsMembers = false; //!< the sender knows hardly anyone
   std::vector<HeardRouter> heard;
   std::vector<UpstreamLoad> loads;
--- a/src/fleet/sourcepolicy.h
+++ b/src/fleet/sourcepolicy.h
@@ -25,30 +25,54 @@
   bool operator==(const NewsSource&) const = default;
 };
 
-//! Chooses where to learn from. The store counts every call, so in a large
-//! fleet only hubs read it and the others follow a hub; whoever is cut off
-//! from its source goes on to the next, and returns to the first later.
+//! The sources that a router may have now.
+struct SourceOptions
+{
+  std::vector<NewsSource> order{ NewsSource{} }; //!< never empty
+  //! No router proves what it tells: this one turns to the store itself.
+  bool takesOver = false;
+  //! The source that is known to have a newer proof, by its place in the order.
+  std::optional<std::size_t> known;
+  //! How long a source has for its first answer; nothing: as for any other.
+  std::optional<Duration> patience;
+};
+
+//! Chooses where to learn from. Whoever is cut off from its source goes on to
+//! the next, and returns to the first later; whoever takes over reads the
+//! store for a while, whatever the order is.
 class SourcePolicy
 {
 public:
-  //! In order of preference; never empty.
-  void SetOptions(const std::vector<NewsSource>& aOptions, TimePoint aNow);
+  SourcePolicy();
+
+  void SetOptions(const SourceOptions& aOptions, TimePoint aNow);
   //! The source answered; what it told was proven aProofAge ago.
   void Answered(Duration aProofAge, TimePoint aNow);
   //! Returns true if the source has changed.
   bool Tick(TimePoint aNow);
   const NewsSource& Current() const { return m_current; }
-  bool IsPreferred() const { return m_index == 0; }
+  bool IsPreferred() const { return !m_hasTakenOver && m_index == 0; }
 
 private:
   void Use(std::size_t aIndex, TimePoint aNow);
+  void TakeOver(TimePoint aNow);
+  void Begin(const NewsSource& aSource, TimePoint aNow);
+  void Move(TimePoint aNow);
+  bool IsSilent(TimePoint aNow) const;
+  bool IsStale(TimePoint aNow) const;
+  bool IsBehindKnown(TimePoint aNow) const;
 
-  std::vector<NewsSource> m_options{ NewsSource{} };
+  SourceOptions m_options;
+  bool m_hasBegun = false;
   NewsSource m_current;
   std::size_t m_index = 0;
+  bool m_hasTakenOver = false; //!< reads the store for all
+  bool m_readWell = false;     //!< the store answered when it did so last
+  TimePoint m_mayTakeOverAt{}; //!< not again at once where it failed
   TimePoint m_usedSince{};
   TimePoint m_answeredAt{};
-  std::optional<Duration> m_proofAge;
+  std::optional<Duration> m_proofAge; //!< nothing: has not answered yet
+  Duration m_dwell;
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,18 +60,6 @@
   return settings;
 }
 
-//! The settings name the seeds' control addresses; reports go to the same
-//! port at all routers.
-std::vector<base::Address>
-SeedsOf(const GatewaySettings& aSettings)
-{
-  std::vector<base::Address> seeds;
-  for (const auto& seed : aSettings.seeds) {
-    seeds.push_back({ seed.ip, aSettings.peerListen.port });
-  }
-  return seeds;
-}
-
 Exchange*
 ExchangeOf(const http::ServerConnection& aConnection)
 {
@@ -112,7 +100,8 @@
   , m_members(aSettings.peerListen,
               base::HashName(aSettings.zone),
               SeedsOf(aSettings))
-  , m_lastTick(aLoop.Now())
+  , m_startedAt(aLoop.Now())
+  , m_lastTick(m_startedAt)
 {
 }
 
@@ -121,10 +110,10 @@
 void
 Gateway::Start()
 {
-  OpenSource();
+  ChooseSource(m_members.Plan(m_startedAt), m_startedAt);
   m_newsServer = std::make_unique<NewsServer>(
     m_loop, m_settings.controlListen, m_newsLog, [this] {
-      return m_fleet.ConfigFreshness().Age(m_loop.Now());
+      return m_loop.Now() - m_newsProvenAt;
     });
   m_peers = std::make_unique<PeerLink>(
     m_loop,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet.h"
 #include "fleet/membership.h"
 #include "fleet/newslog.h"
+#include "fleet/sourceoptions.h"
 #include "fleet/sourcepolicy.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
@@ -113,6 +114,10 @@
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   fleet::NewsLog m_newsLog;
   fleet::SourcePolicy m_sources;
+  fleet::KnownReader m_knownReader;
+  //! When all that m_newsLog tells held. Keys may be proven by more: the
+  //! reports of others say nothing of upstreams.
+  base::TimePoint m_newsProvenAt{ base::TimePoint::min() / 2 };
   std::optional<fleet::NewsSource> m_opened; //!< what m_news follows
   std::unique_ptr<INewsSource> m_news;
   std::unique_ptr<NewsServer> m_newsServer;
@@ -124,6 +129,7 @@
   bool m_ready = false;
   bool m_stopped = false;
   std::size_t m_cut = 0;
+  base::TimePoint m_startedAt{};
   base::TimePoint m_lastTick{};
 };
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -110,6 +110,16 @@
 
 }
 
+std::vector<base::Address>
+SeedsOf(const GatewaySettings& aSettings)
+{
+  std::vector<base::Address> seeds;
+  for (const auto& seed : aSettings.seeds) {
+    seeds.push_back({ seed.ip, aSettings.peerListen.port });
+  }
+  return seeds;
+}
+
 GatewaySettings
 ParseGatewaySettings(const std::string& aFile, std::string_view aText)
 {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -37,6 +37,11 @@
   double loggedPerSecond = 100;
 };
 
+//! The settings name the seeds' control addresses; reports go to the same
+//! port at all routers.
+std::vector<base::Address>
+SeedsOf(const GatewaySettings& aSettings);
+
 //! Throws Error naming file, line, key and what was expected.
 GatewaySettings
 ParseGatewaySettings(const std::string& aFile, std::string_view aText);
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "eventloop/eventloop.h"
+#include "fleet/sourceoptions.h"
 #include "gateway/istoredialect.h"
 #include "gateway/newsfollower.h"
 #include "gateway/newsserver.h"
@@ -21,8 +22,6 @@
 
 using namespace std::chrono_literals;
 
-//! Hubs of other groups that a router turns to when its own are cut off.
-constexpr std::size_t kOtherSources = 2;
 //! Longest pause between failed calls to the store: of a router that reads
 //! it always, and of one that turns to it last of all, with many others.
 constexpr base::Duration kStorePause = 400ms;
@@ -56,6 +55,9 @@
     reply.members = m_members.Known(now);
     m_peers->Send(reply, { aFrom });
   }
+  if (aReport.reader.port != 0) {
+    m_knownReader.Learn(aReport.reader, now - aReport.readerAge);
+  }
   m_fleet.Take(aReport, now);
 }
 
@@ -70,6 +72,10 @@
   ChooseSource(plan, aNow);
   auto own = m_fleet.Tell(aNow);
   own.zone = base::HashName(m_settings.zone);
+  if (const auto reader = m_knownReader.Best(aNow)) {
+    own.reader = *reader;
+    own.readerAge = m_knownReader.ProofAge(aNow);
+  }
   const bool withMembers = own.sequence % fleet::kMembersEvery == 0;
   if (withMembers) {
     own.members = m_members.Known(aNow);
@@ -86,32 +92,27 @@
   }
 }
 
-//! In a small fleet every router reads the store, and turns to others when it
-//! is cut off from it. In a large one the first hub of a group reads it, and
-//! the others learn from hubs.
 void
 Gateway::ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow)
 {
-  std::vector<fleet::NewsSource> options;
-  const auto add = [&](const std::vector<base::Address>& aRouters,
-                       std::size_t aMost) {
-    for (std::size_t i = 0; i < std::min(aMost, aRouters.size()); ++i) {
-      if (!(aRouters[i] == m_settings.peerListen)) {
-        options.push_back(
-          { fleet::SourceKind::Router,
-            { aRouters[i].ip, m_settings.controlListen.port } });
-      }
+  fleet::SourceView view;
+  view.self = m_settings.peerListen;
+  view.hash = base::HashName(m_settings.peerListen.Text());
+  for (const auto& seed : SeedsOf(m_settings)) {
+    if (seed == m_settings.peerListen) {
+      view.isSeed = true;
+    } else {
+      view.seeds.push_back(seed);
     }
-  };
-  const auto& hubs = aPlan.groupHubs;
-  const bool reads = hubs.empty() || hubs.front() == m_settings.peerListen;
-  if (reads) {
-    options.emplace_back();
   }
-  add(hubs, hubs.size());
-  add(hubs.empty() ? aPlan.tell : aPlan.hubs, kOtherSources);
-  if (!reads) {
-    options.emplace_back();
+  view.sinceStart = aNow - m_startedAt;
+  view.proofAge = std::min(aNow - m_newsProvenAt, view.sinceStart);
+  view.knownReader = m_knownReader.Better(m_newsProvenAt, aNow);
+  auto options = fleet::MakeSourceOptions(view, aPlan);
+  for (auto& source : options.order) {
+    if (source.kind == fleet::SourceKind::Router) {
+      source.address.port = m_settings.controlListen.port;
+    }
   }
   m_sources.SetOptions(options, aNow);
   if (m_sources.Tick(aNow) || !m_opened ||
@@ -222,7 +223,9 @@
 Gateway::OnProven(base::TimePoint aAt)
 {
   m_fleet.ConfigFreshness().Proven(aAt);
+  m_newsProvenAt = std::max(m_newsProvenAt, aAt);
   if (m_sources.Current().kind == fleet::SourceKind::Store) {
+    m_knownReader.Learn(m_settings.peerListen, aAt);
     m_sources.Answered(base::Duration{}, m_loop.Now());
   }
 }
--- a/src/gateway/internal/newscodec.cpp
+++ b/src/gateway/internal/newscodec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/newscodec.h"
 
 #include "base/error.h"
+#include "gateway/wiretime.h"
 #include "news_generated.h"
 
 #include <algorithm>
@@ -46,11 +47,11 @@
                         aNews.life,
                         aNews.sequence,
                         aNews.full,
-                        static_cast<std::uint64_t>(
-                          std::max<std::int64_t>(aNews.proofAge.count(), 0)),
+                        Unsigned(aNews.proofAge),
                         aBuilder.CreateVector(config),
                         aBuilder.CreateVector(upstreams),
-                        removed)
+                        removed,
+                        Unsigned(aNews.waited))
     .Union();
 }
 
@@ -92,8 +93,8 @@
   news.life = aWire.life();
   news.sequence = aWire.sequence();
   news.full = aWire.full();
-  news.proofAge =
-    base::Duration(static_cast<std::int64_t>(aWire.proof_age_ms()));
+  news.proofAge = Signed(aWire.proof_age_ms());
+  news.waited = Signed(aWire.waited_ms());
   if (aWire.config() != nullptr) {
     news.config.assign(aWire.config()->begin(), aWire.config()->end());
   }
--- a/src/gateway/internal/newsfollower.cpp
+++ b/src/gateway/internal/newsfollower.cpp
@@ -11,8 +11,9 @@
 
 using namespace std::chrono_literals;
 
-//! Between two tries to reach the same router.
-constexpr base::Duration kReconnectPause = 200ms;
+//! Between two tries to reach the same router: a process that is being
+//! started listens within some of these.
+constexpr base::Duration kReconnectPause = 40ms;
 
 }
 
@@ -81,8 +82,8 @@
   m_life = aNews.life;
   m_sequence = aNews.sequence;
   //! NOTE the answer may have waited in a buffer, so its age is counted from
-  //! the question: the router answered after that.
-  const auto provenAt = m_askedAt - aNews.proofAge;
+  //! the question: the router answered so much later at least.
+  const auto provenAt = m_askedAt + aNews.waited - aNews.proofAge;
   m_events.OnStoreReached(provenAt);
   if (!aNews.config.empty()) {
     m_events.OnStoredConfig(aNews.config);
--- a/src/gateway/internal/newsserver.cpp
+++ b/src/gateway/internal/newsserver.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-//! Over a group's size several times; strangers are turned away beyond.
-constexpr std::size_t kMostFollowers = 256;
+//! Over a fleet's size: all that start at once may ask the same seed.
+constexpr std::size_t kMostFollowers = 512;
 
 }
 
@@ -60,16 +60,29 @@
   auto& follower = found->second;
   follower.ask = *ask;
   follower.askedAt = m_loop.Now();
-  if (m_log.HasNews(*ask)) {
+  if (IsDue(follower, follower.askedAt)) {
     Answer(follower);
   }
 }
 
+bool
+NewsServer::IsDue(const Follower& aFollower, base::TimePoint aNow) const
+{
+  if (!aFollower.ask || !m_log.IsKnown()) {
+    return false;
+  }
+  return m_log.HasNews(*aFollower.ask) ||
+         aNow - m_proofAge() >= aFollower.provenAt + fleet::kProofStep ||
+         aNow - aFollower.askedAt >= fleet::kNewsWait;
+}
+
 void
 NewsServer::Answer(Follower& aFollower)
 {
-  const auto news = m_log.Answer(*aFollower.ask, m_proofAge());
+  auto news = m_log.Answer(*aFollower.ask, m_proofAge());
+  news.waited = m_loop.Now() - aFollower.askedAt;
   aFollower.ask.reset();
+  aFollower.provenAt = m_loop.Now() - news.proofAge;
   aFollower.connection->Send(EncodeNews(news));
 }
 
@@ -78,9 +91,7 @@
 {
   std::vector<framing::FrameConnection*> due;
   for (const auto& [key, follower] : m_followers) {
-    const bool waits = follower.ask.has_value();
-    if (waits && (m_log.HasNews(*follower.ask) ||
-                  aNow - follower.askedAt >= fleet::kNewsWait)) {
+    if (IsDue(follower, aNow)) {
       due.push_back(key);
     }
   }
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -1,12 +1,14 @@
 #include "gateway/reportcodec.h"
 
 #include "base/error.h"
+#include "gateway/wiretime.h"
 #include "peerreport_generated.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace hemlockgauge::gateway {
 
@@ -39,17 +41,11 @@
   return static_cast<std::uint8_t>(aScope);
 }
 
-//! Ages and clock values are never negative on the wire.
-std::uint64_t
-Unsigned(base::Duration aTime)
-{
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(aTime.count(), 0));
-}
-
-base::Duration
-Signed(std::uint64_t aMillis)
+std::uint32_t
+Short(base::Duration aTime)
 {
-  return base::Duration(static_cast<std::int64_t>(aMillis));
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(Unsigned(aTime), kMost));
 }
 
 //! One rate that is no number would spoil every sum over the fleet.
@@ -102,7 +98,7 @@
   for (const auto& member : aReport.members) {
     members.emplace_back(PackIp(member.address.ip),
                          member.zone,
-                         static_cast<std::uint32_t>(Unsigned(member.age)),
+                         Short(member.age),
                          member.address.port);
   }
   flatbuffers::FlatBufferBuilder builder(kBufferBytes);
@@ -124,7 +120,10 @@
                                &loads,
                                &rates,
                                &uses,
-                               &members);
+                               &members,
+                               PackIp(aReport.reader.ip),
+                               aReport.reader.port,
+                               Short(aReport.readerAge));
   fb::FinishPeerReportBuffer(builder, root);
   const auto* data = builder.GetBufferPointer();
   return { data, data + builder.GetSize() };
@@ -154,6 +153,10 @@
   report.configVersion = wire->config_version();
   report.configAge = Signed(wire->config_age_ms());
   report.wantsMembers = wire->wants_members();
+  if (wire->reader_port() > 0) {
+    report.reader = { UnpackIp(wire->reader_ip()), wire->reader_port() };
+    report.readerAge = base::Duration(wire->reader_age_ms());
+  }
   Each(wire->heard(), [&](const fb::HeardFrom& aOne) {
     report.heard.push_back({ base::RouterId(aOne.router()),
                              aOne.sequence(),
--- a/src/gateway/newsserver.h
+++ b/src/gateway/newsserver.h
@@ -18,8 +18,8 @@
 namespace hemlockgauge::gateway {
 
 //! Lets other routers follow what this one knows of the store. Each asks
-//! for what is new, and has its answer as soon as there is something, or
-//! after kNewsWait.
+//! for what is new, and has its answer as soon as there is something or a proof
+//! that is newer by kProofStep, or after kNewsWait.
 class NewsServer : public framing::IFrameEvents
 {
 public:
@@ -45,9 +45,11 @@
     std::unique_ptr<framing::FrameConnection> connection;
     std::optional<fleet::NewsAsk> ask; //!< not answered yet
     base::TimePoint askedAt{};
+    base::TimePoint provenAt{}; //!< as it was told last
   };
 
   void Accept(const ACE_SOCK_Stream& aStream);
+  bool IsDue(const Follower& aFollower, base::TimePoint aNow) const;
   void Answer(Follower& aFollower);
 
   eventloop::EventLoop& m_loop;
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -208,6 +208,7 @@
   news.sequence = 9;
   news.full = true;
   news.proofAge = base::Duration(34);
+  news.waited = base::Duration(700);
   news.config = std::string("{\0}", 3);
   fleet::UpstreamEntry entry;
   entry.id = "i-1";
@@ -227,6 +228,7 @@
   const auto read = std::get<fleet::News>(DecodeNews(EncodeNews(news)));
   cr_assert(read.life == news.life && read.sequence == 9 && read.full);
   cr_assert(read.proofAge == news.proofAge);
+  cr_assert(read.waited == news.waited);
   cr_assert(read.config == news.config);
   cr_assert(read.upstreams.at(0) == entry);
   cr_assert(read.upstreams.at(1) == unusable);
