A router that starts waits 40 ms for a seed, longer only at the first start

Change: one seed, 40 ms, then the store; the first start of the whole system, which the platform tells and where no caller waits, may wait a second (seed_wait_ms). Whoever has news and knows of a large fleet takes its place there at once.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -201,11 +201,12 @@
 inline constexpr base::Duration kTakeoverStep = 150ms;
 //! Until a router that took over in vain does so again.
 inline constexpr base::Duration kTakeoverPause = 2000ms;
-//! How long a router that starts waits for a seed's first answer before it
-//! asks the next one, and then the store.
-inline constexpr base::Duration kStartPatience = 150ms;
-//! After this long a router that started knows the fleet: its seeds have told
-//! it, and its hubs have heard of it.
+//! How long a router that starts waits for a seed before it turns to the store:
+//! some ways between zones and back. Callers may be waiting for it, and where
+//! all lost power the seeds start no sooner than it does.
+inline constexpr base::Duration kStartPatience = 40ms;
+//! After this long a router that started knows the fleet in any case: its
+//! seeds have told it, and its hubs have heard of it.
 inline constexpr base::Duration kSourceSettle = 2000ms;
 //! A follower is told of a proof that is newer by this, without a question:
 //! else proofs would age by kNewsWait on each way from router to router.
--- a/src/fleet/internal/sourceoptions.cpp
+++ b/src/fleet/internal/sourceoptions.cpp
@@ -46,9 +46,9 @@
 StartOptions(const SourceView& aView)
 {
   SourceOptions options{ {}, false, {}, {} };
-  AddRouters(options, aView.seeds, kOtherSources, aView);
+  AddRouters(options, aView.seeds, 1, aView);
   options.order.emplace_back();
-  options.patience = kStartPatience;
+  options.patience = aView.seedWait;
   return options;
 }
 
@@ -101,7 +101,8 @@
 SourceOptions
 MakeSourceOptions(const SourceView& aView, const ExchangePlan& aPlan)
 {
-  const bool starts = aView.sinceStart < kSourceSettle;
+  const bool knowsAll = aPlan.IsLarge() && aView.proofAge < aView.sinceStart;
+  const bool starts = aView.sinceStart < kSourceSettle && !knowsAll;
   if (starts && !aView.isSeed && !aView.seeds.empty()) {
     return StartOptions(aView);
   }
--- a/src/fleet/sourceoptions.h
+++ b/src/fleet/sourceoptions.h
@@ -17,6 +17,7 @@
   std::vector<base::Address> seeds; //!< without this router
   bool isSeed = false;
   Duration sinceStart{};
+  Duration seedWait = Duration(0); //!< until a start turns to the store
   //! Since all that this router knows of the store was last proven.
   Duration proofAge{};
   //! The freshest reader that others tell of, if its proof is newer than this
--- a/src/fleet/tests/sourcetests.cpp
+++ b/src/fleet/tests/sourcetests.cpp
@@ -257,20 +257,36 @@
   cr_assert(policy.Current() == kHubB);
 }
 
-Test(sources, WhoStartsAsksTheSeedsAndTheStoreSoonAfter)
+Test(sources, WhoStartsAsksASeedAndTheStoreSoonAfter)
 {
   SourceView view;
   view.self = { "10.0.0.9", 1 };
   view.seeds = { kHubA.address, kHubB.address };
+  view.seedWait = kStartPatience;
   SourcePolicy policy;
   policy.SetOptions(MakeSourceOptions(view, {}), 0ms);
   cr_assert(policy.Current() == kHubA);
   cr_assert(policy.Tick(kStartPatience + 1ms));
-  cr_assert(policy.Current() == kHubB);
-  cr_assert(policy.Tick(2 * kStartPatience + 2ms));
   cr_assert(policy.Current() == kStore);
 }
 
+//! Once it has news and knows of a large fleet, it takes its place there.
+Test(sources, WhoStartedAndKnowsTheFleetFollowsItsHub)
+{
+  SourceView view;
+  view.self = { "10.0.0.9", 1 };
+  view.seeds = { kHubA.address };
+  view.sinceStart = 500ms;
+  view.proofAge = 100ms;
+  ExchangePlan plan;
+  plan.isHub = false;
+  plan.groupHubs = { kHubB.address };
+  plan.readRank = kStoreReaders;
+  cr_assert(MakeSourceOptions(view, plan).order.front() == kHubB);
+  view.proofAge = view.sinceStart;
+  cr_assert(MakeSourceOptions(view, plan).order.front() == kHubA);
+}
+
 Test(sources, ASeedThatStartsReadsTheStore)
 {
   SourceView view;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,6 +111,7 @@
 Gateway::Start()
 {
   ChooseSource(m_members.Plan(m_startedAt), m_startedAt);
+  OpenSource();
   m_newsServer = std::make_unique<NewsServer>(
     m_loop, m_settings.controlListen, m_newsLog, [this] {
       return m_loop.Now() - m_newsProvenAt;
@@ -304,7 +305,7 @@
       exchange->Tick(now);
     }
   }
-  m_news->Tick(now);
+  FollowSource(now);
   m_newsServer->Tick(now);
   FollowStop(now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -95,6 +95,7 @@
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
+  void FollowSource(base::TimePoint aNow);
   void OpenSource();
   void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
   void TellOthers(base::TimePoint aNow);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -98,6 +98,7 @@
 void
 ReadPeers(SectionReader aReader, GatewaySettings& aSettings)
 {
+  aSettings.seedWait = Millis(aReader, "seed_wait_ms", aSettings.seedWait);
   for (const auto& part : SplitList(aReader.TextOr("seeds", ""))) {
     try {
       aSettings.seeds.push_back(base::ParseAddress(part));
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -3,6 +3,7 @@
 #include "base/address.h"
 #include "base/basetypes.h"
 #include "fleet/fleet.h"
+#include "fleet/fleetconstants.h"
 
 #include <string>
 #include <string_view>
@@ -21,6 +22,10 @@
   base::Address peerListen;         //!< other routers, datagrams
   base::Address store;              //!< the platform's store
   std::vector<base::Address> seeds; //!< other routers' control addresses
+  //! How long a router that starts waits for a seed's news before it turns to
+  //! the store. Longer where the whole system starts for the first time, for
+  //! then no caller waits, and the seeds may start after the others.
+  base::Duration seedWait = fleet::kStartPatience;
   //! Within which a withdrawn key must have stopped working; 0: no bound.
   base::Duration revocationBound{};
   //! How often upstreams renew their entries in the store.
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -106,6 +106,7 @@
     }
   }
   view.sinceStart = aNow - m_startedAt;
+  view.seedWait = m_settings.seedWait;
   view.proofAge = std::min(aNow - m_newsProvenAt, view.sinceStart);
   view.knownReader = m_knownReader.Better(m_newsProvenAt, aNow);
   auto options = fleet::MakeSourceOptions(view, aPlan);
@@ -115,10 +116,16 @@
     }
   }
   m_sources.SetOptions(options, aNow);
-  if (m_sources.Tick(aNow) || !m_opened ||
-      !(*m_opened == m_sources.Current())) {
+}
+
+void
+Gateway::FollowSource(base::TimePoint aNow)
+{
+  m_sources.Tick(aNow);
+  if (!m_opened || !(*m_opened == m_sources.Current())) {
     OpenSource();
   }
+  m_news->Tick(aNow);
 }
 
 void
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -288,11 +288,12 @@
     "f.ini",
     kSettings + "revocation_bound_ms = 5000\n[retries]\nratio = 0.3\n"
                 "slack = 7\nwindow_ms = 9000\n[peers]\n"
-                "seeds = 127.0.0.1:6,127.0.0.1:7\n");
+                "seeds = 127.0.0.1:6,127.0.0.1:7\nseed_wait_ms = 900\n");
   cr_assert(settings.id == "g1");
   cr_assert(settings.revocationBound == base::Duration(5000));
   cr_assert(settings.retryRatio == 0.3);
   cr_assert(settings.seeds.size() == 2);
+  cr_assert(settings.seedWait == base::Duration(900));
 }
 
 Test(settings, ABadFileIsRefusedWithFileLineAndKey)
