Failures fade with time; what was never sent is tried elsewhere without budget

After all routers had lost power one of them, with most callers, had connections time out at five engines that were flooded with new ones.

Change: the part of failures has a half-life of 2 s. A request that had no connection has reached no upstream and costs no budget; it is tried elsewhere while half of its target is left, so a router that is cut off holds nobody.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -39,7 +39,7 @@
     status.unreadTokens = upstream.reading.Unread(aNow) + told.unreadTokens;
     status.running = upstream.running + told.running;
     status.readRate = upstream.readRate.TokensPerMs();
-    status.failurePart = upstream.health.FailurePart();
+    status.failurePart = upstream.health.FailurePart(aNow);
     all.push_back(status);
   }
   return all;
@@ -170,14 +170,14 @@
   upstream->running -= std::min(upstream->running, 1U);
   switch (aEnd) {
     case AttemptEnd::Answered: {
-      upstream->health.Succeeded();
+      upstream->health.Succeeded(aNow);
       const auto took = static_cast<double>((aNow - attempt.sentAt).count());
       upstream->time.Learn(took);
       m_serviceTimes[upstream->entry.service].Learn(took);
       return false;
     }
     case AttemptEnd::AnsweredFailure:
-      upstream->health.AnsweredFailure();
+      upstream->health.AnsweredFailure(aNow);
       return false;
     case AttemptEnd::Refused:
     case AttemptEnd::Broken:
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -122,6 +122,9 @@
 
 //! Weight of one more answer in an upstream's part of failures.
 inline constexpr double kFailureGain = 0.15;
+//! Half-life of that part: a fault of some seconds is over then, and one of
+//! many routers tries the upstream again each few seconds.
+inline constexpr base::Duration kFailureHalfLife = 2000ms;
 //! Failures in a row that take an upstream out for a while.
 inline constexpr int kFailuresToEject = 3;
 inline constexpr base::Duration kEjectionFirst = 500ms;
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -132,7 +132,7 @@
   candidate.running = upstream.running + told.running;
   candidate.slots = std::max(entry.slots, 1U);
   candidate.serviceMs = upstream.time.Millis(serviceTime);
-  candidate.failurePart = upstream.health.FailurePart();
+  candidate.failurePart = upstream.health.FailurePart(aNow);
   candidate.sameZone = entry.zone == m_settings.zone;
   return candidate;
 }
--- a/src/fleet/internal/retrypolicy.cpp
+++ b/src/fleet/internal/retrypolicy.cpp
@@ -18,6 +18,13 @@
                                   : AfterFailure::AnswerUnknown;
 }
 
+//! A router that is cut off from all upstreams must not hold its callers.
+bool
+IsFree(const FailedAttempt& aFailed)
+{
+  return aFailed.neverSent && aFailed.waited <= aFailed.target / 2;
+}
+
 }
 
 AfterFailure
@@ -27,7 +34,8 @@
   if (aFailed.answerBegun && !resumes) {
     return AfterFailure::Cut;
   }
-  if (!aBudgetAllows || aFailed.timeLeft < kRetryLeast) {
+  const bool mayTry = aBudgetAllows || IsFree(aFailed);
+  if (!mayTry || aFailed.timeLeft < kRetryLeast) {
     return FinalAnswer(aFailed);
   }
   const bool nothingRan = aFailed.attemptsRun == 0;
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -18,6 +18,10 @@
   std::uint32_t attemptsNotRun = 0; //!< attempts that nothing ran, this too
   std::uint32_t maxAttempts = 1;    //!< of the route
   Duration timeLeft{};
+  //! No attempt had a connection: no upstream has seen the request.
+  bool neverSent = false;
+  Duration waited{}; //!< since the request arrived
+  Duration target{}; //!< of its route
 };
 
 enum class AfterFailure : std::uint8_t
@@ -33,7 +37,10 @@
                                     "answer-unknown",
                                     "cut");
 
-//! What to do next, if the budget allows a retry.
+//! What to do next, if the budget allows a retry. What was never sent costs no
+//! upstream anything, so it needs no budget while an answer can be in time: the
+//! load is upstreams that take no connections while all their callers come
+//! back at once.
 AfterFailure
 DecideAfterFailure(const FailedAttempt& aFailed, bool aBudgetAllows);
 
--- a/src/fleet/tests/retrytests.cpp
+++ b/src/fleet/tests/retrytests.cpp
@@ -35,7 +35,7 @@
   cr_assert(!health.IsEjected(2ms + kEjectionFirst));
   cr_assert(health.Failed(1000ms, true));
   cr_assert(health.IsEjected(1000ms + kEjectionFirst));
-  health.Succeeded();
+  health.Succeeded(8000ms);
   cr_assert(!health.Failed(9000ms, true));
 }
 
@@ -48,6 +48,33 @@
   cr_assert(!health.IsEjected(0ms));
 }
 
+//! The load: upstreams take no connections while all their callers come back
+//! at once. They got a fifth of the others' requests for 15 seconds and more,
+//! for nothing was sent there that could have succeeded.
+Test(upstreamhealth, FailuresFadeWhereNothingIsSent)
+{
+  UpstreamHealth health;
+  for (int i = 0; i < 6; ++i) {
+    health.Failed(0ms, false);
+  }
+  cr_assert(health.FailurePart(0ms) * kFailureMs > 2000);
+  cr_assert(health.FailurePart(5 * kFailureHalfLife) * kFailureMs < 100);
+}
+
+Test(retrypolicy, WhatWasNeverSentIsTriedElsewhereWithoutBudget)
+{
+  auto failed = Failed(CallKind::AtMostOnce, false, 0);
+  failed.neverSent = true;
+  failed.target = 600ms;
+  failed.waited = 300ms;
+  cr_assert(DecideAfterFailure(failed, false) == AfterFailure::Retry);
+  failed.waited = 301ms; // a router that is cut off must not hold its callers
+  cr_assert(DecideAfterFailure(failed, false) == AfterFailure::AnswerNotRun);
+  failed.waited = 0ms;
+  failed.attemptsNotRun = kMostNotRunAttempts;
+  cr_assert(DecideAfterFailure(failed, false) == AfterFailure::AnswerNotRun);
+}
+
 Test(retrypolicy, WhatMayHaveRunIsNotRunAgain)
 {
   auto failed = Failed(CallKind::AtMostOnce, false, 1);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -225,6 +225,7 @@
   m_parts.pool.Discard(aConnection);
   EndAttempt(AttemptEnd::Broken);
   const bool notRun = aFailure == http::ClientFailure::NotConnected;
+  m_everSent = m_everSent || !notRun;
   AttemptFailed(notRun ? Verdict::NotRun : Verdict::MayHaveRun,
                 std::string(http::kClientFailureNames.NameOf(aFailure)));
 }
@@ -264,6 +265,9 @@
   failed.attemptsNotRun = m_attemptsNotRun;
   failed.maxAttempts = m_route->maxAttempts;
   failed.timeLeft = TimeLeft(now);
+  failed.neverSent = !m_everSent;
+  failed.waited = now - m_arrivedAt;
+  failed.target = m_route->target;
   const auto next = fleet::DecideAfterFailure(
     failed, m_parts.fleet.Retries().Allows(m_service, now));
   LogLine("attempt-failed")
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -137,6 +137,7 @@
   std::vector<base::UpstreamId> m_tried;
   std::uint32_t m_attemptsRun = 0;
   std::uint32_t m_attemptsNotRun = 0;
+  bool m_everSent = false; //!< some upstream may have seen the request
 
   UpstreamAnswer m_answer;
   EventStreamFilter m_events;
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -105,7 +105,9 @@
   if (place.outcome != fleet::PlaceOutcome::Placed) {
     return false;
   }
-  m_parts.fleet.Retries().Take(m_service, now);
+  if (m_everSent) {
+    m_parts.fleet.Retries().Take(m_service, now);
+  }
   m_parts.metrics.Count("retries_total");
   LogPlace("retried", place);
   Send(place);
