A busy router turns new connections away while others are not

Change: a router that has not rested for 150 ms closes new connections unread, unless a quarter of the fleet is as busy (reports say who is). A caller whose request was not read may send it again at once, to another router. Weighed, not run: not being ready (moves all its callers to one other router); refusing from the head alone (the connection is what costs).

Open: what is beyond all shares gets no Retry-After there.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -151,12 +151,15 @@
   // ---- other routers
   void SetPlan(const ExchangePlan& aPlan);
   bool Take(const PeerReport& aReport, TimePoint aNow);
-  //! This router's own; to be followed by the sums if it is a hub.
-  PeerReport Tell(TimePoint aNow);
+  //! This router's own; to be followed by the sums if it is a hub. aBusyFor:
+  //! how long this router has had something to do without a rest.
+  PeerReport Tell(Duration aBusyFor, TimePoint aNow);
   PeerReport TellGroup(const PeerReport& aOwn);
   PeerReport TellZone(const PeerReport& aOwn);
   PeerReport TellFleet(const PeerReport& aOwn);
   const PeerView& Peers() const { return m_peers; }
+  //! Part of the fleet's routers that have no rest, this one among them.
+  double BusyPart() const;
 
   void Tick(TimePoint aNow);
 
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "fleet/fleetconstants.h"
+
 #include <algorithm>
 
 //! What a router takes from the reports of others, and what it tells them.
@@ -101,9 +103,10 @@
 }
 
 PeerReport
-Fleet::Tell(TimePoint aNow)
+Fleet::Tell(Duration aBusyFor, TimePoint aNow)
 {
   PeerReport report;
+  report.busy = aBusyFor > kTurnAwayAfter ? 1 : 0;
   report.router = m_settings.router;
   report.life = m_settings.life;
   report.sequence = ++m_reportSequence;
@@ -132,6 +135,13 @@
   return report;
 }
 
+double
+Fleet::BusyPart() const
+{
+  return static_cast<double>(m_peers.Busy() + 1) /
+         static_cast<double>(m_peers.Routers() + 1);
+}
+
 PeerReport
 Fleet::TellGroup(const PeerReport& aOwn)
 {
--- a/src/fleet/internal/loadsum.cpp
+++ b/src/fleet/internal/loadsum.cpp
@@ -19,6 +19,7 @@
     sum.begun += rate.begun;
   }
   m_routers += aReport.routers;
+  m_busy += aReport.busy;
   m_reading += aReport.reading;
 }
 
@@ -38,6 +39,7 @@
   }
   m_reading = std::max(0.0, m_reading - aReport.reading);
   m_routers -= std::min(m_routers, aReport.routers);
+  m_busy -= std::min(m_busy, aReport.busy);
 }
 
 void
@@ -52,6 +54,7 @@
     aReport.rates.push_back({ workspace, rate });
   }
   aReport.routers = m_routers;
+  aReport.busy = m_busy;
   aReport.reading = m_reading;
 }
 
@@ -61,6 +64,7 @@
   m_loads.clear();
   m_rates.clear();
   m_routers = 0;
+  m_busy = 0;
   m_reading = 0;
 }
 
--- a/src/fleet/loadsum.h
+++ b/src/fleet/loadsum.h
@@ -21,12 +21,14 @@
   UpstreamLoad LoadOf(UpstreamId aUpstream) const;
   const WorkspaceRates& Rates() const { return m_rates; }
   std::uint32_t Routers() const { return m_routers; }
+  std::uint32_t Busy() const { return m_busy; }
   double Reading() const { return m_reading; }
 
 private:
   std::map<UpstreamId, UpstreamLoad> m_loads;
   WorkspaceRates m_rates;
   std::uint32_t m_routers = 0;
+  std::uint32_t m_busy = 0;
   double m_reading = 0;
 };
 
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -71,6 +71,7 @@
   std::uint32_t zone = 0;    //!< hash of the sender's availability zone
   std::uint64_t group = 0;   //!< the sender's group
   std::uint32_t routers = 1; //!< how many it sums up
+  std::uint32_t busy = 0;    //!< how many of them have no rest
   double reading = 0;        //!< tokens a second to be read for what was begun
   std::uint64_t configVersion = 0;
   Duration configAge{}; //!< since the version was proven the newest
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -35,6 +35,8 @@
   double Reading() const { return m_sum.Reading(); }
   //! How many routers the view covers, without this one.
   std::size_t Routers() const { return m_sum.Routers(); }
+  //! How many of them have no rest.
+  std::size_t Busy() const { return m_sum.Busy(); }
   //! Routers heard directly, with the last report of each.
   std::vector<HeardRouter> Heard() const;
   //! The sum over this router's group, itself included.
--- a/src/fleet/tests/admissiontests.cpp
+++ b/src/fleet/tests/admissiontests.cpp
@@ -32,6 +32,16 @@
   cr_assert(refused.retryAfter == 600ms);
 }
 
+//! The load: one workspace's callers all come to one router of an eighth of a
+//! core; 21,373 callers had no connection there within a second while the rest
+//! of its zone was idle.
+Test(admission, ABusyRouterTurnsConnectionsAwayUnlessManyAreBusy)
+{
+  cr_assert(!TurnsAway(kTurnAwayAfter, 0.01));
+  cr_assert(TurnsAway(kTurnAwayAfter + 1ms, 0.01));
+  cr_assert(!TurnsAway(10000ms, kTurnAwayPart));
+}
+
 //! The load: engines are lost, or more is promised than they can read. What is
 //! promised gives way to what is owed, and is not refused like a flood.
 Test(admission, WhatIsPromisedAloneGoesBetweenTheOwedAndTheFlood)
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -129,19 +129,34 @@
   cr_assert(fleet.ConfigFreshness().ProvenAt() == bench.now - 240ms);
 }
 
+Test(core, HowManyRoutersAreBusyIsSummedUp)
+{
+  Bench bench;
+  cr_assert(bench.fleet.Tell(kTurnAwayAfter + 1ms, bench.now).busy == 1);
+  cr_assert(bench.fleet.Tell(0ms, bench.now).busy == 0);
+  PeerReport report;
+  report.router = "another";
+  report.sequence = 1;
+  report.routers = 7;
+  report.busy = 1;
+  bench.fleet.Take(report, bench.now);
+  cr_assert(bench.fleet.BusyPart() == 0.25);
+}
+
 //! What a router sent long before it became a hub is no news to anyone.
 Test(core, AHubTellsOnlyWhatWasSentSinceItIsOne)
 {
   Bench bench;
   bench.List(2);
   bench.Place(bench.Ask(7));
-  auto own = bench.fleet.Tell(bench.now);
+  auto own = bench.fleet.Tell(0ms, bench.now);
   cr_assert(own.uses.size() == 1);
   ExchangePlan plan;
   plan.group = 5;
+  plan.groupHubs = { { "10.0.0.1", 1 } };
   plan.followers = { { "10.0.0.2", 1 } };
   bench.fleet.SetPlan(plan);
-  own = bench.fleet.Tell(bench.now);
+  own = bench.fleet.Tell(0ms, bench.now);
   cr_assert(bench.fleet.TellFleet(own).uses.empty());
 }
 
--- a/src/fleet/tests/loadmodel.cpp
+++ b/src/fleet/tests/loadmodel.cpp
@@ -271,7 +271,7 @@
 {
   m_fleets[aRouter]->Tick(m_now);
   const auto report =
-    std::make_shared<PeerReport>(m_fleets[aRouter]->Tell(m_now));
+    std::make_shared<PeerReport>(m_fleets[aRouter]->Tell(0ms, m_now));
   Later(m_now + m_load.reportDelay, [this, aRouter, report] {
     for (std::size_t i = 0; i < m_fleets.size(); ++i) {
       if (i != aRouter) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,7 +140,7 @@
 {
   const bool full = m_connections.Size() >= kMostCallers &&
                     m_connections.CloseLongestIdle(kCallersToClose) == 0;
-  if (full) {
+  if (full || fleet::TurnsAway(m_loop.BusyFor(), m_fleet.BusyPart())) {
     m_metrics.Count("callers_turned_away_total");
     ACE_SOCK_Stream refused(aStream);
     refused.close();
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -104,7 +104,7 @@
   m_fleet.SetPlan(plan);
   m_relays = plan.relays;
   ChooseSource(plan, aNow);
-  auto own = m_fleet.Tell(aNow);
+  auto own = m_fleet.Tell(m_loop.BusyFor(), aNow);
   own.zone = base::HashName(m_settings.zone);
   if (const auto reader = m_knownReader.Best(aNow)) {
     own.reader = *reader;
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -140,6 +140,7 @@
                                PackIp(aReport.reader.ip),
                                aReport.reader.port,
                                Short(aReport.readerAge),
+                               aReport.busy,
                                aReport.relayed);
   fb::FinishPeerReportBuffer(builder, root);
   const auto* data = builder.GetBufferPointer();
@@ -170,6 +171,7 @@
   report.configVersion = wire->config_version();
   report.configAge = Signed(wire->config_age_ms());
   report.wantsMembers = wire->wants_members();
+  report.busy = wire->busy();
   report.relayed = wire->relayed();
   if (wire->reader_port() > 0) {
     report.reader = { UnpackIp(wire->reader_ip()), wire->reader_port() };
