--- a/src/fleet/tests/corefixture.h
+++ b/src/fleet/tests/corefixture.h
@@ -4,6 +4,7 @@
 #include "fleet/fleetconstants.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlockgauge::fleet {
@@ -96,4 +97,39 @@
   std::uint64_t lastOwn = 1000000;
 };
 
+//! First tokens that come as foreseen, or so much later.
+class EnginesThatRead
+{
+public:
+  explicit EnginesThatRead(Duration aLate = Duration{})
+    : m_late(aLate)
+  {
+  }
+
+  void Begin(const PlaceResult& aPlace, TimePoint aNow)
+  {
+    if (aPlace.outcome != PlaceOutcome::Placed) {
+      return;
+    }
+    const auto wait = Duration(static_cast<std::int64_t>(aPlace.foreseenMs));
+    m_reading.emplace_back(aNow + wait + m_late, aPlace.attempt);
+  }
+
+  void Finish(Bench& aBench)
+  {
+    std::erase_if(m_reading, [&](const auto& aOne) {
+      if (aOne.first > aBench.now) {
+        return false;
+      }
+      aBench.fleet.FirstToken(aOne.second, aBench.now);
+      aBench.fleet.Ended(aOne.second, AttemptEnd::Answered, aBench.now);
+      return true;
+    });
+  }
+
+private:
+  Duration m_late;
+  std::vector<std::pair<TimePoint, AttemptId>> m_reading;
+};
+
 }
--- a/src/fleet/tests/entitlementtests.cpp
+++ b/src/fleet/tests/entitlementtests.cpp
@@ -44,17 +44,10 @@
   bench.fleet.SetConfig(Config(2, 1e9));
   bench.List(2);
   int beyond = 0;
-  std::vector<std::pair<TimePoint, AttemptId>> reading;
+  EnginesThatRead engines(200ms);
   for (int step = 0; step < 600; ++step) {
     bench.now += 10ms;
-    std::erase_if(reading, [&](const auto& aOne) {
-      if (aOne.first > bench.now) {
-        return false;
-      }
-      bench.fleet.FirstToken(aOne.second, bench.now);
-      bench.fleet.Ended(aOne.second, AttemptEnd::Answered, bench.now);
-      return true;
-    });
+    engines.Finish(bench);
     if (step % 10 == 0) {
       bench.fleet.Tick(bench.now);
     }
@@ -65,10 +58,7 @@
       cr_assert(place.insidePromise);
       cr_assert(!light || place.insideShare);
       beyond += place.insideShare ? 0 : 1;
-      if (place.outcome == PlaceOutcome::Placed) {
-        const auto wait = static_cast<std::int64_t>(place.foreseenMs);
-        reading.emplace_back(bench.now + Duration(wait) + 200ms, place.attempt);
-      }
+      engines.Begin(place, bench.now);
     }
   }
   cr_assert(beyond > 0);
@@ -83,28 +73,19 @@
   bench.fleet.SetConfig(Config(2, 20000));
   bench.List(2);
   std::map<std::string, double> begun;
-  std::vector<std::pair<TimePoint, AttemptId>> reading;
+  EnginesThatRead engines;
   for (int step = 0; step < 1200; ++step) {
     bench.now += 10ms;
-    std::erase_if(reading, [&](const auto& aOne) {
-      if (aOne.first > bench.now) {
-        return false;
-      }
-      bench.fleet.FirstToken(aOne.second, bench.now);
-      bench.fleet.Ended(aOne.second, AttemptEnd::Answered, bench.now);
-      return true;
-    });
+    engines.Finish(bench);
     if (step % 10 == 0) {
       bench.fleet.Tick(bench.now);
     }
     const std::string who = step % 5 == 0 ? "small" : "large";
     const auto place =
       bench.Place(bench.Ask(static_cast<std::uint64_t>(step % 7), who));
-    if (place.outcome == PlaceOutcome::Placed) {
-      const auto wait = static_cast<std::int64_t>(place.foreseenMs);
-      reading.emplace_back(bench.now + Duration(wait), place.attempt);
-      begun[who] += step >= 600 ? 1 : 0;
-    }
+    engines.Begin(place, bench.now);
+    const bool counts = step >= 600 && place.outcome == PlaceOutcome::Placed;
+    begun[who] += counts ? 1 : 0;
   }
   cr_assert(begun["small"] >= begun["large"] / 2,
             "%.0f of %.0f",
