--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -123,10 +123,6 @@
 //! wait half as long again; where forecasts hold, the wait bounds it anyway.
 inline constexpr double kReadingUseLeast = 1.0;
 inline constexpr double kReadingUseMost = 3.0;
-//! After so long half of the engines that went are taken as gone for good, and
-//! the configuration to count on those that are left: replacing all engines of
-//! a service one by one takes minutes.
-inline constexpr base::Duration kCapacityHalfLife = 60000ms;
 //! Mean errors of the foreseen wait, in ms: a calm day's, and one that makes
 //! requests of the shortest targets late.
 inline constexpr double kForecastErrorSmall = 40.0;
--- a/src/fleet/internal/exchangeplan.cpp
+++ b/src/fleet/internal/exchangeplan.cpp
@@ -20,7 +20,10 @@
   {
     return (std::uint64_t{ zone } << 32) | number;
   }
-  auto operator<=>(const GroupKey&) const = default;
+  bool operator<(const GroupKey& aOther) const
+  {
+    return Packed() < aOther.Packed();
+  }
 };
 
 using Members = std::vector<const FleetMember*>;
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -170,6 +170,7 @@
 PeerView::HeardOf(const Table& aTable)
 {
   std::vector<HeardRouter> heard;
+  heard.reserve(aTable.size());
   for (const auto& [key, told] : aTable) {
     heard.push_back({ base::RouterId(base::HashName(told.report.router)),
                       told.report.sequence,
--- a/src/fleet/internal/sourcepolicy.cpp
+++ b/src/fleet/internal/sourcepolicy.cpp
@@ -129,8 +129,6 @@
     Use(*m_options.known, aNow);
   } else if (!m_hasTakenOver && (isDue || wasRight)) {
     TakeOver(aNow);
-  } else if (m_options.known && IsStale(aNow) && m_index != *m_options.known) {
-    Use(*m_options.known, aNow);
   } else if (canMove && (IsSilent(aNow) || (IsStale(aNow) && settled))) {
     Move(aNow);
   } else if (!IsPreferred() && used > kSourceRetry) {
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hemlockgauge::fleet {
@@ -23,7 +24,11 @@
   std::uint64_t part = 0;
   UpstreamId upstream{};
 
-  auto operator<=>(const PrefixUse&) const = default;
+  bool operator==(const PrefixUse&) const = default;
+  bool operator<(const PrefixUse& aOther) const
+  {
+    return std::tie(part, upstream) < std::tie(aOther.part, aOther.upstream);
+  }
 };
 
 struct WorkspaceReport
