--- a/src/fleet/internal/exchangeplan.cpp
+++ b/src/fleet/internal/exchangeplan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
 
 namespace hemlockgauge::fleet {
@@ -147,6 +148,16 @@
   return hubs;
 }
 
+std::set<std::uint32_t>
+ZonesOf(const Groups& aGroups)
+{
+  std::set<std::uint32_t> zones;
+  for (const auto& [key, members] : aGroups) {
+    zones.insert(key.zone);
+  }
+  return zones;
+}
+
 void
 KeepFirst(std::vector<base::Address>& aRouters, std::size_t aMost)
 {
@@ -169,14 +180,11 @@
   }
   aPlan.speakers = own.size();
   aPlan.speaker = static_cast<std::uint64_t>(self - own.begin());
-  std::uint32_t last = aSelf.zone;
-  for (const auto& [key, members] : aGroups) {
-    if (key.zone == aSelf.zone || key.zone == last) {
-      continue;
+  for (const auto zone : ZonesOf(aGroups)) {
+    if (zone != aSelf.zone) {
+      aPlan.otherZones.push_back(HubsOfZone(aGroups, zone));
+      KeepFirst(aPlan.otherZones.back(), kSpeakersOfZone);
     }
-    last = key.zone;
-    aPlan.otherZones.push_back(HubsOfZone(aGroups, key.zone));
-    KeepFirst(aPlan.otherZones.back(), kSpeakersOfZone);
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -142,6 +142,7 @@
                     m_connections.CloseLongestIdle(kCallersToClose) == 0;
   if (full || fleet::TurnsAway(m_loop.BusyFor(), m_fleet.BusyPart())) {
     m_metrics.Count("callers_turned_away_total");
+    m_turnedAway++;
     ACE_SOCK_Stream refused(aStream);
     refused.close();
     return;
@@ -320,6 +321,15 @@
     m_metrics.Count("requests_unlogged_total", left);
     LogLine("requests-unlogged").Add("count", left).Info();
   }
+  if (m_turnedAway > 0) {
+    LogLine("callers-turned-away")
+      .Add("count", m_turnedAway)
+      .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
+      .Add("busy_ms", m_loop.BusyFor().count())
+      .Add("busy_part", m_fleet.BusyPart())
+      .Info();
+    m_turnedAway = 0;
+  }
   m_pool.Sweep(now);
   if (const auto gone = m_fleet.Upstreams().Tick(now); !gone.empty()) {
     TakeNotices(gone);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -135,6 +135,7 @@
   bool m_ready = false;
   bool m_stopped = false;
   std::size_t m_cut = 0;
+  std::uint64_t m_turnedAway = 0; //!< callers, since the last slow tick
   base::TimePoint m_startedAt{};
   base::TimePoint m_lastTick{};
 };
