A store that is silent for all is kept by those who read it by their role

The store drained its watches at 3.1 s and was silent for a second or two. All seven routers left it at 4.9 s (silent for 2.5 s), went round each other, and, since the pause between sources had been made to double, came back to it at 7.9 s only.

Change: who reads the store by role stays with it for 5 s while no router is known to be answered (known readers are followed after 1.3 s), and returns to it from each source that is cut off. Ruled out: shorter pauses (each change costs a list).

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -196,6 +196,9 @@
 inline constexpr base::Duration kRouterSilent = kNewsWait + 600ms;
 //! The same for the store: a watch of a second, and its answer.
 inline constexpr base::Duration kStoreSilent = 2500ms;
+//! The same for a router that reads the store by its role while no router is
+//! known to be answered: whoever leaves does not see the store come back.
+inline constexpr base::Duration kStoreSilentForAll = 5000ms;
 //! The same where another router is known to be answered: a watch, and some
 //! of the way.
 inline constexpr base::Duration kStoreLate = 1300ms;
--- a/src/fleet/internal/sourcepolicy.cpp
+++ b/src/fleet/internal/sourcepolicy.cpp
@@ -77,6 +77,9 @@
 {
   auto limit =
     m_current.kind == SourceKind::Store ? kStoreSilent : kRouterSilent;
+  if (m_current.kind == SourceKind::Store && IsPreferred()) {
+    limit = kStoreSilentForAll;
+  }
   if (!m_proofAge && m_options.patience &&
       m_current.kind == SourceKind::Router) {
     limit = *m_options.patience;
@@ -104,7 +107,8 @@
   return m_index != *m_options.known && IsStale(aNow);
 }
 
-//! On to the next one. If all are cut off, each is kept longer than the one
+//! On to the next one; back to the store at once for whom that is the first, or
+//! nobody sees it return. If all are cut off, each is kept longer than the one
 //! before: going round brings nothing, and each change costs a whole list.
 void
 SourcePolicy::Move(TimePoint aNow)
@@ -113,7 +117,10 @@
   if (m_hasTakenOver) {
     m_mayTakeOverAt = aNow + kTakeoverPause;
   }
-  Use(m_hasTakenOver ? 0 : (m_index + 1) % m_options.order.size(), aNow);
+  const bool backToStore =
+    !IsPreferred() && m_options.order[0].kind == SourceKind::Store;
+  const bool first = m_hasTakenOver || backToStore;
+  Use(first ? 0 : (m_index + 1) % m_options.order.size(), aNow);
 }
 
 bool
--- a/src/fleet/tests/sourcetests.cpp
+++ b/src/fleet/tests/sourcetests.cpp
@@ -257,6 +257,35 @@
   cr_assert(policy.Current() == kHubB);
 }
 
+//! The load: the store is silent for all routers of a small fleet for two
+//! seconds, and a configuration is written right after. All left it together
+//! and came back to it three seconds later, too late for the configuration.
+Test(sources, AStoreThatIsSilentForAllIsKept)
+{
+  SourcePolicy policy;
+  const std::vector<NewsSource> order{ kStore, kHubA, kHubB };
+  policy.SetOptions({ order, false, {}, {} }, 0ms);
+  cr_assert(!policy.Tick(kStoreSilentForAll));
+  cr_assert(policy.Current() == kStore);
+  policy.SetOptions({ order, false, 2, {} }, kStoreSilentForAll);
+  cr_assert(policy.Tick(kStoreSilentForAll));
+  cr_assert(policy.Current() == kHubB);
+}
+
+//! Also after a longer silence: it is tried again after each other source.
+Test(sources, WhoReadsTheStoreByRoleReturnsToItFromACutOffSource)
+{
+  SourcePolicy policy;
+  policy.SetOptions({ { kStore, kHubA, kHubB }, false, {}, {} }, 0ms);
+  auto now = kStoreSilentForAll + 1ms;
+  cr_assert(policy.Tick(now));
+  cr_assert(policy.Current() == kHubA);
+  now += 2 * kSourceDwell + 1ms;
+  policy.Answered(kSourceStale + 1ms, now);
+  cr_assert(policy.Tick(now));
+  cr_assert(policy.Current() == kStore);
+}
+
 Test(sources, WhoStartsAsksASeedAndTheStoreSoonAfter)
 {
   SourceView view;
