What an upstream refused is sent on within the retry budget alone

Change: an answer's head marks it as sent. Test first: WhatAnUpstreamRefusedIsSentOnWithinTheBudgetAlone counted 3 arrivals with an empty budget, 1 now.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -73,6 +73,7 @@
 Exchange::OnAnswerHead(http::ClientConnection& aConnection,
                        http::ResponseHead&& aHead)
 {
+  m_everSent = true;
   auto answer = m_parts.upstreams.Decode(std::move(aHead));
   const bool ranNothing = answer.notRun || answer.misdirected;
   if (!answer.requestId.empty() && answer.requestId != m_request.id) {
