Read once more: sums and hubs worked out once, options named

Cause: a reading of the whole change. Change: SumOfGroup, HubsOf, WithoutSources. Nothing behaves differently.

--- a/src/fleet/internal/exchangeplan.cpp
+++ b/src/fleet/internal/exchangeplan.cpp
@@ -95,6 +95,16 @@
   }
 }
 
+std::vector<base::Address>
+HubsOf(const Members& aGroup)
+{
+  std::vector<base::Address> hubs;
+  for (std::size_t i = 0; i < std::min(aGroup.size(), kHubsOfGroup); ++i) {
+    hubs.push_back(aGroup[i]->address);
+  }
+  return hubs;
+}
+
 //! Fills in what this router has to do in its own group.
 void
 PlanOwnGroup(ExchangePlan& aPlan,
@@ -102,12 +112,10 @@
              const FleetMember& aSelf)
 {
   aPlan.isHub = false;
+  aPlan.groupHubs = HubsOf(aMembers);
   for (std::size_t i = 0; i < aMembers.size(); ++i) {
     const auto* member = aMembers[i];
     const bool hub = i < kHubsOfGroup;
-    if (hub) {
-      aPlan.groupHubs.push_back(member->address);
-    }
     if (member == &aSelf) {
       aPlan.isHub = hub;
       continue;
@@ -122,16 +130,6 @@
   }
 }
 
-std::vector<base::Address>
-HubsOf(const Members& aGroup)
-{
-  std::vector<base::Address> hubs;
-  for (std::size_t i = 0; i < std::min(aGroup.size(), kHubsOfGroup); ++i) {
-    hubs.push_back(aGroup[i]->address);
-  }
-  return hubs;
-}
-
 //! A zone's hubs, the first ones of its groups before the second ones: the
 //! first few speak for the zone.
 std::vector<base::Address>
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -185,14 +185,21 @@
   return HeardOf(m_told);
 }
 
-PeerReport
-PeerView::GroupSum(const PeerReport& aOwn) const
+LoadSum
+PeerView::SumOfGroup(const PeerReport& aOwn) const
 {
   LoadSum all;
   all.Add(aOwn);
   for (const auto& [router, told] : m_told) {
     all.Add(told.report);
   }
+  return all;
+}
+
+PeerReport
+PeerView::GroupSum(const PeerReport& aOwn) const
+{
+  const auto all = SumOfGroup(aOwn);
   auto sum = aOwn;
   sum.scope = ReportScope::Group;
   sum.heard = HeardOf(m_groups);
@@ -203,11 +210,7 @@
 PeerReport
 PeerView::ZoneSum(const PeerReport& aOwn) const
 {
-  LoadSum all;
-  all.Add(aOwn);
-  for (const auto& [router, told] : m_told) {
-    all.Add(told.report);
-  }
+  auto all = SumOfGroup(aOwn);
   for (const auto& [group, told] : m_groups) {
     all.Add(told.report);
   }
--- a/src/fleet/internal/sourceoptions.cpp
+++ b/src/fleet/internal/sourceoptions.cpp
@@ -11,6 +11,15 @@
 //! Routers beyond its own hubs that a router turns to.
 constexpr std::size_t kOtherSources = 2;
 
+//! To be filled: the default names the store.
+SourceOptions
+WithoutSources()
+{
+  SourceOptions options;
+  options.order.clear();
+  return options;
+}
+
 //! Adds up to aMost of aRouters, beginning at the one that aHash draws.
 void
 AddRouters(SourceOptions& aOptions,
@@ -54,7 +63,7 @@
 SourceOptions
 StartOptions(const SourceView& aView)
 {
-  SourceOptions options{ {}, false, {}, {} };
+  auto options = WithoutSources();
   AddRouters(options, aView.seeds, 1, aView);
   options.order.emplace_back();
   options.patience = aView.seedWait;
@@ -64,7 +73,7 @@
 SourceOptions
 StoreFirst(const SourceView& aView, const ExchangePlan& aPlan)
 {
-  SourceOptions options{ {}, false, {}, {} };
+  auto options = WithoutSources();
   options.order.emplace_back();
   AddKnownReader(options, aView);
   AddRouters(options, aPlan.tell, kOtherSources, aView);
@@ -119,7 +128,7 @@
   if (starts || !aPlan.IsLarge()) {
     return StoreFirst(aView, aPlan);
   }
-  SourceOptions options{ {}, false, {}, {} };
+  auto options = WithoutSources();
   const bool reads = aPlan.readRank < kStoreReaders;
   if (reads) {
     options.order.emplace_back();
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -58,6 +58,7 @@
   template<typename Table>
   static std::vector<HeardRouter> HeardOf(const Table& aTable);
 
+  LoadSum SumOfGroup(const PeerReport& aOwn) const;
   void Sum();
   void SumSoon();
   const PeerReport* OwnPartOf(const PeerReport& aSum) const;
