What engines can't read gives plain calls no longer wait

The promise, and starvation, are counted in tokens that engines read; both limits were given to calls of plain services too, so that a flooding workspace's plain calls beyond its share waited up to .7 or 1.5 targets there.

Change: only generations are inside the promise alone, or starved. Test first: a plain call of a flood was inside the promise beyond its share.

--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -190,14 +190,16 @@
 Fleet::Entitlement(const PlaceRequest& aRequest, TimePoint aNow)
 {
   PlaceResult result;
+  const bool generates = aRequest.work->IsGeneration();
   const double begun = BegunFor(aRequest.workspace);
   result.insideShare = begun < m_shareLevel;
-  result.insidePromise = begun < m_promisedLevel;
+  result.insidePromise =
+    result.insideShare || (generates && begun < m_promisedLevel);
   result.excess = begun / m_excessLevel;
   result.farBehind = m_othersWait && begun < kFarBehind * m_mostBegun;
-  result.starved = IsStarved(aRequest.workspace);
-  result.passesLevel = !aRequest.work->IsGeneration() || aRequest.admitted ||
-                       result.starved || m_passLevel.Pass(aRequest.workspace);
+  result.starved = generates && IsStarved(aRequest.workspace);
+  result.passesLevel = !generates || aRequest.admitted || result.starved ||
+                       m_passLevel.Pass(aRequest.workspace);
   result.peersAge = m_peers.Age(aNow);
   return result;
 }
--- a/src/fleet/tests/entitlementtests.cpp
+++ b/src/fleet/tests/entitlementtests.cpp
@@ -8,6 +8,23 @@
 using namespace hemlockgauge;
 using namespace hemlockgauge::fleet;
 
+namespace {
+
+//! A call of a plain service: the promise is of what engines read.
+PlaceResult
+PlainCall(Bench& aBench, const std::string& aWorkspace)
+{
+  const Work none;
+  auto request = aBench.Ask(1, aWorkspace);
+  request.work = &none;
+  request.service = "plain";
+  const auto place = aBench.Place(request);
+  aBench.fleet.Ended(place.attempt, AttemptEnd::Answered, aBench.now);
+  return place;
+}
+
+}
+
 //! The load: one workspace asks ten times what fits, the others little.
 Test(core, AFloodDelaysOnlyItself)
 {
@@ -42,7 +59,7 @@
 {
   Bench bench;
   bench.fleet.SetConfig(Config(2, 1e9));
-  bench.List(2);
+  bench.List(2, 1);
   int beyond = 0;
   EnginesThatRead engines(200ms);
   for (int step = 0; step < 600; ++step) {
@@ -58,6 +75,7 @@
       cr_assert(place.insidePromise);
       cr_assert(!light || place.insideShare);
       beyond += place.insideShare ? 0 : 1;
+      cr_assert(!PlainCall(bench, "flood").insidePromise || place.insideShare);
       engines.Begin(place, bench.now);
     }
   }
