--- a/src/fleet/tests/entitlementtests.cpp
+++ b/src/fleet/tests/entitlementtests.cpp
@@ -18,7 +18,7 @@
   auto request = aBench.Ask(1, aWorkspace);
   request.work = &none;
   request.service = "plain";
-  const auto place = aBench.Place(request);
+  auto place = aBench.Place(request);
   aBench.fleet.Ended(place.attempt, AttemptEnd::Answered, aBench.now);
   return place;
 }
