Plain services: places drawn by old news, calls passed by what the service answers

News of a queue is 300 ms old there, a queue fills in 250 ms, and all routers went to the shortest; what they let in by the foreseen wait swung between all and none.

Change: a place is drawn so that costs are level once the unseen work has come (loadspread, by the age of the news, which reports now carry); the part of the calls that passes is what the service answers against how busy its places are (callrates); the limit on the foreseen wait is eased by what the news can't tell; a full service's cost no longer counts its queue twice.

--- a/src/base/basetypes.h
+++ b/src/base/basetypes.h
@@ -22,6 +22,9 @@
 enum class PoolId : std::uint32_t
 {
 };
+enum class ServiceId : std::uint32_t
+{
+};
 enum class WorkspaceId : std::uint32_t
 {
 };
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -10,6 +10,7 @@
 {
   double foreseenMs = 0; //!< to its first token or its answer
   double ownMs = 0;      //!< of that, what reading its own part takes
+  double unseenMs = 0;   //!< see UnseenLoad: what news is too old to tell
   Duration waited{};     //!< since it arrived
   Duration target{};     //!< of its route, from its arrival
   Duration timeLeft{};   //!< until its deadline or its route's timeout
@@ -24,9 +25,10 @@
   double excess = 1;
   //! Workspaces that are not ahead do not get what they ask.
   bool othersWait = true;
-  bool placesFree = false; //!< its upstream has free slots and no backlog
-  bool passesLevel = true; //!< see PassLevel
-  bool idle = false;       //!< nothing runs at its upstream
+  bool placesFree = false;     //!< its upstream has free slots and no backlog
+  bool passesLevel = true;     //!< see PassLevel
+  bool passesCallLevel = true; //!< see PassingPart
+  bool idle = false;           //!< nothing runs at its upstream
 };
 
 struct Admission
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -173,11 +173,14 @@
     case AttemptEnd::Answered: {
       upstream->health.Succeeded(aNow);
       const auto took = static_cast<double>((aNow - attempt.sentAt).count());
-      upstream->time.Learn(took);
-      m_serviceTimes[upstream->entry.service].Learn(took);
+      m_calls.Answered(ServiceIdOf(upstream->entry.service), aNow);
+      const double work = took / attempt.rounds;
+      upstream->time.Learn(work);
+      m_serviceTimes[upstream->entry.service].Learn(work);
       return false;
     }
     case AttemptEnd::AnsweredFailure:
+      m_calls.Answered(ServiceIdOf(upstream->entry.service), aNow);
       upstream->health.AnsweredFailure(aNow);
       return false;
     case AttemptEnd::Refused:
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/admission.h"
+#include "fleet/callrates.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/forecasterror.h"
@@ -87,11 +88,12 @@
   std::uint32_t running = 0;
   int rank = 0;
   bool insideShare = true;
-  bool insidePromise = true; //!< see AdmissionInput
-  bool starved = false;      //!< see AdmissionInput
-  bool passesLevel = true;   //!< see PassLevel
-  bool routerBusy = false;   //!< refused for that, before a place was sought
-  double excess = 0;         //!< see AdmissionInput
+  bool insidePromise = true;   //!< see AdmissionInput
+  bool starved = false;        //!< see AdmissionInput
+  bool passesLevel = true;     //!< see PassLevel
+  bool passesCallLevel = true; //!< see PassingPart
+  bool routerBusy = false;     //!< refused for that, before a place was sought
+  double excess = 0;           //!< see AdmissionInput
   //! Its workspace gets far less than the one that gets most, and asks more.
   bool farBehind = false;
   Duration peersAge{};
@@ -194,6 +196,7 @@
     UpstreamId upstream{};
     double tokensAhead = 0; //!< unread there when it was sent, its own too
     double foreseenMs = 0;  //!< to its first token
+    double rounds = 1;      //!< see Candidate
     TimePoint sentAt{};
     bool waitsForFirst = true;
   };
@@ -207,6 +210,11 @@
                           UpstreamId aUpstream,
                           const std::vector<PrefixHolder>& aHolders,
                           TimePoint aNow) const;
+  UnseenLoad Unseen(const PlaceRequest& aRequest,
+                    const std::vector<Candidate>& aCandidates,
+                    TimePoint aNow) const;
+  bool PassesCallLevel(const PlaceRequest& aRequest) const;
+  void SetCallLevels(TimePoint aNow);
   void SetKeptPrefixes();
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
                                     std::vector<UpstreamId> aEligible,
@@ -223,6 +231,7 @@
   void KeepUses(const PeerReport& aReport);
   Admission Judge(const PlaceRequest& aRequest,
                   const Candidate& aCandidate,
+                  const UnseenLoad& aUnseen,
                   const PlaceResult& aResult) const;
   double BegunFor(WorkspaceId aWorkspace) const;
   bool IsStarved(WorkspaceId aWorkspace) const;
@@ -244,6 +253,9 @@
   PrefixMap m_prefixes;
   std::optional<TimePoint> m_agedAt; //!< m_prefixes
   DemandMeter m_demand;
+  CallMeter m_calls;
+  std::map<ServiceId, Utilisation> m_utilisations; //!< of plain services
+  std::map<ServiceId, double> m_passingParts;      //!< of their calls
   WorkspaceRates m_fleetRates;
   double m_shareLevel;       //!< the most that a workspace is owed
   double m_promisedLevel;    //!< the same by what is promised alone
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -60,6 +60,11 @@
 //! The same for a plain service, as a part of its time for an answer: what
 //! a learned time may be off without drawing all work to one upstream.
 inline constexpr double kSpreadPart = 0.1;
+//! What others sent since the news counts so many times (e) where a place is
+//! drawn: a load that is levelled faster than that against the age of what is
+//! known of it swings. With 1, 2 in 100 calls met a full upstream, with e none
+//! (model of 40 routers, news 300 ms old, nine tenths of what can be run).
+inline constexpr double kUnseenTimes = 2.72;
 //! Extra for a way between availability zones and back, in ms.
 inline constexpr double kOtherZoneMs = 2.0;
 //! Extra for a wholly failing upstream, in ms, by the part of its answers
@@ -131,6 +136,13 @@
 //! router's requests on a grown deployment.
 inline constexpr double kForecastGain = 0.04;
 
+//! The part of what a plain service can run that may begin: at more its queue
+//! takes most of a target to wait through, at random arrivals.
+inline constexpr double kCallsUse = 0.95;
+//! While less of its places is taken, all calls pass: there is room, and a
+//! service that answered nothing for a while is asked again.
+inline constexpr double kCallsBusy = 0.8;
+
 // ---- failures
 
 //! Weight of one more answer in an upstream's part of failures.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -21,6 +21,7 @@
 namespace hemlockgauge::fleet {
 
 using base::Duration;
+using base::ServiceId;
 using base::TimePoint;
 using base::UpstreamId;
 using base::WorkspaceId;
@@ -165,6 +166,12 @@
   return UpstreamIdOf(aEntry.id, aEntry.startedAt);
 }
 
+inline ServiceId
+ServiceIdOf(std::string_view aName)
+{
+  return ServiceId(base::HashName(aName));
+}
+
 inline WorkspaceId
 WorkspaceIdOf(std::string_view aName)
 {
--- a/src/fleet/internal/admission.cpp
+++ b/src/fleet/internal/admission.cpp
@@ -77,10 +77,13 @@
   if (IsBeyondAll(aInput) && !aInput.passesLevel && !aInput.idle) {
     return Refuse(aInput, kLevelWait);
   }
+  if (!aInput.passesCallLevel && !aInput.idle) {
+    return Refuse(aInput, kRetryAfterLeast);
+  }
   const double part = LimitPart(aInput);
   const auto target = static_cast<double>(aInput.target.count());
   const auto waited = static_cast<double>(aInput.waited.count());
-  const double limit = LimitMs(aInput, part * target);
+  const double limit = LimitMs(aInput, part * target) + aInput.unseenMs;
   const bool ahead =
     IsBeyondAll(aInput) && aInput.othersWait && aInput.excess > 1.0;
   if (aInput.foreseenMs + waited <= limit || (aInput.placesFree && !ahead)) {
--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -43,6 +43,40 @@
     sum.begun += rate.begun;
   }
   SetLevels();
+  SetCallLevels(aNow);
+}
+
+//! How much of what plain services are asked may begin.
+void
+Fleet::SetCallLevels(TimePoint aNow)
+{
+  struct Places
+  {
+    double taken = 0;
+    double all = 0;
+  };
+  std::map<ServiceId, Places> services;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.isEngine || upstream.entry.draining) {
+      continue;
+    }
+    const auto running = upstream.running + m_peers.LoadOf(id).running;
+    auto& places = services[ServiceIdOf(upstream.entry.service)];
+    places.taken += std::min(running, upstream.entry.slots);
+    places.all += upstream.entry.slots;
+  }
+  m_passingParts.clear();
+  const auto& own = m_calls.Rates(aNow);
+  for (const auto& [service, places] : services) {
+    auto& utilisation = m_utilisations[service];
+    utilisation.Learn(places.taken / places.all);
+    auto rate = m_peers.CallsOf(service);
+    if (const auto found = own.find(service); found != own.end()) {
+      rate.asked += found->second.asked;
+      rate.answered += found->second.answered;
+    }
+    m_passingParts[service] = PassingPart(rate, utilisation.Part());
+  }
 }
 
 //! What all engines together can read, in tokens a second.
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <limits>
 
 //! How a request gets its place.
 namespace hemlockgauge::fleet {
@@ -10,6 +11,9 @@
 //! Prefix uses in one report: over what one router sends in a period under
 //! the largest burst that it can carry.
 constexpr std::size_t kMostUsesTold = 256;
+//! Sets the draw of a place apart from other hashes of the same key.
+constexpr std::uint32_t kDrawSeed = 0x5eed;
+constexpr std::uint32_t kLevelSeed = 0x1e7e;
 
 }
 
@@ -19,6 +23,8 @@
   m_retries.CountRequest(aRequest.service, aNow);
   if (aRequest.work->IsGeneration()) {
     m_demand.Asked(aRequest.workspace, aRequest.work->Cost(), aNow);
+  } else {
+    m_calls.Asked(ServiceIdOf(aRequest.service), aNow);
   }
 }
 
@@ -160,9 +166,48 @@
   return candidates;
 }
 
+//! What others sent to a plain service since the news of it: as much of its
+//! time as it is busy. Engines keep the best place: prefixes already spread
+//! requests there, and a place that holds the prompt's parts is worth more than
+//! a level load.
+UnseenLoad
+Fleet::Unseen(const PlaceRequest& aRequest,
+              const std::vector<Candidate>& aCandidates,
+              TimePoint aNow) const
+{
+  if (aCandidates.empty() || aCandidates.front().isEngine) {
+    return {};
+  }
+  double busy = 0;
+  double slots = 0;
+  for (const auto& candidate : aCandidates) {
+    busy += std::min(candidate.running, candidate.slots);
+    slots += candidate.slots;
+  }
+  const auto age = static_cast<double>(m_peers.NewsAge(aNow).count());
+  const auto key = static_cast<std::uint32_t>(aRequest.key);
+  return { kUnseenTimes * age * busy / slots, base::HashPair(key, kDrawSeed) };
+}
+
+//! Whether it is among the calls that its plain service can run.
+bool
+Fleet::PassesCallLevel(const PlaceRequest& aRequest) const
+{
+  const auto found = m_passingParts.find(ServiceIdOf(aRequest.service));
+  if (found == m_passingParts.end() || aRequest.admitted) {
+    return true;
+  }
+  constexpr auto kMost =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const auto key = static_cast<std::uint32_t>(aRequest.key);
+  const auto draw = static_cast<double>(base::HashPair(key, kLevelSeed));
+  return draw <= found->second * kMost;
+}
+
 Admission
 Fleet::Judge(const PlaceRequest& aRequest,
              const Candidate& aCandidate,
+             const UnseenLoad& aUnseen,
              const PlaceResult& aResult) const
 {
   AdmissionInput input;
@@ -170,6 +215,7 @@
   input.ownMs = aCandidate.isEngine
                   ? aRequest.work->OwnTokens() / aCandidate.readRate
                   : 0.0;
+  input.unseenMs = aUnseen.ms;
   input.waited = aRequest.waited;
   input.target = aRequest.route->target;
   input.timeLeft = aRequest.timeLeft;
@@ -177,6 +223,7 @@
   input.insidePromise = aResult.insidePromise;
   input.starved = aResult.starved;
   input.passesLevel = aResult.passesLevel;
+  input.passesCallLevel = aResult.passesCallLevel;
   input.excess = aResult.excess;
   input.othersWait = m_othersWait;
   input.placesFree =
@@ -200,6 +247,7 @@
   result.starved = generates && IsStarved(aRequest.workspace);
   result.passesLevel = !generates || aRequest.admitted || result.starved ||
                        m_passLevel.Pass(aRequest.workspace);
+  result.passesCallLevel = generates || PassesCallLevel(aRequest);
   result.peersAge = m_peers.Age(aNow);
   return result;
 }
@@ -224,20 +272,22 @@
   const auto holders = HoldersFor(aRequest, aNow);
   auto candidates =
     Candidates(aRequest, eligible, holders, m_policy, key, aNow);
-  auto placed = fleet::Place(m_policy, candidates, key);
+  const auto unseen = Unseen(aRequest, candidates, aNow);
+  auto placed = fleet::Place(m_policy, candidates, key, unseen);
   if (!placed) {
     result.retryAfter = kRetryAfterLeast;
     return result;
   }
-  auto admission = Judge(aRequest, candidates[placed->candidate], result);
+  auto admission =
+    Judge(aRequest, candidates[placed->candidate], unseen, result);
   if (!admission.taken && !aRequest.admitted && result.IsPromised()) {
     //! NOTE its prefix's upstreams are full; it may still be in time where
     //! all of it has to be read. For what no one is owed that would be
     //! reading for nothing.
     candidates =
       Candidates(aRequest, eligible, holders, Spread(), aRequest.key, aNow);
-    placed = fleet::Place(Spread(), candidates, aRequest.key);
-    admission = Judge(aRequest, candidates[placed->candidate], result);
+    placed = fleet::Place(Spread(), candidates, aRequest.key, unseen);
+    admission = Judge(aRequest, candidates[placed->candidate], unseen, result);
   }
   const auto& candidate = candidates[placed->candidate];
   result.foreseenMs = placed->foreseenMs;
@@ -277,6 +327,7 @@
   const double toRead = std::max(aCandidate.missingTokens, 0.0);
   attempt.tokensAhead = aCandidate.unreadTokens + aCandidate.missingTokens;
   attempt.foreseenMs = aCandidate.ForeseenMs();
+  attempt.rounds = aCandidate.Rounds();
   attempt.sentAt = aNow;
   upstream.running++;
   const auto id = m_nextAttempt++;
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -125,6 +125,9 @@
   for (const auto& [workspace, rate] : m_demand.Rates(aNow)) {
     report.rates.push_back({ workspace, rate });
   }
+  for (const auto& [service, rate] : m_calls.Rates(aNow)) {
+    report.calls.push_back({ service, rate });
+  }
   report.reading = m_demand.Reading();
   report.uses = std::move(m_usesHere);
   m_usesHere.clear();
--- a/src/fleet/internal/loadsum.cpp
+++ b/src/fleet/internal/loadsum.cpp
@@ -5,8 +5,9 @@
 namespace hemlockgauge::fleet {
 
 void
-LoadSum::Add(const PeerReport& aReport)
+LoadSum::Add(const PeerReport& aReport, TimePoint aAsOf)
 {
+  m_asOfMs += aReport.routers * static_cast<double>(aAsOf.count());
   for (const auto& load : aReport.loads) {
     auto& sum = m_loads[load.upstream];
     sum.upstream = load.upstream;
@@ -18,6 +19,11 @@
     sum.asked += rate.asked;
     sum.begun += rate.begun;
   }
+  for (const auto& [service, rate] : aReport.calls) {
+    auto& sum = m_calls[service];
+    sum.asked += rate.asked;
+    sum.answered += rate.answered;
+  }
   m_routers += aReport.routers;
   m_busy += aReport.busy;
   m_reading += aReport.reading;
@@ -26,6 +32,8 @@
 void
 LoadSum::TakeOut(const PeerReport& aReport)
 {
+  const auto routers = std::min(m_routers, aReport.routers);
+  m_asOfMs -= routers * static_cast<double>(AsOf().count());
   for (const auto& load : aReport.loads) {
     auto& sum = m_loads[load.upstream];
     sum.upstream = load.upstream;
@@ -37,25 +45,35 @@
     sum.asked = std::max(0.0, sum.asked - rate.asked);
     sum.begun = std::max(0.0, sum.begun - rate.begun);
   }
+  for (const auto& [service, rate] : aReport.calls) {
+    auto& sum = m_calls[service];
+    sum.asked = std::max(0.0, sum.asked - rate.asked);
+    sum.answered = std::max(0.0, sum.answered - rate.answered);
+  }
   m_reading = std::max(0.0, m_reading - aReport.reading);
-  m_routers -= std::min(m_routers, aReport.routers);
+  m_routers -= routers;
   m_busy -= std::min(m_busy, aReport.busy);
 }
 
 void
-LoadSum::PutInto(PeerReport& aReport) const
+LoadSum::PutInto(PeerReport& aReport, TimePoint aNow) const
 {
   aReport.loads.clear();
   aReport.rates.clear();
+  aReport.calls.clear();
   for (const auto& [id, load] : m_loads) {
     aReport.loads.push_back(load);
   }
   for (const auto& [workspace, rate] : m_rates) {
     aReport.rates.push_back({ workspace, rate });
   }
+  for (const auto& [service, rate] : m_calls) {
+    aReport.calls.push_back({ service, rate });
+  }
   aReport.routers = m_routers;
   aReport.busy = m_busy;
   aReport.reading = m_reading;
+  aReport.loadAge = aNow - AsOf();
 }
 
 void
@@ -63,9 +81,25 @@
 {
   m_loads.clear();
   m_rates.clear();
+  m_calls.clear();
   m_routers = 0;
   m_busy = 0;
   m_reading = 0;
+  m_asOfMs = 0;
+}
+
+CallRate
+LoadSum::CallsOf(ServiceId aService) const
+{
+  const auto found = m_calls.find(aService);
+  return found == m_calls.end() ? CallRate{} : found->second;
+}
+
+TimePoint
+LoadSum::AsOf() const
+{
+  const double mean = m_routers > 0 ? m_asOfMs / m_routers : 0.0;
+  return TimePoint(static_cast<std::int64_t>(mean));
 }
 
 UpstreamLoad
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -140,13 +140,13 @@
   m_sum.Clear();
   if (m_isHub) {
     for (const auto& [router, told] : m_told) {
-      m_sum.Add(told.report);
+      m_sum.Add(told.report, told.AsOf());
     }
     for (const auto& [group, told] : m_groups) {
-      m_sum.Add(told.report);
+      m_sum.Add(told.report, told.AsOf());
     }
     for (const auto& [zone, told] : m_zones) {
-      m_sum.Add(told.report);
+      m_sum.Add(told.report, told.AsOf());
     }
     return;
   }
@@ -159,7 +159,7 @@
   if (newest == nullptr) {
     return;
   }
-  m_sum.Add(newest->report);
+  m_sum.Add(newest->report, newest->AsOf());
   if (const auto* own = OwnPartOf(newest->report)) {
     m_sum.TakeOut(*own);
   }
@@ -189,9 +189,9 @@
 PeerView::SumOfGroup(const PeerReport& aOwn) const
 {
   LoadSum all;
-  all.Add(aOwn);
+  all.Add(aOwn, aOwn.sentAt);
   for (const auto& [router, told] : m_told) {
-    all.Add(told.report);
+    all.Add(told.report, told.AsOf());
   }
   return all;
 }
@@ -203,7 +203,7 @@
   auto sum = aOwn;
   sum.scope = ReportScope::Group;
   sum.heard = HeardOf(m_groups);
-  all.PutInto(sum);
+  all.PutInto(sum, aOwn.sentAt);
   return sum;
 }
 
@@ -212,12 +212,12 @@
 {
   auto all = SumOfGroup(aOwn);
   for (const auto& [group, told] : m_groups) {
-    all.Add(told.report);
+    all.Add(told.report, told.AsOf());
   }
   auto sum = aOwn;
   sum.scope = ReportScope::Zone;
   sum.heard = HeardOf(m_zones);
-  all.PutInto(sum);
+  all.PutInto(sum, aOwn.sentAt);
   return sum;
 }
 
@@ -225,13 +225,19 @@
 PeerView::FleetSum(const PeerReport& aOwn) const
 {
   auto all = m_sum;
-  all.Add(aOwn);
+  all.Add(aOwn, aOwn.sentAt);
   auto sum = aOwn;
   sum.scope = ReportScope::Fleet;
-  all.PutInto(sum);
+  all.PutInto(sum, aOwn.sentAt);
   return sum;
 }
 
+Duration
+PeerView::NewsAge(TimePoint aNow) const
+{
+  return m_sum.Routers() == 0 ? Duration{} : aNow - m_sum.AsOf();
+}
+
 Duration
 PeerView::Age(TimePoint aNow) const
 {
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -45,7 +45,8 @@
   //! first although both have places.
   const double filling = aCandidate.isEngine
                            ? 0.0
-                           : aCandidate.serviceMs * aCandidate.running /
+                           : aCandidate.serviceMs *
+                               std::min(aCandidate.running, aCandidate.slots) /
                                std::max(aCandidate.slots, 1U);
   return filling + aCandidate.failurePart * kFailureMs +
          aRereadWeight * rereading + (aCandidate.sameZone ? 0.0 : kOtherZoneMs);
@@ -59,6 +60,15 @@
   return kSpreadPart * aCandidate.serviceMs * std::min(aRank, kMostRanks);
 }
 
+//! In work a ms: tokens that an engine reads, or a plain service's requests.
+double
+SpeedOf(const Candidate& aCandidate)
+{
+  return aCandidate.isEngine
+           ? aCandidate.readRate
+           : aCandidate.slots / std::max(aCandidate.serviceMs, 1.0);
+}
+
 struct RereadWeight
 {
   double operator()(const PrefixAffinity&) const { return kRereadWeight; }
@@ -103,8 +113,13 @@
     const double copying = copy ? copy->millis : 0.0;
     return kFirstTokenFixedMs + copying + reading + slotWait;
   }
-  const double rounds = over > 0 ? over / slots : 0.0;
-  return serviceMs * (1.0 + rounds);
+  return serviceMs * Rounds();
+}
+
+double
+Candidate::Rounds() const
+{
+  return std::max(1.0, (static_cast<double>(running) + 1) / slots);
 }
 
 PlacementPolicy
@@ -153,26 +168,27 @@
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
-      std::uint64_t aKey)
+      std::uint64_t aKey,
+      const UnseenLoad& aUnseen)
 {
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
   const auto ranks = RanksOf(aCandidates, aKey);
   const double rereadWeight = std::visit(RereadWeight{}, aPolicy);
-  std::optional<Placed> best;
-  double bestCost = 0;
+  std::vector<SpreadOption> options;
+  options.reserve(aCandidates.size());
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const auto& candidate = aCandidates[i];
-    const double foreseen = candidate.ForeseenMs();
     const double rankCost = candidate.isEngine
                               ? std::visit(RankCost{ ranks[i] }, aPolicy)
                               : SpreadCost(candidate, ranks[i]);
-    const double cost =
-      foreseen + Reluctance(candidate, rereadWeight) + rankCost;
-    if (!best || cost < bestCost) {
-      bestCost = cost;
-      best = Placed{ i, foreseen, ranks[i] };
-    }
+    options.push_back(
+      { candidate.ForeseenMs() + Reluctance(candidate, rereadWeight) + rankCost,
+        SpeedOf(candidate) });
   }
-  return best;
+  const auto best = DrawByParts(SpreadParts(options, aUnseen.ms), aUnseen.draw);
+  return Placed{ best, aCandidates[best].ForeseenMs(), ranks[best] };
 }
 
 }
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/callrates.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 
@@ -31,6 +32,12 @@
   }
 };
 
+struct ServiceReport
+{
+  ServiceId service{};
+  CallRate rate;
+};
+
 struct WorkspaceReport
 {
   WorkspaceId workspace{};
@@ -78,6 +85,7 @@
   std::uint32_t routers = 1; //!< how many it sums up
   std::uint32_t busy = 0;    //!< how many of them have no rest
   double reading = 0;        //!< tokens a second to be read for what was begun
+  Duration loadAge{};        //!< of the loads in it, in the mean
   std::uint64_t configVersion = 0;
   Duration configAge{}; //!< since the version was proven the newest
   //! The freshest reader of the store that the sender knows of, and since when
@@ -89,6 +97,7 @@
   std::vector<HeardRouter> heard;
   std::vector<UpstreamLoad> loads;
   std::vector<WorkspaceReport> rates;
+  std::vector<ServiceReport> calls;
   std::vector<PrefixUse> uses;
   std::vector<KnownMember> members; //!< now and then
 };
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -31,6 +31,8 @@
     return m_sum.LoadOf(aUpstream);
   }
   const WorkspaceRates& Rates() const { return m_sum.Rates(); }
+  //! Of a plain service, by the others.
+  CallRate CallsOf(ServiceId aService) const { return m_sum.CallsOf(aService); }
   //! Tokens a second that have to be read for what the others began.
   double Reading() const { return m_sum.Reading(); }
   //! How many routers the view covers, without this one.
@@ -45,6 +47,8 @@
   PeerReport ZoneSum(const PeerReport& aOwn) const;
   //! The sum over the fleet, this router included.
   PeerReport FleetSum(const PeerReport& aOwn) const;
+  //! How old what is known of the others' loads is, in the mean.
+  Duration NewsAge(TimePoint aNow) const;
   //! Age of the oldest report that counts.
   Duration Age(TimePoint aNow) const;
 
@@ -53,6 +57,8 @@
   {
     PeerReport report;
     TimePoint at{};
+
+    TimePoint AsOf() const { return at - report.loadAge; }
   };
 
   template<typename Table>
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -2,6 +2,7 @@
 
 #include "base/enumnames.h"
 #include "fleet/fleettypes.h"
+#include "fleet/loadspread.h"
 #include "fleet/prefixcopy.h"
 
 #include <optional>
@@ -21,13 +22,16 @@
   double readRate = 1;            //!< tokens a ms
   std::uint32_t running = 0;
   std::uint32_t slots = 1;
-  double serviceMs = 0; //!< mean time of an answer of a plain service
+  double serviceMs = 0; //!< mean time that a plain service works on a request
   double failurePart = 0;
   bool sameZone = true;
   bool isEngine = false;
 
   //! Foreseen time to the first token, or to a plain service's answer.
   double ForeseenMs() const;
+  //! So many times a plain service works off its slots until it has answered
+  //! one more request; 1 where a slot is free.
+  double Rounds() const;
 };
 
 //! Places by the shared prefix: an order of the upstreams that is the same
@@ -90,6 +94,7 @@
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
-      std::uint64_t aKey);
+      std::uint64_t aKey,
+      const UnseenLoad& aUnseen = {});
 
 }
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -142,6 +142,7 @@
     .Add("starved", aPlace.starved ? "yes" : "no")
     .Add("excess", aPlace.excess)
     .Add("passes_level", aPlace.passesLevel ? "yes" : "no")
+    .Add("passes_call_level", aPlace.passesCallLevel ? "yes" : "no")
     .Add("far_behind", aPlace.farBehind ? "yes" : "no")
     .Add("peers_age_ms", aPlace.peersAge.count())
     .Add("config", m_config->version);
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -99,6 +99,12 @@
                        static_cast<float>(rate.asked),
                        static_cast<float>(rate.begun));
   }
+  std::vector<fb::Calls> calls;
+  for (const auto& [service, rate] : aReport.calls) {
+    calls.emplace_back(base::Raw(service),
+                       static_cast<float>(rate.asked),
+                       static_cast<float>(rate.answered));
+  }
   std::vector<fb::Use> uses;
   for (const auto& use : aReport.uses) {
     uses.emplace_back(static_cast<std::uint32_t>(use.part),
@@ -141,7 +147,9 @@
                                aReport.reader.port,
                                Short(aReport.readerAge),
                                aReport.busy,
-                               aReport.relayed);
+                               aReport.relayed,
+                               Short(aReport.loadAge),
+                               &calls);
   fb::FinishPeerReportBuffer(builder, root);
   const auto* data = builder.GetBufferPointer();
   return { data, data + builder.GetSize() };
@@ -173,6 +181,7 @@
   report.wantsMembers = wire->wants_members();
   report.busy = wire->busy();
   report.relayed = wire->relayed();
+  report.loadAge = base::Duration(wire->load_age_ms());
   if (wire->reader_port() > 0) {
     report.reader = { UnpackIp(wire->reader_ip()), wire->reader_port() };
     report.readerAge = base::Duration(wire->reader_age_ms());
@@ -192,6 +201,11 @@
       { base::WorkspaceId(aRate.workspace()),
         { CheckedRate(aRate.asked()), CheckedRate(aRate.begun()) } });
   });
+  Each(wire->calls(), [&](const fb::Calls& aCalls) {
+    report.calls.push_back(
+      { base::ServiceId(aCalls.service()),
+        { CheckedRate(aCalls.asked()), CheckedRate(aCalls.answered()) } });
+  });
   Each(wire->uses(), [&](const fb::Use& aUse) {
     report.uses.push_back(
       { (std::uint64_t{ aUse.part_high() } << kWordBits) | aUse.part_low(),
