News takes its way through hubs in one go: stages by the time of day

Change: own reports, group sums, zone sums and fleet sums are due 20 ms after each other, at the same time of day for all (exchangeclock). Where clocks differ it is as before. Uses wait for each kind of sum by themselves; a sum that is sent later than its own report proves no more for that (test). The log tells the age of loads.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -96,7 +96,8 @@
   double excess = 0;           //!< see AdmissionInput
   //! Its workspace gets far less than the one that gets most, and asks more.
   bool farBehind = false;
-  Duration peersAge{};
+  Duration peersAge{}; //!< since the oldest report that counts came
+  Duration loadAge{};  //!< of the loads of others, in the mean
 
   //! Whether it goes before what others get beyond their shares.
   bool IsOwed() const { return insideShare || (farBehind && passesLevel); }
@@ -156,9 +157,10 @@
   //! This router's own; to be followed by the sums if it is a hub. aBusyFor:
   //! how long this router has had something to do without a rest.
   PeerReport Tell(Duration aBusyFor, TimePoint aNow);
-  PeerReport TellGroup(const PeerReport& aOwn);
-  PeerReport TellZone(const PeerReport& aOwn);
-  PeerReport TellFleet(const PeerReport& aOwn);
+  //! The sums of what is known now; aOwn: this router's last own report.
+  PeerReport TellGroup(const PeerReport& aOwn, TimePoint aNow);
+  PeerReport TellZone(const PeerReport& aOwn, TimePoint aNow);
+  PeerReport TellFleet(const PeerReport& aOwn, TimePoint aNow);
   const PeerView& Peers() const { return m_peers; }
   //! Part of the fleet's routers that have no rest, this one among them.
   double BusyPart() const;
@@ -229,6 +231,7 @@
   void AgePrefixes(TimePoint aNow);
   void TakeProof(const PeerReport& aReport);
   void KeepUses(const PeerReport& aReport);
+  PeerReport Renewed(const PeerReport& aOwn, TimePoint aNow) const;
   Admission Judge(const PlaceRequest& aRequest,
                   const Candidate& aCandidate,
                   const UnseenLoad& aUnseen,
@@ -266,11 +269,11 @@
   ForecastError m_forecastError;
   bool m_newsIsOld = false; //!< reports come through hubs
   std::uint64_t m_group = 0;
-  bool m_sumsUp = false;                 //!< for others: see ExchangePlan
-  std::vector<PrefixUse> m_usesHere;     //!< since the last report
-  std::vector<PrefixUse> m_usesOfGroup;  //!< since the last group sum
-  std::vector<PrefixUse> m_usesOfZone;   //!< since the last zone sum
-  std::vector<PrefixUse> m_usesOfOthers; //!< since the last fleet sum
+  bool m_sumsUp = false;                //!< for others: see ExchangePlan
+  std::vector<PrefixUse> m_usesHere;    //!< since the last report
+  std::vector<PrefixUse> m_usesOfGroup; //!< since the last group sum
+  std::vector<PrefixUse> m_usesOfZone;  //!< since the last zone sum
+  std::vector<PrefixUse> m_usesOfFleet; //!< since the last fleet sum
   std::map<UpstreamId, Upstream> m_upstreams;
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -171,6 +171,9 @@
 // ---- what routers tell each other
 
 inline constexpr base::Duration kReportPeriod = 100ms;
+//! Between the stages of an exchange: a datagram's way between zones, and a
+//! round of a busy router on an eighth of a core.
+inline constexpr base::Duration kExchangeStep = 20ms;
 //! What a router told counts for this long: ten periods, for datagrams get
 //! lost and a router without power is noticed so.
 inline constexpr base::Duration kReportKept = 1000ms;
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -249,6 +249,7 @@
                        m_passLevel.Pass(aRequest.workspace);
   result.passesCallLevel = generates || PassesCallLevel(aRequest);
   result.peersAge = m_peers.Age(aNow);
+  result.loadAge = m_peers.NewsAge(aNow);
   return result;
 }
 
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -56,13 +56,14 @@
     case ReportScope::Router:
       Append(m_usesOfGroup, aReport.uses);
       Append(m_usesOfZone, aReport.uses);
+      Append(m_usesOfFleet, aReport.uses);
       return;
     case ReportScope::Group:
-      Append(m_usesOfOthers, aReport.uses);
       Append(m_usesOfZone, aReport.uses);
+      Append(m_usesOfFleet, aReport.uses);
       return;
     case ReportScope::Zone:
-      Append(m_usesOfOthers, aReport.uses);
+      Append(m_usesOfFleet, aReport.uses);
       return;
     case ReportScope::Fleet:
       return;
@@ -77,7 +78,7 @@
   m_newsIsOld = aPlan.IsLarge();
   if (!m_sumsUp) {
     m_usesOfGroup.clear();
-    m_usesOfOthers.clear();
+    m_usesOfFleet.clear();
   }
   if (aPlan.otherZones.empty()) {
     m_usesOfZone.clear();
@@ -145,18 +146,31 @@
          static_cast<double>(m_peers.Routers() + 1);
 }
 
+//! Since aOwn was made time has passed: what bounds ages by the receiver's
+//! clock must hold for the moment at which it is sent.
 PeerReport
-Fleet::TellGroup(const PeerReport& aOwn)
+Fleet::Renewed(const PeerReport& aOwn, TimePoint aNow) const
 {
-  auto sum = m_peers.GroupSum(aOwn);
-  sum.uses = m_usesOfGroup;
+  auto report = aOwn;
+  report.readerAge += aNow - aOwn.sentAt;
+  report.configVersion = ConfigVersion();
+  report.configAge = m_freshness.Age(aNow);
+  return report;
+}
+
+PeerReport
+Fleet::TellGroup(const PeerReport& aOwn, TimePoint aNow)
+{
+  auto sum = m_peers.GroupSum(Renewed(aOwn, aNow), aNow);
+  sum.uses = std::move(m_usesOfGroup);
+  m_usesOfGroup.clear();
   return sum;
 }
 
 PeerReport
-Fleet::TellZone(const PeerReport& aOwn)
+Fleet::TellZone(const PeerReport& aOwn, TimePoint aNow)
 {
-  auto sum = m_peers.ZoneSum(aOwn);
+  auto sum = m_peers.ZoneSum(Renewed(aOwn, aNow), aNow);
   sum.uses = std::move(m_usesOfZone);
   m_usesOfZone.clear();
   Unite(sum.uses);
@@ -164,13 +178,11 @@
 }
 
 PeerReport
-Fleet::TellFleet(const PeerReport& aOwn)
+Fleet::TellFleet(const PeerReport& aOwn, TimePoint aNow)
 {
-  auto sum = m_peers.FleetSum(aOwn);
-  sum.uses = std::move(m_usesOfGroup);
-  Append(sum.uses, m_usesOfOthers);
-  m_usesOfGroup.clear();
-  m_usesOfOthers.clear();
+  auto sum = m_peers.FleetSum(Renewed(aOwn, aNow), aNow);
+  sum.uses = std::move(m_usesOfFleet);
+  m_usesOfFleet.clear();
   return sum;
 }
 
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -197,38 +197,48 @@
 }
 
 PeerReport
-PeerView::GroupSum(const PeerReport& aOwn) const
+PeerView::SumOf(const LoadSum& aAll,
+                const PeerReport& aOwn,
+                ReportScope aScope,
+                TimePoint aNow)
 {
-  const auto all = SumOfGroup(aOwn);
   auto sum = aOwn;
-  sum.scope = ReportScope::Group;
+  sum.scope = aScope;
+  sum.sentAt = aNow;
+  aAll.PutInto(sum, aNow);
+  return sum;
+}
+
+PeerReport
+PeerView::GroupSum(const PeerReport& aOwn, TimePoint aNow) const
+{
+  auto sum = SumOf(SumOfGroup(aOwn), aOwn, ReportScope::Group, aNow);
   sum.heard = HeardOf(m_groups);
-  all.PutInto(sum, aOwn.sentAt);
   return sum;
 }
 
 PeerReport
-PeerView::ZoneSum(const PeerReport& aOwn) const
+PeerView::ZoneSum(const PeerReport& aOwn, TimePoint aNow) const
 {
   auto all = SumOfGroup(aOwn);
   for (const auto& [group, told] : m_groups) {
     all.Add(told.report, told.AsOf());
   }
-  auto sum = aOwn;
-  sum.scope = ReportScope::Zone;
+  auto sum = SumOf(all, aOwn, ReportScope::Zone, aNow);
   sum.heard = HeardOf(m_zones);
-  all.PutInto(sum, aOwn.sentAt);
   return sum;
 }
 
 PeerReport
-PeerView::FleetSum(const PeerReport& aOwn) const
+PeerView::FleetSum(const PeerReport& aOwn, TimePoint aNow)
 {
+  if (m_stale) {
+    Sum();
+  }
   auto all = m_sum;
   all.Add(aOwn, aOwn.sentAt);
-  auto sum = aOwn;
-  sum.scope = ReportScope::Fleet;
-  all.PutInto(sum, aOwn.sentAt);
+  auto sum = SumOf(all, aOwn, ReportScope::Fleet, aNow);
+  sum.heard = Heard();
   return sum;
 }
 
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -42,11 +42,11 @@
   //! Routers heard directly, with the last report of each.
   std::vector<HeardRouter> Heard() const;
   //! The sum over this router's group, itself included.
-  PeerReport GroupSum(const PeerReport& aOwn) const;
+  PeerReport GroupSum(const PeerReport& aOwn, TimePoint aNow) const;
   //! The sum over this router's availability zone, itself included.
-  PeerReport ZoneSum(const PeerReport& aOwn) const;
+  PeerReport ZoneSum(const PeerReport& aOwn, TimePoint aNow) const;
   //! The sum over the fleet, this router included.
-  PeerReport FleetSum(const PeerReport& aOwn) const;
+  PeerReport FleetSum(const PeerReport& aOwn, TimePoint aNow);
   //! How old what is known of the others' loads is, in the mean.
   Duration NewsAge(TimePoint aNow) const;
   //! Age of the oldest report that counts.
@@ -64,6 +64,10 @@
   template<typename Table>
   static std::vector<HeardRouter> HeardOf(const Table& aTable);
 
+  static PeerReport SumOf(const LoadSum& aAll,
+                          const PeerReport& aOwn,
+                          ReportScope aScope,
+                          TimePoint aNow);
   LoadSum SumOfGroup(const PeerReport& aOwn) const;
   void Sum();
   void SumSoon();
--- a/src/fleet/tests/coretests.cpp
+++ b/src/fleet/tests/coretests.cpp
@@ -157,7 +157,25 @@
   plan.followers = { { "10.0.0.2", 1 } };
   bench.fleet.SetPlan(plan);
   own = bench.fleet.Tell(0ms, bench.now);
-  cr_assert(bench.fleet.TellFleet(own).uses.empty());
+  cr_assert(bench.fleet.TellFleet(own, bench.now).uses.empty());
+}
+
+//! Sums are sent some time after the own report that they are made from: what
+//! they prove must not look newer for that.
+Test(core, ASumThatIsSentLaterProvesNoMore)
+{
+  Bench bench;
+  bench.fleet.ConfigFreshness().Proven(bench.now - 30ms);
+  auto own = bench.fleet.Tell(0ms, bench.now);
+  own.readerAge = 200ms;
+  const auto later = bench.now + 60ms;
+  for (const auto& sum : { bench.fleet.TellGroup(own, later),
+                           bench.fleet.TellZone(own, later),
+                           bench.fleet.TellFleet(own, later) }) {
+    cr_assert(own.configAge == 30ms && sum.configAge == 90ms);
+    cr_assert(sum.readerAge == 260ms);
+    cr_assert(sum.sentAt == later);
+  }
 }
 
 Test(core, ConfigurationNeverGoesBack)
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -1,3 +1,4 @@
+#include "fleet/exchangeclock.h"
 #include "fleet/fleetconstants.h"
 #include "fleet/membership.h"
 #include "fleet/peerview.h"
@@ -108,9 +109,9 @@
     aRouter.view.Sent(own);
     Send(aRouter, own, plan.tell);
     if (plan.SumsUp()) {
-      Send(aRouter, aRouter.view.GroupSum(own), plan.hubs);
+      Send(aRouter, aRouter.view.GroupSum(own, now), plan.hubs);
       TellOtherZones(aRouter, plan, own);
-      Send(aRouter, aRouter.view.FleetSum(own), plan.followers);
+      Send(aRouter, aRouter.view.FleetSum(own, now), plan.followers);
     }
     auto greeting = own;
     greeting.wantsMembers = true;
@@ -125,7 +126,7 @@
     if (!aPlan.Speaks(aOwn.sequence)) {
       return;
     }
-    auto sum = aRouter.view.ZoneSum(aOwn);
+    auto sum = aRouter.view.ZoneSum(aOwn, now);
     sum.members.clear();
     if (aOwn.sequence / aPlan.speakers % kZoneMembersEvery == 0) {
       sum.members = aRouter.members.KnownOfZone(aRouter.zone, now);
@@ -313,3 +314,69 @@
     cr_assert(names.size() == kHubsOfGroup);
   }
 }
+
+//! Routers whose rounds fall anywhere in a step take the stages of a period in
+//! their order: what one told waits for no period on its way.
+Test(exchange, StagesFollowEachOtherWhereverRoundsFall)
+{
+  for (std::int64_t offset = 0; offset < 20; offset += 7) {
+    ExchangeClock clock;
+    std::vector<ExchangeStage> seen;
+    for (std::int64_t at = 1000; at < 1200; at += 20) {
+      for (const auto stage : clock.Due(Duration(at + offset))) {
+        seen.push_back(stage);
+      }
+    }
+    const std::vector<ExchangeStage> period{ ExchangeStage::Own,
+                                             ExchangeStage::GroupSums,
+                                             ExchangeStage::ZoneSums,
+                                             ExchangeStage::FleetSums };
+    cr_assert(seen.size() == 2 * period.size());
+    for (std::size_t i = 0; i < seen.size(); ++i) {
+      cr_assert(seen[i] == period[i % period.size()]);
+    }
+  }
+}
+
+Test(exchange, AStageThatALateRoundPassedIsCaughtUpWithOnce)
+{
+  ExchangeClock clock;
+  clock.Due(Duration(1000));
+  cr_assert(clock.Due(Duration(1070)).size() == 3);
+  cr_assert(clock.Due(Duration(9000)).size() == 4, "each stage once");
+}
+
+//! A clock that jumps, either way, stops nothing.
+Test(exchange, AClockThatStepsBackStopsNothing)
+{
+  ExchangeClock clock;
+  clock.Due(Duration(100000));
+  int stages = 0;
+  for (std::int64_t at = 5000; at < 5200; at += 20) {
+    stages += static_cast<int>(clock.Due(Duration(at)).size());
+  }
+  cr_assert(stages == 8);
+}
+
+//! The age of loads goes with them on their way through hubs.
+Test(exchange, LoadsThatWereSummedUpKeepTheirAge)
+{
+  PeerView hub;
+  hub.SetRole(true, 7);
+  PeerReport told;
+  told.router = "far";
+  told.sequence = 1;
+  told.scope = ReportScope::Zone;
+  told.zone = 3;
+  told.routers = 3;
+  told.loadAge = 80ms;
+  const TimePoint now(50000);
+  hub.Take(told, now);
+  hub.Forget(now);
+  cr_assert(hub.NewsAge(now + 20ms) == 100ms);
+  PeerReport own;
+  own.router = "hub";
+  own.sentAt = now + 20ms;
+  const auto sum = hub.FleetSum(own, now + 20ms);
+  cr_assert(sum.routers == 4 && sum.loadAge == 75ms, "3 of 100 ms, one of 0");
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,8 +24,8 @@
 
 using namespace std::chrono_literals;
 
-//! How exactly time limits of requests are kept.
-constexpr base::Duration kFastTick = 20ms;
+//! How exactly time limits of requests are kept, and stages of the exchange.
+constexpr base::Duration kFastTick = fleet::kExchangeStep;
 //! Time limits of connections, gauges, reports.
 constexpr base::Duration kSlowTick = fleet::kReportPeriod;
 //! A loop that did not come round for this long stood still.
@@ -60,6 +60,13 @@
   return settings;
 }
 
+base::Duration
+TimeOfDay()
+{
+  return std::chrono::duration_cast<base::Duration>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
 Exchange*
 ExchangeOf(const http::ServerConnection& aConnection)
 {
@@ -309,6 +316,9 @@
   FollowSource(now);
   m_newsServer->Tick(now);
   FollowStop(now);
+  for (const auto stage : m_exchangeClock.Due(TimeOfDay())) {
+    TellOthers(stage, now);
+  }
 }
 
 void
@@ -334,8 +344,6 @@
   if (const auto gone = m_fleet.Upstreams().Tick(now); !gone.empty()) {
     TakeNotices(gone);
   }
-  m_fleet.Tick(now);
-  TellOthers(now);
   const bool ready = IsReady();
   if (ready != m_ready) {
     m_ready = ready;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "base/basetypes.h"
 #include "base/logbudget.h"
+#include "fleet/exchangeclock.h"
 #include "fleet/fleet.h"
 #include "fleet/membership.h"
 #include "fleet/newslog.h"
@@ -98,10 +99,9 @@
   void FollowSource(base::TimePoint aNow);
   void OpenSource();
   void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
-  void TellOthers(base::TimePoint aNow);
-  void TellOtherZones(const fleet::ExchangePlan& aPlan,
-                      const fleet::PeerReport& aOwn,
-                      base::TimePoint aNow);
+  void TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow);
+  void TellOwn(base::TimePoint aNow);
+  void TellOtherZones(base::TimePoint aNow);
   void Relay(const fleet::PeerReport& aReport);
   void PublishGauges(base::TimePoint aNow);
   std::string StatusText() const;
@@ -128,7 +128,9 @@
   std::unique_ptr<NewsServer> m_newsServer;
   fleet::Membership m_members;
   std::unique_ptr<PeerLink> m_peers;
-  std::vector<base::Address> m_relays; //!< see ExchangePlan
+  fleet::ExchangeClock m_exchangeClock;
+  fleet::ExchangePlan m_plan;    //!< of the last own report
+  fleet::PeerReport m_ownReport; //!< the last one
   std::unique_ptr<ProbeServer> m_probes;
   std::unique_ptr<http::Listener> m_listener;
   std::optional<base::TimePoint> m_stopBeganAt;
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -145,6 +145,7 @@
     .Add("passes_call_level", aPlace.passesCallLevel ? "yes" : "no")
     .Add("far_behind", aPlace.farBehind ? "yes" : "no")
     .Add("peers_age_ms", aPlace.peersAge.count())
+    .Add("load_age_ms", aPlace.loadAge.count())
     .Add("config", m_config->version);
   if (aPlace.outcome == fleet::PlaceOutcome::Refused) {
     line.Add("retry_after_ms", aPlace.retryAfter.count());
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -74,56 +74,76 @@
   }
   auto relayed = aReport;
   relayed.relayed = true;
-  m_peers->Send(relayed, m_relays);
+  m_peers->Send(relayed, m_plan.relays);
 }
 
 void
-Gateway::TellOtherZones(const fleet::ExchangePlan& aPlan,
-                        const fleet::PeerReport& aOwn,
-                        base::TimePoint aNow)
+Gateway::TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow)
 {
-  if (!aPlan.Speaks(aOwn.sequence)) {
+  if (aStage == fleet::ExchangeStage::Own) {
+    m_fleet.Tick(aNow);
+    TellOwn(aNow);
     return;
   }
-  auto sum = m_fleet.TellZone(aOwn);
+  if (!m_plan.SumsUp()) {
+    return;
+  }
+  switch (aStage) {
+    case fleet::ExchangeStage::Own:
+      return;
+    case fleet::ExchangeStage::GroupSums:
+      m_peers->Send(m_fleet.TellGroup(m_ownReport, aNow), m_plan.hubs);
+      return;
+    case fleet::ExchangeStage::ZoneSums:
+      TellOtherZones(aNow);
+      return;
+    case fleet::ExchangeStage::FleetSums:
+      m_peers->Send(m_fleet.TellFleet(m_ownReport, aNow), m_plan.followers);
+      return;
+  }
+}
+
+void
+Gateway::TellOtherZones(base::TimePoint aNow)
+{
+  const auto sequence = m_ownReport.sequence;
+  if (!m_plan.Speaks(sequence)) {
+    return;
+  }
+  auto sum = m_fleet.TellZone(m_ownReport, aNow);
   sum.members.clear();
-  const auto turn = aOwn.sequence / aPlan.speakers;
+  const auto turn = sequence / m_plan.speakers;
   if (turn % fleet::kZoneMembersEvery == 0) {
-    sum.members = m_members.KnownOfZone(aOwn.zone, aNow);
+    sum.members = m_members.KnownOfZone(sum.zone, aNow);
   }
-  m_peers->Send(sum, aPlan.ZoneContacts(aOwn.sequence));
+  m_peers->Send(sum, m_plan.ZoneContacts(sequence));
 }
 
 void
-Gateway::TellOthers(base::TimePoint aNow)
+Gateway::TellOwn(base::TimePoint aNow)
 {
   for (const auto& address : m_members.Forget(aNow)) {
     LogLine("router-lost").Add("address", address).Info();
   }
-  const auto plan = m_members.Plan(aNow);
-  m_fleet.SetPlan(plan);
-  m_relays = plan.relays;
-  ChooseSource(plan, aNow);
-  auto own = m_fleet.Tell(m_loop.BusyFor(), aNow);
+  m_plan = m_members.Plan(aNow);
+  m_fleet.SetPlan(m_plan);
+  ChooseSource(m_plan, aNow);
+  m_ownReport = m_fleet.Tell(m_loop.BusyFor(), aNow);
+  auto& own = m_ownReport;
   own.zone = base::HashName(m_settings.zone);
   if (const auto reader = m_knownReader.Best(aNow)) {
     own.reader = *reader;
     own.readerAge = m_knownReader.ProofAge(aNow);
   }
-  const bool withMembers = own.sequence % fleet::kMembersEvery == 0;
-  if (withMembers) {
+  if (own.sequence % fleet::kMembersEvery == 0) {
     own.members = m_members.Known(aNow);
   }
-  m_peers->Send(own, plan.tell);
-  if (plan.SumsUp()) {
-    m_peers->Send(m_fleet.TellGroup(own), plan.hubs);
-    TellOtherZones(plan, own, aNow);
-    m_peers->Send(m_fleet.TellFleet(own), plan.followers);
-  }
+  m_peers->Send(own, m_plan.tell);
   const auto seeds = m_members.SeedsToTell(aNow);
   if (!seeds.empty()) {
-    own.wantsMembers = true;
-    m_peers->Send(own, seeds);
+    auto asking = own;
+    asking.wantsMembers = true;
+    m_peers->Send(asking, seeds);
   }
 }
 
