--- a/src/fleet/callrates.h
+++ b/src/fleet/callrates.h
@@ -31,19 +31,6 @@
   TimePoint m_decayedAt{};
 };
 
-//! The part of a plain service's places that are taken, in the mean over
-//! kShareMemory.
-class Utilisation
-{
-public:
-  //! To be told once a kReportPeriod.
-  void Learn(double aPart);
-  double Part() const { return m_part; }
-
-private:
-  double m_part = 0;
-};
-
 //! The part of the calls of a plain service that may begin, so that all routers
 //! begin together what it can run: what it answers against how busy it is.
 //! Answers the load "more calls than it can run, from many routers, with news
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -154,6 +154,14 @@
   return static_cast<double>(out) <= kEjectedMost * static_cast<double>(all);
 }
 
+void
+Fleet::CountAnswer(const Upstream& aUpstream, TimePoint aNow)
+{
+  if (!aUpstream.isEngine) {
+    m_calls.Answered(ServiceIdOf(aUpstream.entry.service), aNow);
+  }
+}
+
 bool
 Fleet::Ended(AttemptId aAttempt, AttemptEnd aEnd, TimePoint aNow)
 {
@@ -173,14 +181,14 @@
     case AttemptEnd::Answered: {
       upstream->health.Succeeded(aNow);
       const auto took = static_cast<double>((aNow - attempt.sentAt).count());
-      m_calls.Answered(ServiceIdOf(upstream->entry.service), aNow);
+      CountAnswer(*upstream, aNow);
       const double work = took / attempt.rounds;
       upstream->time.Learn(work);
       m_serviceTimes[upstream->entry.service].Learn(work);
       return false;
     }
     case AttemptEnd::AnsweredFailure:
-      m_calls.Answered(ServiceIdOf(upstream->entry.service), aNow);
+      CountAnswer(*upstream, aNow);
       upstream->health.AnsweredFailure(aNow);
       return false;
     case AttemptEnd::Refused:
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/admission.h"
+#include "fleet/calllevels.h"
 #include "fleet/callrates.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
@@ -215,7 +216,6 @@
   UnseenLoad Unseen(const PlaceRequest& aRequest,
                     const std::vector<Candidate>& aCandidates,
                     TimePoint aNow) const;
-  bool PassesCallLevel(const PlaceRequest& aRequest) const;
   void SetCallLevels(TimePoint aNow);
   void SetKeptPrefixes();
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
@@ -242,6 +242,7 @@
                   UpstreamId aUpstream,
                   const Candidate& aCandidate,
                   TimePoint aNow);
+  void CountAnswer(const Upstream& aUpstream, TimePoint aNow);
   bool MayEject(const Upstream& aUpstream, TimePoint aNow) const;
   Upstream* Find(UpstreamId aUpstream);
   void EndReading(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt);
@@ -257,8 +258,7 @@
   std::optional<TimePoint> m_agedAt; //!< m_prefixes
   DemandMeter m_demand;
   CallMeter m_calls;
-  std::map<ServiceId, Utilisation> m_utilisations; //!< of plain services
-  std::map<ServiceId, double> m_passingParts;      //!< of their calls
+  CallLevels m_callLevels;
   WorkspaceRates m_fleetRates;
   double m_shareLevel;       //!< the most that a workspace is owed
   double m_promisedLevel;    //!< the same by what is promised alone
@@ -270,6 +270,7 @@
   bool m_newsIsOld = false; //!< reports come through hubs
   std::uint64_t m_group = 0;
   bool m_sumsUp = false;                //!< for others: see ExchangePlan
+  bool m_speaksForZone = false;         //!< see ExchangePlan
   std::vector<PrefixUse> m_usesHere;    //!< since the last report
   std::vector<PrefixUse> m_usesOfGroup; //!< since the last group sum
   std::vector<PrefixUse> m_usesOfZone;  //!< since the last zone sum
--- a/src/fleet/internal/callrates.cpp
+++ b/src/fleet/internal/callrates.cpp
@@ -55,14 +55,6 @@
   return m_rates;
 }
 
-void
-Utilisation::Learn(double aPart)
-{
-  constexpr double kGain =
-    static_cast<double>(kReportPeriod.count()) / kMemoryMs;
-  m_part += kGain * (aPart - m_part);
-}
-
 double
 PassingPart(const CallRate& aRate, double aUtilisation)
 {
--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -50,12 +50,7 @@
 void
 Fleet::SetCallLevels(TimePoint aNow)
 {
-  struct Places
-  {
-    double taken = 0;
-    double all = 0;
-  };
-  std::map<ServiceId, Places> services;
+  std::map<ServiceId, ServicePlaces> services;
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.isEngine || upstream.entry.draining) {
       continue;
@@ -65,18 +60,13 @@
     places.taken += std::min(running, upstream.entry.slots);
     places.all += upstream.entry.slots;
   }
-  m_passingParts.clear();
-  const auto& own = m_calls.Rates(aNow);
-  for (const auto& [service, places] : services) {
-    auto& utilisation = m_utilisations[service];
-    utilisation.Learn(places.taken / places.all);
-    auto rate = m_peers.CallsOf(service);
-    if (const auto found = own.find(service); found != own.end()) {
-      rate.asked += found->second.asked;
-      rate.answered += found->second.answered;
-    }
-    m_passingParts[service] = PassingPart(rate, utilisation.Part());
+  auto rates = m_calls.Rates(aNow);
+  for (const auto& [service, rate] : m_peers.Calls()) {
+    auto& sum = rates[service];
+    sum.asked += rate.asked;
+    sum.answered += rate.answered;
   }
+  m_callLevels.Update(services, rates);
 }
 
 //! What all engines together can read, in tokens a second.
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -1,7 +1,6 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
-#include <limits>
 
 //! How a request gets its place.
 namespace hemlockgauge::fleet {
@@ -13,7 +12,6 @@
 constexpr std::size_t kMostUsesTold = 256;
 //! Sets the draw of a place apart from other hashes of the same key.
 constexpr std::uint32_t kDrawSeed = 0x5eed;
-constexpr std::uint32_t kLevelSeed = 0x1e7e;
 
 }
 
@@ -189,21 +187,6 @@
   return { kUnseenTimes * age * busy / slots, base::HashPair(key, kDrawSeed) };
 }
 
-//! Whether it is among the calls that its plain service can run.
-bool
-Fleet::PassesCallLevel(const PlaceRequest& aRequest) const
-{
-  const auto found = m_passingParts.find(ServiceIdOf(aRequest.service));
-  if (found == m_passingParts.end() || aRequest.admitted) {
-    return true;
-  }
-  constexpr auto kMost =
-    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const auto key = static_cast<std::uint32_t>(aRequest.key);
-  const auto draw = static_cast<double>(base::HashPair(key, kLevelSeed));
-  return draw <= found->second * kMost;
-}
-
 Admission
 Fleet::Judge(const PlaceRequest& aRequest,
              const Candidate& aCandidate,
@@ -247,7 +230,9 @@
   result.starved = generates && IsStarved(aRequest.workspace);
   result.passesLevel = !generates || aRequest.admitted || result.starved ||
                        m_passLevel.Pass(aRequest.workspace);
-  result.passesCallLevel = generates || PassesCallLevel(aRequest);
+  result.passesCallLevel =
+    generates || aRequest.admitted ||
+    m_callLevels.Passes(ServiceIdOf(aRequest.service), aRequest.key);
   result.peersAge = m_peers.Age(aNow);
   result.loadAge = m_peers.NewsAge(aNow);
   return result;
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -52,21 +52,16 @@
 void
 Fleet::KeepUses(const PeerReport& aReport)
 {
-  switch (aReport.scope) {
-    case ReportScope::Router:
-      Append(m_usesOfGroup, aReport.uses);
-      Append(m_usesOfZone, aReport.uses);
-      Append(m_usesOfFleet, aReport.uses);
-      return;
-    case ReportScope::Group:
-      Append(m_usesOfZone, aReport.uses);
-      Append(m_usesOfFleet, aReport.uses);
-      return;
-    case ReportScope::Zone:
-      Append(m_usesOfFleet, aReport.uses);
-      return;
-    case ReportScope::Fleet:
-      return;
+  const bool ofGroup = aReport.scope == ReportScope::Router;
+  const bool ofZone = ofGroup || aReport.scope == ReportScope::Group;
+  if (ofGroup) {
+    Append(m_usesOfGroup, aReport.uses);
+  }
+  if (ofZone && m_speaksForZone) {
+    Append(m_usesOfZone, aReport.uses);
+  }
+  if (aReport.scope != ReportScope::Fleet) {
+    Append(m_usesOfFleet, aReport.uses);
   }
 }
 
@@ -80,7 +75,8 @@
     m_usesOfGroup.clear();
     m_usesOfFleet.clear();
   }
-  if (aPlan.otherZones.empty()) {
+  m_speaksForZone = !aPlan.otherZones.empty();
+  if (!m_speaksForZone) {
     m_usesOfZone.clear();
   }
   m_peers.SetRole(aPlan.isHub, aPlan.group);
--- a/src/fleet/internal/loadsum.cpp
+++ b/src/fleet/internal/loadsum.cpp
@@ -88,13 +88,6 @@
   m_asOfMs = 0;
 }
 
-CallRate
-LoadSum::CallsOf(ServiceId aService) const
-{
-  const auto found = m_calls.find(aService);
-  return found == m_calls.end() ? CallRate{} : found->second;
-}
-
 TimePoint
 LoadSum::AsOf() const
 {
--- a/src/fleet/loadsum.h
+++ b/src/fleet/loadsum.h
@@ -21,7 +21,7 @@
 
   UpstreamLoad LoadOf(UpstreamId aUpstream) const;
   const WorkspaceRates& Rates() const { return m_rates; }
-  CallRate CallsOf(ServiceId aService) const;
+  const CallRates& Calls() const { return m_calls; }
   std::uint32_t Routers() const { return m_routers; }
   std::uint32_t Busy() const { return m_busy; }
   double Reading() const { return m_reading; }
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -31,8 +31,8 @@
     return m_sum.LoadOf(aUpstream);
   }
   const WorkspaceRates& Rates() const { return m_sum.Rates(); }
-  //! Of a plain service, by the others.
-  CallRate CallsOf(ServiceId aService) const { return m_sum.CallsOf(aService); }
+  //! Of plain services, by the others.
+  const CallRates& Calls() const { return m_sum.Calls(); }
   //! Tokens a second that have to be read for what the others began.
   double Reading() const { return m_sum.Reading(); }
   //! How many routers the view covers, without this one.
--- a/src/fleet/tests/plainservicetests.cpp
+++ b/src/fleet/tests/plainservicetests.cpp
@@ -1,6 +1,6 @@
 #include "plainmodel.h"
 
-#include "fleet/callrates.h"
+#include "fleet/calllevels.h"
 #include "fleet/fleetconstants.h"
 #include "fleet/loadspread.h"
 
@@ -67,15 +67,24 @@
 //! All its upstreams hung and answered nothing; their places are free again.
 Test(plainservice, AServiceThatAnsweredNothingIsAskedAgain)
 {
-  Utilisation utilisation;
+  const auto service = ServiceId(7);
+  const CallRates unanswered{ { service, { 200, 0 } } };
+  CallLevels levels;
+  const auto passing = [&] {
+    int passed = 0;
+    for (std::uint64_t key = 0; key < 100; ++key) {
+      passed += levels.Passes(service, key) ? 1 : 0;
+    }
+    return passed;
+  };
   for (int i = 0; i < 100; ++i) {
-    utilisation.Learn(1.0);
+    levels.Update({ { service, { 48, 48 } } }, unanswered);
   }
-  cr_assert(PassingPart({ 200, 0 }, utilisation.Part()) < 0.01);
+  cr_assert(passing() == 0);
   for (int i = 0; i < 10; ++i) {
-    utilisation.Learn(0.0);
+    levels.Update({ { service, { 0, 48 } } }, unanswered);
   }
-  cr_assert_float_eq(PassingPart({ 200, 0 }, utilisation.Part()), 1.0, 1e-9);
+  cr_assert(passing() == 100);
 }
 
 Test(loadspread, WithoutUnseenWorkTheBestGetsAll)
