The models of loads share one fleet in virtual time

Cause: a search for doubles: events, reports and the loop stood in both models. Change: ModelFleet; draws come in the same order.

--- a/src/fleet/internal/loadspread.cpp
+++ b/src/fleet/internal/loadspread.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 namespace hemlockgauge::fleet {
 
--- a/src/fleet/loadspread.h
+++ b/src/fleet/loadspread.h
@@ -27,7 +27,7 @@
 //! level once as much work has come as aUnseenMs says: water poured over an
 //! uneven ground. Answers old news: if all sent to the option that was best in
 //! it, that one would get the work of all until the next news. Without unseen
-//! work the best option gets everything.
+//! work the best option gets everything. aOptions: at least one.
 std::vector<double>
 SpreadParts(const std::vector<SpreadOption>& aOptions, double aUnseenMs);
 
--- a/src/fleet/tests/loadmodel.cpp
+++ b/src/fleet/tests/loadmodel.cpp
@@ -1,9 +1,11 @@
 #include "loadmodel.h"
 
 #include "fleet/fleetconstants.h"
+#include "modelfleet.h"
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 
 namespace hemlockgauge::fleet {
 
@@ -103,43 +105,25 @@
   ModelResult Run();
 
 private:
-  void Later(TimePoint aAt, std::function<void()> aWhat);
   void ScheduleArrival(std::size_t aKind);
   void Arrive(std::size_t aKind);
-  void Report(std::size_t aRouter);
   int DrawWorkspace();
   double Draw() { return m_uniform(m_random); }
-  Duration SinceStart() const { return m_now - m_start; }
-
-  struct Event
-  {
-    TimePoint at;
-    std::uint64_t order;
-    std::function<void()> what;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::tie(at, order) > std::tie(aOther.at, aOther.order);
-    }
-  };
 
   const ModelLoad& m_load;
   ModelResult m_result;
   std::mt19937 m_random;
   std::uniform_real_distribution<double> m_uniform{ 0.0, 1.0 };
-  TimePoint m_start{ 100000 };
-  TimePoint m_now = m_start;
-  std::uint64_t m_order = 0;
   std::uint64_t m_lastOwn = 1000000;
-  std::priority_queue<Event> m_events;
   std::vector<Route> m_routes;
-  std::vector<std::unique_ptr<Fleet>> m_fleets;
+  ModelFleet m_fleet;
   std::map<std::string, ModelEngine> m_engines;
 };
 
 Player::Player(const ModelLoad& aLoad, std::uint32_t aSeed)
   : m_load(aLoad)
   , m_random(aSeed)
+  , m_fleet(aLoad.reportDelay)
 {
   m_result.workspaces.resize(static_cast<std::size_t>(aLoad.workspaces));
   auto config = std::make_shared<FleetConfig>();
@@ -158,16 +142,14 @@
                       ModelEngine(aLoad.engineTokensPerMs, kEngineMemory));
   }
   for (int i = 0; i < aLoad.routers; ++i) {
-    m_fleets.push_back(std::make_unique<Fleet>(
-      FleetSettings{ "r" + std::to_string(i), "zone-a", 1 }));
-    auto& fleet = *m_fleets.back();
+    auto& fleet = m_fleet.Add({ "r" + std::to_string(i), "zone-a", 1 });
     fleet.SetConfig(config);
     if (aLoad.routers > static_cast<int>(kMeshMost)) {
       ExchangePlan plan;
       plan.groupHubs = { { "10.0.0.1", 1 } };
       fleet.SetPlan(plan);
     }
-    fleet.Upstreams().Replace(entries, m_now);
+    fleet.Upstreams().Replace(entries, m_fleet.Now());
     fleet.FollowUpstreams();
   }
   for (const auto& kind : aLoad.kinds) {
@@ -178,19 +160,13 @@
   }
 }
 
-void
-Player::Later(TimePoint aAt, std::function<void()> aWhat)
-{
-  m_events.push({ aAt, m_order++, std::move(aWhat) });
-}
-
 int
 Player::DrawWorkspace()
 {
   std::vector<double> weights;
   weights.reserve(static_cast<std::size_t>(m_load.workspaces));
   for (int i = 0; i < m_load.workspaces; ++i) {
-    weights.push_back(m_load.factor(i, SinceStart()));
+    weights.push_back(m_load.factor(i, m_fleet.SinceStart()));
   }
   std::discrete_distribution<int> pick(weights.begin(), weights.end());
   return pick(m_random);
@@ -202,16 +178,17 @@
 {
   double factors = 0;
   for (int i = 0; i < m_load.workspaces; ++i) {
-    factors += m_load.factor(i, SinceStart());
+    factors += m_load.factor(i, m_fleet.SinceStart());
   }
   const double perMs =
     m_load.kinds[aKind].perSecond * factors / m_load.workspaces / 1000.0;
   const double pause = -std::log(1.0 - Draw()) / perMs;
-  Later(m_now + Duration(static_cast<std::int64_t>(std::lround(pause))),
-        [this, aKind] {
-          ScheduleArrival(aKind);
-          Arrive(aKind);
-        });
+  m_fleet.Later(m_fleet.Now() +
+                  Duration(static_cast<std::int64_t>(std::lround(pause))),
+                [this, aKind] {
+                  ScheduleArrival(aKind);
+                  Arrive(aKind);
+                });
 }
 
 void
@@ -234,11 +211,12 @@
   request.workspace = WorkspaceIdOf("w" + std::to_string(workspace));
   request.key = base::HashName("request" + std::to_string(m_lastOwn));
   request.timeLeft = 6000ms;
-  auto& fleet = *m_fleets[static_cast<std::size_t>(
-    Draw() * static_cast<double>(m_fleets.size()))];
-  fleet.Arrived(request, m_now);
-  const auto place = fleet.Place(request, m_now);
-  const bool counts = SinceStart() >= m_load.warmUp;
+  const auto now = m_fleet.Now();
+  auto& fleet = m_fleet.At(
+    static_cast<std::size_t>(Draw() * static_cast<double>(m_fleet.Size())));
+  fleet.Arrived(request, now);
+  const auto place = fleet.Place(request, now);
+  const bool counts = m_fleet.SinceStart() >= m_load.warmUp;
   auto& outcome = m_result.workspaces[static_cast<std::size_t>(workspace)];
   if (counts) {
     outcome.asked += work.Cost();
@@ -247,8 +225,8 @@
   if (place.outcome != PlaceOutcome::Placed) {
     return;
   }
-  const auto first = m_engines.at(place.upstreamId).Read(work, m_now);
-  const auto took = first - m_now;
+  const auto first = m_engines.at(place.upstreamId).Read(work, now);
+  const auto took = first - now;
   if (counts) {
     outcome.begun += work.Cost();
     outcome.taken++;
@@ -258,47 +236,28 @@
     outcome.firstTokenMs.push_back(static_cast<double>(took.count()));
   }
   const auto attempt = place.attempt;
-  Later(first, [this, &fleet, attempt] { fleet.FirstToken(attempt, m_now); });
+  m_fleet.Later(first, [this, &fleet, attempt] {
+    fleet.FirstToken(attempt, m_fleet.Now());
+  });
   const auto end =
     first + Duration(static_cast<std::int64_t>(kTokenMs * kind.outputTokens));
-  Later(end, [this, &fleet, attempt] {
-    fleet.Ended(attempt, AttemptEnd::Answered, m_now);
+  m_fleet.Later(end, [this, &fleet, attempt] {
+    fleet.Ended(attempt, AttemptEnd::Answered, m_fleet.Now());
   });
 }
 
-void
-Player::Report(std::size_t aRouter)
-{
-  m_fleets[aRouter]->Tick(m_now);
-  const auto report =
-    std::make_shared<PeerReport>(m_fleets[aRouter]->Tell(0ms, m_now));
-  Later(m_now + m_load.reportDelay, [this, aRouter, report] {
-    for (std::size_t i = 0; i < m_fleets.size(); ++i) {
-      if (i != aRouter) {
-        m_fleets[i]->Take(*report, m_now);
-      }
-    }
-  });
-  Later(m_now + kReportPeriod, [this, aRouter] { Report(aRouter); });
-}
-
 ModelResult
 Player::Run()
 {
-  for (std::size_t i = 0; i < m_fleets.size(); ++i) {
+  for (std::size_t i = 0; i < m_fleet.Size(); ++i) {
     const auto offset = static_cast<std::int64_t>(
       Draw() * static_cast<double>(kReportPeriod.count()));
-    Later(m_now + Duration(offset), [this, i] { Report(i); });
+    m_fleet.StartReports(i, Duration(offset));
   }
   for (std::size_t i = 0; i < m_load.kinds.size(); ++i) {
     ScheduleArrival(i);
   }
-  while (SinceStart() < m_load.length) {
-    auto event = m_events.top();
-    m_events.pop();
-    m_now = event.at;
-    event.what();
-  }
+  m_fleet.Run(m_load.length);
   for (const auto& [id, engine] : m_engines) {
     m_result.tokensRead += engine.TokensRead();
   }
--- a/src/fleet/tests/loadmodel.h
+++ b/src/fleet/tests/loadmodel.h
@@ -5,9 +5,6 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <memory>
-#include <queue>
-#include <random>
 #include <string>
 #include <vector>
 
--- a/src/fleet/tests/plainmodel.h
+++ b/src/fleet/tests/plainmodel.h
@@ -2,13 +2,6 @@
 
 #include "fleet/fleet.h"
 
-#include <functional>
-#include <memory>
-#include <queue>
-#include <random>
-#include <string>
-#include <vector>
-
 namespace hemlockgauge::fleet {
 
 //! Calls of a plain service by many routers.
