--- a/src/fleet/exchangeclock.h
+++ b/src/fleet/exchangeclock.h
@@ -26,9 +26,10 @@
 
 //! Says when each stage is due, by the time of day: all routers take the stages
 //! of a period at the same time, one after another, so that news waits nowhere.
-//! Where each router told at a time of its own, what came through hubs was 230
-//! ms old on arrival, in the mean; so it is 60. Where clocks differ it is as
-//! before: nothing but the age of news depends on them.
+//! Loads are 92 ms old where a request is placed (median, 18 routers; 59 and
+//! 128 in a tenth and nine tenths). If each router told at a time of its own,
+//! news would wait half a period at each hop; so it is where clocks differ:
+//! nothing but the age of news depends on them.
 class ExchangeClock
 {
 public:
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -62,8 +62,8 @@
 inline constexpr double kSpreadPart = 0.1;
 //! What others sent since the news counts so many times (e) where a place is
 //! drawn: a load that is levelled faster than that against the age of what is
-//! known of it swings. With 1, 2 in 100 calls met a full upstream, with e none
-//! (model of 40 routers, news 300 ms old, nine tenths of what can be run).
+//! known of it swings. With 1, 2 in 100 calls met a full upstream, with e under
+//! one (model of 40 routers, news 300 ms old, nine tenths of what can be run).
 inline constexpr double kUnseenTimes = 2.72;
 //! Extra for a way between availability zones and back, in ms.
 inline constexpr double kOtherZoneMs = 2.0;
