Sight: requests are recognised when they come again, crashes told from broken connections

Cause: what the logs of the incident could not tell: whether two requests under different ids are the same, and whether a connection that broke meant that its upstream had crashed.

Change: a fingerprint (workspace, method, host, target, body; a 64-bit hash) on the lines placed, retried, refused and attempt-failed, which also says how long ago it was sent. Where a connection breaks under a request the router looks once, 20 ms later, whether the upstream still listens: one connection, kept for the next request if it opens; event=upstream-checked and upstream_checks_total. An upstream that takes no connection ends an attempt as unreachable, no longer as broken. Nothing decides by any of it yet. Ruled out: waiting for the store's entry to lapse (2.4 s later, never while the store is away); taking each broken connection for a crash.

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -19,4 +19,14 @@
   return XXH64(pair.data(), sizeof(pair), 0);
 }
 
+std::uint64_t
+HashFields(std::initializer_list<std::string_view> aFields)
+{
+  std::uint64_t hash = 0;
+  for (const auto field : aFields) {
+    hash = XXH64(field.data(), field.size(), hash);
+  }
+  return hash;
+}
+
 }
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace hemlockgauge::base {
@@ -13,4 +14,9 @@
 std::uint64_t
 HashPair(std::uint32_t aFirst, std::uint32_t aSecond);
 
+//! 64-bit xxHash of several texts in order; where one ends and the next begins
+//! counts.
+std::uint64_t
+HashFields(std::initializer_list<std::string_view> aFields);
+
 }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -191,8 +191,13 @@
       CountAnswer(*upstream, aNow);
       upstream->health.AnsweredFailure(aNow);
       return false;
-    case AttemptEnd::Refused:
     case AttemptEnd::Broken:
+      if (!upstream->entry.draining) {
+        m_crashChecks.Broke(attempt.upstream, attempt.fingerprint, aNow);
+      }
+      return upstream->health.Failed(aNow, MayEject(*upstream, aNow));
+    case AttemptEnd::Refused:
+    case AttemptEnd::Unreachable:
       return upstream->health.Failed(aNow, MayEject(*upstream, aNow));
     case AttemptEnd::CallerGone:
       return false;
@@ -200,4 +205,28 @@
   return false;
 }
 
+std::vector<Fleet::UpstreamToCheck>
+Fleet::UpstreamsToCheck(TimePoint aNow)
+{
+  std::vector<UpstreamToCheck> due;
+  for (const auto id : m_crashChecks.TakeDue(aNow)) {
+    if (const auto* upstream = Find(id)) {
+      due.push_back({ id, upstream->entry.address });
+    } else {
+      m_crashChecks.Take(id); // it left meanwhile
+    }
+  }
+  return due;
+}
+
+Fleet::CrashNotice
+Fleet::Checked(UpstreamId aUpstream, CheckResult aResult, TimePoint)
+{
+  const auto broken = m_crashChecks.Take(aUpstream);
+  const auto* upstream = Find(aUpstream);
+  return { upstream != nullptr ? upstream->entry.id : "",
+           aResult,
+           broken.size() };
+}
+
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,6 +3,7 @@
 #include "fleet/admission.h"
 #include "fleet/calllevels.h"
 #include "fleet/callrates.h"
+#include "fleet/crashchecks.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/forecasterror.h"
@@ -14,6 +15,7 @@
 #include "fleet/prefixmap.h"
 #include "fleet/readingqueue.h"
 #include "fleet/readrate.h"
+#include "fleet/requestfingerprint.h"
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
@@ -51,6 +53,7 @@
   std::string service;
   WorkspaceId workspace{};
   std::uint64_t key = 0; //!< differs between requests
+  RequestFingerprint fingerprint{};
   Duration waited{};
   Duration timeLeft{};
   std::vector<UpstreamId> avoid; //!< tried already
@@ -111,13 +114,15 @@
   Answered,
   AnsweredFailure, //!< the upstream's own failure
   Refused,         //!< the upstream did not run it
-  Broken,          //!< reset, closed, wrong bytes, not to be reached
+  Unreachable,     //!< takes no connection
+  Broken,          //!< reset, closed, wrong bytes
   CallerGone
 };
 inline constexpr auto kAttemptEndNames =
   base::MakeEnumNames<AttemptEnd>("answered",
                                   "answered-failure",
                                   "refused",
+                                  "unreachable",
                                   "broken",
                                   "caller-gone");
 
@@ -151,6 +156,25 @@
   //! Returns true if this end takes its upstream out for a while.
   bool Ended(AttemptId aAttempt, AttemptEnd aEnd, TimePoint aNow);
   RetryBudget& Retries() { return m_retries; }
+  //! An upstream whose connections broke under requests.
+  struct UpstreamToCheck
+  {
+    UpstreamId upstream{};
+    base::Address address;
+  };
+  //! Upstreams to be looked at now, whether they still listen; the result of
+  //! each is to be told by Checked.
+  std::vector<UpstreamToCheck> UpstreamsToCheck(TimePoint aNow);
+  //! Returns what is to be said of it.
+  struct CrashNotice
+  {
+    std::string upstream;
+    CheckResult result = CheckResult::Unknown;
+    std::size_t runsBroken = 0; //!< requests that it did not end
+  };
+  CrashNotice Checked(UpstreamId aUpstream,
+                      CheckResult aResult,
+                      TimePoint aNow);
 
   // ---- other routers
   void SetPlan(const ExchangePlan& aPlan);
@@ -197,6 +221,7 @@
   struct Attempt
   {
     UpstreamId upstream{};
+    RequestFingerprint fingerprint{};
     double tokensAhead = 0; //!< unread there when it was sent, its own too
     double foreseenMs = 0;  //!< to its first token
     double rounds = 1;      //!< see Candidate
@@ -253,6 +278,7 @@
   UpstreamList m_list;
   Freshness m_freshness;
   RetryBudget m_retries;
+  CrashChecks m_crashChecks;
   PeerView m_peers;
   PrefixMap m_prefixes;
   std::optional<TimePoint> m_agedAt; //!< m_prefixes
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -158,6 +158,10 @@
 //! false alarm must not empty it.
 inline constexpr double kEjectedMost = 0.5;
 
+//! From the first connection that breaks at an upstream to a look whether it
+//! still listens: all its connections have told of their end by then.
+inline constexpr base::Duration kCrashCheckDelay = 20ms;
+
 // ---- retries
 
 //! Part of the fleet's budget that one router lets itself use, for views of
--- /dev/null
+++ b/src/fleet/internal/crashchecks.cpp
@@ -0,0 +1,57 @@
+#include "fleet/crashchecks.h"
+
+#include "fleet/fleetconstants.h"
+
+#include <algorithm>
+
+namespace hemlockgauge::fleet {
+
+void
+CrashChecks::Broke(UpstreamId aUpstream,
+                   RequestFingerprint aRequest,
+                   TimePoint aNow)
+{
+  const auto [entry, isNew] = m_checks.try_emplace(aUpstream);
+  auto& check = entry->second;
+  if (isNew) {
+    check.firstBreakAt = aNow;
+  }
+  check.broken.push_back(aRequest);
+}
+
+std::vector<UpstreamId>
+CrashChecks::TakeDue(TimePoint aNow)
+{
+  std::vector<UpstreamId> due;
+  for (auto& [upstream, check] : m_checks) {
+    if (!check.taken && aNow - check.firstBreakAt >= kCrashCheckDelay) {
+      check.taken = true;
+      due.push_back(upstream);
+    }
+  }
+  return due;
+}
+
+std::vector<RequestFingerprint>
+CrashChecks::Take(UpstreamId aUpstream)
+{
+  const auto found = m_checks.find(aUpstream);
+  if (found == m_checks.end()) {
+    return {};
+  }
+  auto broken = std::move(found->second.broken);
+  m_checks.erase(found);
+  return broken;
+}
+
+std::size_t
+CrashChecks::Waiting(RequestFingerprint aRequest) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_checks.begin(), m_checks.end(), [&](const auto& aEntry) {
+      const auto& broken = aEntry.second.broken;
+      return std::find(broken.begin(), broken.end(), aRequest) != broken.end();
+    }));
+}
+
+}
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -310,6 +310,7 @@
   const auto& work = *aRequest.work;
   Attempt attempt;
   attempt.upstream = aUpstream;
+  attempt.fingerprint = aRequest.fingerprint;
   const double toRead = std::max(aCandidate.missingTokens, 0.0);
   attempt.tokensAhead = aCandidate.unreadTokens + aCandidate.missingTokens;
   attempt.foreseenMs = aCandidate.ForeseenMs();
--- /dev/null
+++ b/src/fleet/tests/crashcheckstests.cpp
@@ -0,0 +1,54 @@
+#include "fleet/crashchecks.h"
+#include "fleet/fleetconstants.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockgauge;
+using namespace hemlockgauge::fleet;
+
+namespace {
+
+constexpr UpstreamId kFirst{ 1 };
+constexpr UpstreamId kSecond{ 2 };
+constexpr RequestFingerprint kRequest{ 11 };
+constexpr RequestFingerprint kOther{ 12 };
+
+}
+
+Test(crashchecks, WhatBreaksTogetherIsLookedAtOnce)
+{
+  CrashChecks checks;
+  checks.Broke(kFirst, kRequest, 100ms);
+  checks.Broke(kFirst, kOther, 103ms);
+  cr_assert(checks.TakeDue(103ms).empty());
+  cr_assert(checks.TakeDue(100ms + kCrashCheckDelay).size() == 1);
+  cr_assert(checks.TakeDue(1000ms).empty());
+  cr_assert(checks.Take(kFirst).size() == 2);
+  cr_assert(checks.Take(kFirst).empty());
+}
+
+Test(crashchecks, ARequestWaitsForEachUpstreamThatBrokeUnderIt)
+{
+  CrashChecks checks;
+  checks.Broke(kFirst, kRequest, 100ms);
+  checks.Broke(kFirst, kRequest, 100ms);
+  checks.Broke(kSecond, kRequest, 101ms);
+  cr_assert(checks.Waiting(kRequest) == 2);
+  cr_assert(checks.Waiting(kOther) == 0);
+  checks.Take(kFirst);
+  cr_assert(checks.Waiting(kRequest) == 1);
+}
+
+Test(fingerprint, TellsRequestsApartByAllThatIsTheSameWhenTheyComeAgain)
+{
+  const RequestIdentity request{ "w", "POST", "h", "/a?b", "body" };
+  cr_assert(FingerprintOf(request) == FingerprintOf(request));
+  const std::vector<RequestIdentity> others{
+    { "v", "POST", "h", "/a?b", "body" }, { "w", "PUT", "h", "/a?b", "body" },
+    { "w", "POST", "g", "/a?b", "body" }, { "w", "POST", "h", "/a", "body" },
+    { "w", "POST", "h", "/a?b", "" },     { "w", "POST", "h", "/a?", "bbody" }
+  };
+  for (const auto& other : others) {
+    cr_assert(FingerprintOf(other) != FingerprintOf(request));
+  }
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,6 +102,10 @@
   , m_fleet(FleetSettingsOf(aSettings, aLife))
   , m_logBudget(aSettings.loggedPerSecond)
   , m_pool(aLoop)
+  , m_checks(m_pool,
+             [this](base::UpstreamId aUpstream, fleet::CheckResult aResult) {
+               TakeCheck(aUpstream, aResult);
+             })
   , m_connections(aLoop, m_limits, *this)
   , m_newsLog(aLife)
   , m_members(aSettings.peerListen,
@@ -293,6 +297,28 @@
   m_loop.Stop();
 }
 
+void
+Gateway::CheckUpstreams(base::TimePoint aNow)
+{
+  for (const auto& due : m_fleet.UpstreamsToCheck(aNow)) {
+    m_checks.Begin(due.upstream, due.address, aNow);
+  }
+  m_checks.Tick(aNow);
+}
+
+void
+Gateway::TakeCheck(base::UpstreamId aUpstream, fleet::CheckResult aResult)
+{
+  const auto notice = m_fleet.Checked(aUpstream, aResult, m_loop.Now());
+  const auto result = std::string(fleet::kCheckResultNames.NameOf(aResult));
+  m_metrics.Count("upstream_checks_total{result=\"" + result + "\"}");
+  LogLine("upstream-checked")
+    .Add("upstream", notice.upstream)
+    .Add("result", result)
+    .Add("runs_broken", static_cast<std::uint64_t>(notice.runsBroken))
+    .Info();
+}
+
 void
 Gateway::TickFast()
 {
@@ -313,6 +339,7 @@
       exchange->Tick(now);
     }
   }
+  CheckUpstreams(now);
   FollowSource(now);
   m_newsServer->Tick(now);
   FollowStop(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/inewssource.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/probeserver.h"
+#include "gateway/upstreamchecks.h"
 #include "gateway/upstreampool.h"
 #include "http/connectionset.h"
 #include "http/listener.h"
@@ -93,6 +94,8 @@
   void TickFast();
   void TickSlow();
   void FollowStop(base::TimePoint aNow);
+  void CheckUpstreams(base::TimePoint aNow);
+  void TakeCheck(base::UpstreamId aUpstream, fleet::CheckResult aResult);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
@@ -114,6 +117,7 @@
   fleet::Fleet m_fleet;
   base::LogBudget m_logBudget;
   UpstreamPool m_pool;
+  UpstreamChecks m_checks;
   base::CallerLimits m_limits;
   http::ConnectionSet m_connections;
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -9,6 +9,8 @@
 #include "http/serverconnection.h"
 #include "metrics/metrics.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace hemlockgauge::gateway {
@@ -63,6 +65,12 @@
   return m_parts.loop.Now() - m_arrivedAt;
 }
 
+std::string
+Exchange::FingerprintText() const
+{
+  return fmt::format("{:016x}", base::Raw(m_fingerprint));
+}
+
 bool
 Exchange::IsStream() const
 {
@@ -224,8 +232,8 @@
 {
   m_upstream = nullptr;
   m_parts.pool.Discard(aConnection);
-  EndAttempt(AttemptEnd::Broken);
   const bool notRun = aFailure == http::ClientFailure::NotConnected;
+  EndAttempt(notRun ? AttemptEnd::Unreachable : AttemptEnd::Broken);
   m_everSent = m_everSent || !notRun;
   AttemptFailed(notRun ? Verdict::NotRun : Verdict::MayHaveRun,
                 std::string(http::kClientFailureNames.NameOf(aFailure)));
@@ -273,7 +281,9 @@
     failed, m_parts.fleet.Retries().Allows(m_service, now));
   LogLine("attempt-failed")
     .Add("request", m_request.id)
+    .Add("fingerprint", FingerprintText())
     .Add("upstream", m_upstreamId)
+    .Add("sent_ms_ago", (now - m_sentAt).count())
     .Add("why", aWhy)
     .Add("verdict", base::kVerdictNames.NameOf(aVerdict))
     .Add("left_ms", failed.timeLeft.count())
@@ -410,7 +420,7 @@
   const bool stuck = m_upstream != nullptr && m_upstream->IsConnecting() &&
                      aNow - m_sentAt > kConnectLimit;
   if (stuck) {
-    EndAttempt(AttemptEnd::Broken);
+    EndAttempt(AttemptEnd::Unreachable);
     DropUpstream();
     AttemptFailed(Verdict::NotRun, "connect timeout");
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -116,6 +116,7 @@
   void DropUpstream();
   base::Duration TimeLeft(base::TimePoint aNow) const;
   base::Duration Waited() const;
+  std::string FingerprintText() const;
 
   ExchangeParts m_parts;
   IExchangeOwner& m_owner;
@@ -132,6 +133,8 @@
   std::string m_service;
   std::string m_workspace;
 
+  fleet::RequestFingerprint m_fingerprint{};
+
   fleet::AttemptId m_attempt = 0;
   std::string m_upstreamId;
   std::vector<base::UpstreamId> m_tried;
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -112,7 +112,8 @@
   return true;
 }
 
-//! Sets what follows from the route: the service and the time limit.
+//! Sets what follows from the route: the service, the time limit, and what the
+//! request is recognised by.
 bool
 Exchange::FollowRoute()
 {
@@ -124,6 +125,11 @@
   }
   m_service = *service;
   m_mustEndAt = std::min(m_mustEndAt, m_arrivedAt + m_route->timeout);
+  m_fingerprint = fleet::FingerprintOf({ m_workspace,
+                                         m_request.method,
+                                         m_request.host,
+                                         m_request.target,
+                                         m_request.body });
   return true;
 }
 
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -26,6 +26,7 @@
   request.service = m_service;
   request.workspace = fleet::WorkspaceIdOf(m_workspace);
   request.key = base::HashName(m_request.id);
+  request.fingerprint = m_fingerprint;
   request.waited = Waited();
   request.timeLeft = TimeLeft(m_parts.loop.Now());
   request.avoid = m_tried;
@@ -122,6 +123,7 @@
   }
   LogLine line(aEvent);
   line.Add("request", m_request.id)
+    .Add("fingerprint", FingerprintText())
     .Add("workspace", m_workspace)
     .Add("route", m_route->name)
     .Add("prompt_tokens", m_request.work.promptTokens)
--- /dev/null
+++ b/src/gateway/internal/upstreamchecks.cpp
@@ -0,0 +1,98 @@
+#include "gateway/upstreamchecks.h"
+
+#include "gateway/upstreampool.h"
+
+#include <utility>
+#include <vector>
+
+namespace hemlockgauge::gateway {
+
+using fleet::CheckResult;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! As long as a request waits for a connection: what takes none within this
+//! may be busy, or its host is gone.
+constexpr base::Duration kCheckLimit = 300ms;
+
+}
+
+UpstreamChecks::UpstreamChecks(UpstreamPool& aPool, Told aTold)
+  : m_pool(aPool)
+  , m_told(std::move(aTold))
+{
+}
+
+void
+UpstreamChecks::Begin(base::UpstreamId aUpstream,
+                      const base::Address& aAddress,
+                      base::TimePoint aNow)
+{
+  auto& connection = m_pool.Acquire(aUpstream, aAddress, *this);
+  m_checks[&connection] = { aUpstream, aNow };
+}
+
+void
+UpstreamChecks::Tick(base::TimePoint aNow)
+{
+  std::vector<std::pair<http::ClientConnection*, CheckResult>> known;
+  for (const auto& [connection, check] : m_checks) {
+    if (!connection->IsConnecting()) {
+      known.emplace_back(connection, CheckResult::Lives);
+    } else if (aNow - check.beganAt > kCheckLimit) {
+      known.emplace_back(connection, CheckResult::Unknown);
+    }
+  }
+  for (const auto& [connection, result] : known) {
+    if (result == CheckResult::Lives) {
+      m_pool.Release(*connection);
+    } else {
+      m_pool.Discard(*connection);
+    }
+    End(*connection, result);
+  }
+}
+
+void
+UpstreamChecks::End(http::ClientConnection& aConnection, CheckResult aResult)
+{
+  const auto found = m_checks.find(&aConnection);
+  if (found == m_checks.end()) {
+    return;
+  }
+  const auto upstream = found->second.upstream;
+  m_checks.erase(found);
+  m_told(upstream, aResult);
+}
+
+http::IClientEvents::HeadVerdict
+UpstreamChecks::OnAnswerHead(http::ClientConnection&, http::ResponseHead&&)
+{
+  return HeadVerdict::Drop; // nothing was asked
+}
+
+//! An upstream that holds other connections open has not crashed: it takes no
+//! more of them.
+void
+UpstreamChecks::OnFailed(http::ClientConnection& aConnection,
+                         http::ClientFailure)
+{
+  const auto found = m_checks.find(&aConnection);
+  m_pool.Discard(aConnection);
+  if (found == m_checks.end()) {
+    return;
+  }
+  const bool holdsOthers = m_pool.HasOpen(found->second.upstream);
+  End(aConnection, holdsOthers ? CheckResult::Lives : CheckResult::Crashed);
+}
+
+void
+UpstreamChecks::OnIdleClosed(http::ClientConnection& aConnection)
+{
+  m_pool.Discard(aConnection);
+  End(aConnection, CheckResult::Unknown);
+}
+
+}
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -60,6 +60,17 @@
   return connection;
 }
 
+bool
+UpstreamPool::HasOpen(base::UpstreamId aUpstream) const
+{
+  return std::any_of(
+    m_connections.begin(), m_connections.end(), [&](const auto& aEntry) {
+      const auto& connection = *aEntry.second.connection;
+      return aEntry.second.upstream == aUpstream && connection.IsOpen() &&
+             !connection.IsConnecting();
+    });
+}
+
 void
 UpstreamPool::Release(http::ClientConnection& aConnection)
 {
--- /dev/null
+++ b/src/gateway/upstreamchecks.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/basetypes.h"
+#include "fleet/crashchecks.h"
+#include "http/clientconnection.h"
+
+#include <functional>
+#include <map>
+
+namespace hemlockgauge::gateway {
+
+class UpstreamPool;
+
+//! Looks whether upstreams still listen whose connections broke under
+//! requests: one connection each, which serves the next request if it opens.
+class UpstreamChecks : public http::IClientEvents
+{
+public:
+  using Told =
+    std::function<void(base::UpstreamId aUpstream, fleet::CheckResult aResult)>;
+
+  UpstreamChecks(UpstreamPool& aPool, Told aTold);
+
+  void Begin(base::UpstreamId aUpstream,
+             const base::Address& aAddress,
+             base::TimePoint aNow);
+  //! Tells what has become known; to be called some times a second.
+  void Tick(base::TimePoint aNow);
+
+  HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
+                           http::ResponseHead&& aHead) override;
+  void OnAnswerBody(http::ClientConnection&, std::string_view) override {}
+  void OnAnswerEnd(http::ClientConnection&, bool) override {}
+  void OnFailed(http::ClientConnection& aConnection,
+                http::ClientFailure aFailure) override;
+  void OnIdleClosed(http::ClientConnection& aConnection) override;
+
+private:
+  struct Check
+  {
+    base::UpstreamId upstream{};
+    base::TimePoint beganAt{};
+  };
+
+  void End(http::ClientConnection& aConnection, fleet::CheckResult aResult);
+
+  UpstreamPool& m_pool;
+  Told m_told;
+  std::map<http::ClientConnection*, Check> m_checks;
+};
+
+}
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -38,6 +38,8 @@
   void CloseIdle(base::UpstreamId aUpstream);
 
   std::size_t Open() const { return m_connections.size(); }
+  //! Whether any connection to that upstream is open, in use or idle.
+  bool HasOpen(base::UpstreamId aUpstream) const;
   std::uint64_t Opened() const { return m_opened; }
 
   HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -74,6 +74,14 @@
   return count;
 }
 
+void
+ConnectionSet::AbortAll()
+{
+  for (auto* connection : All()) {
+    connection->Abort();
+  }
+}
+
 void
 ConnectionSet::CloseIdle()
 {
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -33,6 +33,8 @@
   void Forget(ServerConnection& aConnection);
   void Sweep(base::TimePoint aNow);
   void CloseIdle();
+  //! Breaks off whatever is in progress.
+  void AbortAll();
   //! Closes up to aMost idle connections, the longest idle first; returns
   //! how many.
   std::size_t CloseLongestIdle(std::size_t aMost);
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -163,6 +163,18 @@
   aConnection.EndAnswer();
 }
 
+void
+WorkerStandin::Crash()
+{
+  if (m_crashed) {
+    return;
+  }
+  m_crashed = true;
+  m_works.clear();
+  m_listener.Close();
+  m_connections.AbortAll();
+}
+
 void
 WorkerStandin::Tick()
 {
@@ -186,6 +198,9 @@
   switch (aWork.misbehaviour) {
     case Misbehaviour::Mute:
       return false;
+    case Misbehaviour::Crash:
+      m_loop.Defer([this] { Crash(); });
+      return false;
     case Misbehaviour::CloseUnanswered:
       aWork.connection->Abort();
       return true;
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -33,7 +33,8 @@
   ForeignAnswer,   //!< an answer to something else before its own
   NoLength,        //!< an answer that ends with its connection
   NoProof,         //!< a success without the proof
-  Rubbish          //!< bytes that are no answer
+  Rubbish,         //!< bytes that are no answer
+  Crash            //!< the worker ends; so do all its connections
 };
 inline constexpr auto kMisbehaviourNames =
   base::MakeEnumNames<Misbehaviour>("none",
@@ -46,7 +47,8 @@
                                     "foreign-answer",
                                     "no-length",
                                     "no-proof",
-                                    "rubbish");
+                                    "rubbish",
+                                    "crash");
 
 //! One run of a request, as the worker saw it.
 struct WorkerRun
@@ -88,6 +90,9 @@
   void SetObserver(Observer aObserver) { m_observer = std::move(aObserver); }
   const std::vector<std::unique_ptr<WorkerRun>>& Runs() const { return m_runs; }
   std::size_t Connections() const { return m_connections.Size(); }
+  //! Ends as a process does: nothing is answered, and nothing listens.
+  void Crash();
+  bool HasCrashed() const { return m_crashed; }
 
   //! The body of a plain answer, or the data of an event (from 1).
   static std::string AnswerText(const std::string& aRequestId, int aEvent);
@@ -136,6 +141,7 @@
   std::vector<Work> m_works;
   http::ConnectionSet m_connections;
   http::Listener m_listener;
+  bool m_crashed = false;
 };
 
 }
