--- a/src/fleet/tests/modelfleet.cpp
+++ b/src/fleet/tests/modelfleet.cpp
@@ -23,6 +23,16 @@
   Later(m_now + aOffset, [this, aRouter] { Report(aRouter); });
 }
 
+void
+ModelFleet::CutOff(std::size_t aRouter, bool aIsCut)
+{
+  if (aIsCut) {
+    m_cutOff.insert(aRouter);
+  } else {
+    m_cutOff.erase(aRouter);
+  }
+}
+
 void
 ModelFleet::Report(std::size_t aRouter)
 {
@@ -32,7 +42,8 @@
   report->loadAge = m_newsDelay;
   Later(m_now + m_newsDelay, [this, aRouter, report] {
     for (std::size_t i = 0; i < m_fleets.size(); ++i) {
-      if (i != aRouter) {
+      const bool cut = m_cutOff.contains(i) || m_cutOff.contains(aRouter);
+      if (i != aRouter && !cut) {
         m_fleets[i]->Take(*report, m_now);
       }
     }
--- a/src/fleet/tests/modelfleet.h
+++ b/src/fleet/tests/modelfleet.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <queue>
+#include <set>
 #include <tuple>
 #include <vector>
 
@@ -29,6 +30,9 @@
   void Later(TimePoint aAt, std::function<void()> aWhat);
   //! A router's reports begin after aOffset; one each kReportPeriod.
   void StartReports(std::size_t aRouter, Duration aOffset);
+  //! Reports between this router and the others get lost from now on, or no
+  //! longer.
+  void CutOff(std::size_t aRouter, bool aIsCut);
   //! Plays what is to happen within that time.
   void Run(Duration aLength);
 
@@ -54,6 +58,7 @@
   std::uint64_t m_order = 0;
   std::priority_queue<Event> m_events;
   std::vector<std::unique_ptr<Fleet>> m_fleets;
+  std::set<std::size_t> m_cutOff;
 };
 
 }
