Soak: one request comes again and again, and upstreams crash under it

Cause: no run of the soak had an upstream that crashes, nor a request that comes again; so none could show that such a request goes on to the next upstream.

Change: an upstream that ends closes its address and all connections, lapses and is replaced; one caller sends one request by turns to all routers; a promise that it reaches upstreams three more times at most, later than routers need to hear of the third crash. A flaw that breaks it on purpose (no request is recognised).

--- a/src/soak/chaosproxy.cpp
+++ b/src/soak/chaosproxy.cpp
@@ -196,6 +196,13 @@
   m_pairs.clear();
 }
 
+void
+ChaosProxy::Close()
+{
+  m_listener.Close();
+  ResetAll();
+}
+
 void
 ChaosProxy::Tick(base::TimePoint aNow)
 {
--- a/src/soak/chaosproxy.h
+++ b/src/soak/chaosproxy.h
@@ -32,6 +32,8 @@
 
   //! All connections of now end with a reset.
   void ResetAll();
+  //! Nothing listens here any more, as after a crash of the target.
+  void Close();
   //! While on, nothing passes on any connection, old or new.
   void SetSilent(bool aOn) { m_silent = aOn; }
   //! While on, what the target sends is lost.
--- a/src/soak/promises.h
+++ b/src/soak/promises.h
@@ -22,6 +22,7 @@
   NothingToLeaving,  //!< after the bound a leaving upstream got no work
   WithdrawnKeyStops, //!< after the bound a withdrawn key runs nothing
   GracefulStopCuts,  //!< a planned stop on a calm fleet cut nothing
+  CrashingStops,     //!< a request that crashes upstreams is kept from others
   Recovery           //!< when the faults are over, requests are served
 };
 inline constexpr auto kPromiseNames =
@@ -33,6 +34,7 @@
                                "nothing-to-leaving",
                                "withdrawn-key-stops",
                                "graceful-stop-cuts-nothing",
+                               "crashing-request-stops",
                                "recovery");
 inline constexpr std::size_t kPromises =
   static_cast<std::size_t>(Promise::Recovery) + 1;
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -31,6 +31,15 @@
 //! One request in so many is spoiled by its upstream.
 constexpr std::uint64_t kSpoilOneIn = 25;
 constexpr int kRouterNet = 10;
+//! Of an upstream that crashed: until its entry lapses, and until another one
+//! takes its place.
+constexpr base::Duration kUntilLapse = 2400ms;
+constexpr base::Duration kUntilReplaced = 1000ms;
+//! What a request may do that crashes upstreams: so many crash under it, so
+//! many more times it reaches one later than routers need to hear of that.
+constexpr std::size_t kCrashesFirst = 3;
+constexpr std::size_t kRunsAfter = 3;
+constexpr base::Duration kHeardOfCrash = 3000ms;
 
 std::string
 RouterIp(std::uint32_t aRouter)
@@ -50,6 +59,7 @@
   , m_plan(MakePlan(aSettings))
   , m_store(m_loop, At(10))
   , m_shared{ m_loop, m_promises, {}, "", "", {}, {}, {}, {} }
+  , m_crashingCaller(m_shared)
 {
   m_storeProxy = std::make_unique<ChaosProxy>(m_loop, At(11), At(10));
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
@@ -116,18 +126,19 @@
     return fmt::format(R"({{"name":"{0}","host":"h.example","prefix":"/{0}/",)"
                        R"("type":"{1}","timeoutMs":3500,)"
                        R"("targetLatencyMs":1000,"service":"{2}",)"
-                       R"("maxAttempts":{3},"resumable":{4}}})",
+                       R"("maxAttempts":{3},"resumable":{4},"public":{5}}})",
                        aName,
                        aType,
                        aService,
                        aAttempts,
-                       aResumable ? "true" : "false");
+                       aResumable ? "true" : "false",
+                       aName == std::string("crash") ? "true" : "false");
   };
   // The workspace's name carries the number of the key: a run shows which
   // key let it in.
   m_shared.key = fmt::format("key-{}", m_keyNumber);
   m_store.PutConfig(
-    fmt::format(R"({{"version":{},"routes":[{},{},{},{}],"services":[)"
+    fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
                 R"({{"name":"plain"}},{{"name":"engine","engine":)"
                 R"({{"slots":16,"kvCapacity":100000}}}}],)"
                 R"("limits":{{"tokensPerS":1000000}},"tenants":[)"
@@ -137,6 +148,7 @@
                 route("once", "unsafe", "plain", 1, false),
                 route("stream", "streaming", "engine", 1, false),
                 route("resumable", "streaming", "engine", 3, true),
+                route("crash", "streaming", "engine", 3, true),
                 m_keyNumber,
                 m_shared.key));
 }
@@ -160,6 +172,9 @@
     std::make_unique<ChaosProxy>(m_loop, At(60 + slot), At(20 + slot));
   auto& kept = *upstream;
   kept.worker->SetJudge([this](const standins::WorkerRun& aRun) {
+    if (CrashingCaller::IsRunOf(aRun.target)) {
+      return HasRoom() ? Misbehaviour::Crash : Misbehaviour::CloseUnanswered;
+    }
     const auto draw =
       base::HashName(aRun.requestId + aRun.lastEventId) + m_settings.seed;
     if (draw % kSpoilOneIn != 0) {
@@ -192,6 +207,10 @@
   if (aRun.ended) {
     return;
   }
+  if (CrashingCaller::IsRunOf(aRun.target)) {
+    OnCrashingRun();
+    return;
+  }
   const bool mayRunAgain = aRun.requestId.starts_with("safe") ||
                            aRun.requestId.starts_with("resumable");
   m_promises.Ran(aRun.requestId, mayRunAgain, !aRun.lastEventId.empty());
@@ -214,6 +233,60 @@
   }
 }
 
+void
+SoakRun::OnCrashingRun()
+{
+  const auto now = m_loop.Now();
+  m_crashingRuns.push_back(now);
+  if (m_crashingRuns.size() <= kCrashesFirst) {
+    return;
+  }
+  const auto limit =
+    m_crashingRuns[kCrashesFirst - 1] + kHeardOfCrash + kMachineSlack;
+  const auto late = static_cast<std::size_t>(std::count_if(
+    m_crashingRuns.begin(), m_crashingRuns.end(), [&](base::TimePoint aAt) {
+      return aAt > limit;
+    }));
+  m_promises.Check(Promise::CrashingStops,
+                   late <= kRunsAfter,
+                   fmt::format("{} runs long after the third crash, {} in all",
+                               late,
+                               m_crashingRuns.size()));
+}
+
+//! Its address is gone with it; its entry lapses, and another one starts.
+void
+SoakRun::FollowCrash(std::size_t aUpstream, base::TimePoint aNow)
+{
+  auto& upstream = *m_upstreams[aUpstream];
+  if (!upstream.worker->HasCrashed()) {
+    return;
+  }
+  if (upstream.crashedAt == base::TimePoint{}) {
+    upstream.crashedAt = aNow;
+    upstream.proxy->Close();
+  }
+  const auto past = aNow - upstream.crashedAt;
+  const bool wasListed = upstream.leftAt == base::TimePoint{};
+  if (wasListed && past > kUntilLapse) {
+    upstream.leftAt = aNow;
+    m_store.RemoveUpstream(upstream.id);
+  }
+  if (!upstream.replaced && past > kUntilReplaced) {
+    upstream.replaced = true;
+    AddUpstream(upstream.index);
+  }
+}
+
+void
+SoakRun::FollowCrashes(base::TimePoint aNow)
+{
+  const auto count = m_upstreams.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    FollowCrash(i, aNow);
+  }
+}
+
 bool
 SoakRun::IsCalm() const
 {
@@ -254,8 +327,7 @@
   }
   const bool leaves = aFault.kind == FaultKind::DrainUpstream ||
                       aFault.kind == FaultKind::RemoveUpstream;
-  const bool room = m_upstreams.size() < 36;
-  if (leaves && !room) {
+  if (leaves && !HasRoom()) {
     return;
   }
   switch (aFault.kind) {
@@ -395,6 +467,8 @@
     return over;
   });
   ReviveRouters(now);
+  FollowCrashes(now);
+  m_crashingCaller.Tick(now);
   m_storeProxy->Tick(now);
   for (const auto& upstream : m_upstreams) {
     upstream->proxy->Tick(now);
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -2,6 +2,7 @@
 
 #include "eventloop/eventloop.h"
 #include "soak/chaosproxy.h"
+#include "soak/crashingcaller.h"
 #include "soak/promises.h"
 #include "soak/routerprocess.h"
 #include "soak/soakcaller.h"
@@ -34,13 +35,17 @@
   std::string Report() const;
 
 private:
+  static constexpr std::size_t kMostUpstreams = 36; //!< ports there are
+
   struct Upstream
   {
     std::string id;
     std::uint32_t index = 0;
     std::unique_ptr<standins::WorkerStandin> worker;
     std::unique_ptr<ChaosProxy> proxy;
-    base::TimePoint leftAt{}; //!< 0: listed
+    base::TimePoint leftAt{};    //!< 0: listed
+    base::TimePoint crashedAt{}; //!< 0: it runs
+    bool replaced = false;       //!< after a crash
   };
 
   struct Router
@@ -63,6 +68,10 @@
   void BeginUpstreamFault(const Fault& aFault);
   void BeginStoreFault(const Fault& aFault);
   void ReviveRouters(base::TimePoint aNow);
+  bool HasRoom() const { return m_upstreams.size() < kMostUpstreams; }
+  void OnCrashingRun();
+  void FollowCrashes(base::TimePoint aNow);
+  void FollowCrash(std::size_t aUpstream, base::TimePoint aNow);
   void OnRun(const Upstream& aUpstream, const standins::WorkerRun& aRun);
   void RunUntil(base::TimePoint aUntil);
   void StopOneInQuiet();
@@ -83,6 +92,8 @@
   std::vector<Router> m_routers;
   CallerShared m_shared;
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
+  CrashingCaller m_crashingCaller;
+  std::vector<base::TimePoint> m_crashingRuns;
   std::uint64_t m_configVersion = 0;
   std::uint32_t m_keyNumber = 0;
   std::map<std::string, base::TimePoint> m_withdrawnAt; //!< by key's workspace
--- a/src/soak/tests/flaweddialects.cpp
+++ b/src/soak/tests/flaweddialects.cpp
@@ -23,6 +23,9 @@
     request.id = m_lastId;
   }
   m_lastId = id;
+  if (m_flaw == Flaw::TakesAllForNew) {
+    request.target += "?" + id;
+  }
   return request;
 }
 
--- a/src/soak/tests/flaweddialects.h
+++ b/src/soak/tests/flaweddialects.h
@@ -13,23 +13,26 @@
 //! the soak watches; the soak must notice.
 enum class Flaw : std::uint8_t
 {
-  CrossedIds,   //!< now and then a request goes out as the one before it
-  FalseNotRun,  //!< what may have run is told not to have run
-  RepeatsAll,   //!< what may run once is tried again like the rest
-  WrongFields,  //!< upstreams are told another workspace
-  KeepsLeaving, //!< upstreams that leave go on getting work
-  KeepsOldKeys, //!< withdrawn keys stay
-  StopsAtOnce,  //!< a planned stop waits for nothing
-  LosesTheStore //!< after a while answers of the store are not understood
+  CrossedIds,    //!< now and then a request goes out as the one before it
+  FalseNotRun,   //!< what may have run is told not to have run
+  RepeatsAll,    //!< what may run once is tried again like the rest
+  WrongFields,   //!< upstreams are told another workspace
+  KeepsLeaving,  //!< upstreams that leave go on getting work
+  KeepsOldKeys,  //!< withdrawn keys stay
+  StopsAtOnce,   //!< a planned stop waits for nothing
+  LosesTheStore, //!< after a while answers of the store are not understood
+  TakesAllForNew //!< no request is recognised when it comes again
 };
-inline constexpr auto kFlawNames = base::MakeEnumNames<Flaw>("crossed-ids",
-                                                             "false-not-run",
-                                                             "repeats-all",
-                                                             "wrong-fields",
-                                                             "keeps-leaving",
-                                                             "keeps-old-keys",
-                                                             "stops-at-once",
-                                                             "loses-the-store");
+inline constexpr auto kFlawNames =
+  base::MakeEnumNames<Flaw>("crossed-ids",
+                            "false-not-run",
+                            "repeats-all",
+                            "wrong-fields",
+                            "keeps-leaving",
+                            "keeps-old-keys",
+                            "stops-at-once",
+                            "loses-the-store",
+                            "takes-all-for-new");
 
 class FlawedCallers : public gateway::ICallerDialect
 {
