The quarantine of requests is a module of its own

Change: src/quarantine holds fingerprints, looks at upstreams, the quarantine and its limits; news of crashes is one typed message. Reports tell news in nine of ten, all that is quarantined in the tenth. No change of what is decided.

Conclusion: moved.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -225,10 +225,12 @@
 }
 
 Fleet::CrashNotice
-Fleet::Checked(UpstreamId aUpstream, CheckResult aResult, TimePoint aNow)
+Fleet::Checked(UpstreamId aUpstream,
+               quarantine::CheckResult aResult,
+               TimePoint aNow)
 {
   const auto broken = m_crashChecks.Take(aUpstream);
-  if (aResult == CheckResult::Crashed) {
+  if (aResult == quarantine::CheckResult::Crashed) {
     for (const auto request : broken) {
       m_quarantine.Crashed(request, aUpstream, aNow);
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,7 +3,6 @@
 #include "fleet/admission.h"
 #include "fleet/calllevels.h"
 #include "fleet/callrates.h"
-#include "fleet/crashchecks.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/forecasterror.h"
@@ -13,15 +12,16 @@
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
 #include "fleet/prefixmap.h"
-#include "fleet/quarantine.h"
 #include "fleet/readingqueue.h"
 #include "fleet/readrate.h"
-#include "fleet/requestfingerprint.h"
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
 #include "fleet/upstreamhealth.h"
 #include "fleet/upstreamlist.h"
+#include "quarantine/crashchecks.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/requestfingerprint.h"
 
 #include <map>
 #include <memory>
@@ -175,16 +175,16 @@
   struct CrashNotice
   {
     std::string upstream;
-    CheckResult result = CheckResult::Unknown;
+    quarantine::CheckResult result = quarantine::CheckResult::Unknown;
     std::size_t runsBroken = 0; //!< requests that it did not end
   };
-  const Quarantine& Quarantined() const { return m_quarantine; }
-  std::vector<QuarantineNotice> TakeQuarantineNotices()
+  const quarantine::Quarantine& Quarantined() const { return m_quarantine; }
+  std::vector<quarantine::QuarantineNotice> TakeQuarantineNotices()
   {
     return m_quarantine.TakeNotices();
   }
   CrashNotice Checked(UpstreamId aUpstream,
-                      CheckResult aResult,
+                      quarantine::CheckResult aResult,
                       TimePoint aNow);
 
   // ---- other routers
@@ -292,8 +292,8 @@
   UpstreamList m_list;
   Freshness m_freshness;
   RetryBudget m_retries;
-  CrashChecks m_crashChecks;
-  Quarantine m_quarantine;
+  quarantine::CrashChecks m_crashChecks;
+  quarantine::Quarantine m_quarantine;
   PeerView m_peers;
   PrefixMap m_prefixes;
   std::optional<TimePoint> m_agedAt; //!< m_prefixes
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -158,40 +158,6 @@
 //! false alarm must not empty it.
 inline constexpr double kEjectedMost = 0.5;
 
-//! From the first connection that breaks at an upstream to a look whether it
-//! still listens: all its connections have told of their end by then.
-inline constexpr base::Duration kCrashCheckDelay = 20ms;
-
-//! Upstreams that crashed under a request before it is quarantined. Each crash
-//! has a score of requests beside it; of those that are tried again hardly one
-//! meets a second crash, and none of hundreds a third.
-inline constexpr std::size_t kCrashesToQuarantine = 3;
-//! For how long; then one more crash is enough. Each trial may cost an upstream
-//! and what it runs.
-inline constexpr base::Duration kQuarantineTime = std::chrono::minutes(10);
-//! How long a crash is remembered: callers come again after any time.
-inline constexpr base::Duration kCrashKept = std::chrono::hours(1);
-//! How long it is told; less, or routers would remind each other for ever.
-inline constexpr base::Duration kCrashTold =
-  kCrashKept - std::chrono::minutes(1);
-//! A whole answer speaks for copies of its request that ran so much later too:
-//! they were sent before it.
-inline constexpr base::Duration kSoundFor = 1000ms;
-//! Until a look at an upstream has told whether it crashed.
-inline constexpr base::Duration kUnsureFor = 100ms;
-//! Requests remembered, and crashes of each: some 100 KB.
-inline constexpr std::size_t kMostSuspects = 1024;
-inline constexpr std::size_t kMostCrashesKept = 16;
-//! Requests that ended well, remembered here: of half a minute.
-inline constexpr std::size_t kMostSuccessesKept = 1024;
-//! Crashes in one report: 1 KB. News is told so many times, for reports get
-//! lost.
-inline constexpr std::size_t kMostCrashesTold = 64;
-inline constexpr int kTimesTold = 5;
-//! Every so many reports hold what is quarantined, and so many suspects.
-inline constexpr std::uint64_t kQuarantineEvery = 10;
-inline constexpr std::size_t kSuspectsInTurn = 16;
-
 // ---- retries
 
 //! Part of the fleet's budget that one router lets itself use, for views of
@@ -216,6 +182,9 @@
 inline constexpr base::Duration kMemberAlive = 3000ms;
 //! Members are told every so many periods.
 inline constexpr std::uint64_t kMembersEvery = 10;
+//! What is quarantined is told anew every so many periods: routers that start
+//! or were cut off know it within about a second.
+inline constexpr std::uint64_t kQuarantineEvery = 10;
 //! How often a router asks the seeds, that partitions may heal.
 inline constexpr base::Duration kSeedPeriod = 1000ms;
 //! Up to so many routers tell each other directly.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -6,6 +6,7 @@
 #include "base/enumnames.h"
 #include "base/hash.h"
 #include "base/verdict.h"
+#include "quarantine/requestfingerprint.h"
 
 #include <cstdint>
 #include <map>
@@ -25,6 +26,7 @@
 using base::TimePoint;
 using base::UpstreamId;
 using base::WorkspaceId;
+using quarantine::RequestFingerprint;
 
 //! What may happen to a request more than once.
 enum class CallKind : std::uint8_t
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -35,7 +35,7 @@
 bool
 Fleet::Take(const PeerReport& aReport, TimePoint aNow)
 {
-  m_quarantine.Take(aReport, aNow);
+  m_quarantine.Take(aReport.crashNews, aNow);
   if (!m_peers.Take(aReport, aNow)) {
     return false;
   }
@@ -127,7 +127,9 @@
     report.calls.push_back({ service, rate });
   }
   report.reading = m_demand.Reading();
-  m_quarantine.Tell(report, aNow);
+  report.crashNews = report.sequence % kQuarantineEvery == 0
+                       ? m_quarantine.TellInTurn(aNow)
+                       : m_quarantine.TellNews(aNow);
   report.uses = std::move(m_usesHere);
   m_usesHere.clear();
   if (m_sumsUp) {
--- a/src/fleet/internal/peerview.cpp
+++ b/src/fleet/internal/peerview.cpp
@@ -90,8 +90,7 @@
   m_own.push_back(aOwn);
   m_own.back().uses.clear();
   m_own.back().members.clear();
-  m_own.back().crashes.clear();
-  m_own.back().clearances.clear();
+  m_own.back().crashNews = {};
   if (m_own.size() > kOwnKept) {
     m_own.pop_front();
   }
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -3,7 +3,7 @@
 #include "fleet/callrates.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
-#include "fleet/requestfingerprint.h"
+#include "quarantine/quarantinetypes.h"
 
 #include <cstdint>
 #include <string>
@@ -33,21 +33,6 @@
   }
 };
 
-//! An upstream that crashed while it ran a request.
-struct CrashReport
-{
-  RequestFingerprint request{};
-  UpstreamId upstream{};
-  Duration age{}; //!< since the crash
-};
-
-//! A request that an upstream ended well, although others crashed under it.
-struct ClearanceReport
-{
-  RequestFingerprint request{};
-  Duration age{};
-};
-
 struct ServiceReport
 {
   ServiceId service{};
@@ -115,8 +100,7 @@
   std::vector<WorkspaceReport> rates;
   std::vector<ServiceReport> calls;
   std::vector<PrefixUse> uses;
-  std::vector<CrashReport> crashes;
-  std::vector<ClearanceReport> clearances;
+  quarantine::CrashNews crashNews;
   std::vector<KnownMember> members; //!< now and then
 };
 
--- a/src/fleet/tests/crashingfleet.cpp
+++ b/src/fleet/tests/crashingfleet.cpp
@@ -110,8 +110,8 @@
   auto& fleet = m_routers.At(aRouter);
   for (const auto& due : fleet.UpstreamsToCheck(Now())) {
     fleet.Checked(due.upstream,
-                  IsAlive(due.upstream) ? CheckResult::Lives
-                                        : CheckResult::Crashed,
+                  IsAlive(due.upstream) ? quarantine::CheckResult::Lives
+                                        : quarantine::CheckResult::Crashed,
                   Now());
   }
   m_routers.Later(Now() + kLookPeriod, [this, aRouter] { Look(aRouter); });
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -2,7 +2,8 @@
 #include "fleet/fleetconstants.h"
 #include "fleet/membership.h"
 #include "fleet/peerview.h"
-#include "fleet/quarantine.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/quarantineconstants.h"
 
 #include <criterion/criterion.h>
 
@@ -40,7 +41,7 @@
   std::uint32_t zone;
   Membership members;
   PeerView view;
-  Quarantine quarantine;
+  quarantine::Quarantine quarantine;
   std::uint64_t sequence = 0;
   bool alive = true;
   std::vector<base::Address> relays;
@@ -108,7 +109,10 @@
     if (own.sequence % kMembersEvery == 0) {
       own.members = aRouter.members.Known(now);
     }
-    aRouter.quarantine.Tell(own, now);
+    own.crashNews = aRouter.quarantine.TellNews(now);
+    if (own.sequence % kQuarantineEvery == 0) {
+      own.crashNews = aRouter.quarantine.TellInTurn(now);
+    }
     aRouter.view.Sent(own);
     Send(aRouter, own, plan.tell);
     if (plan.SumsUp()) {
@@ -161,7 +165,7 @@
       aTo.members.Heard(aFrom.address, aReport.zone, now);
     }
     aTo.members.Learn(aReport.members, now);
-    aTo.quarantine.Take(aReport, now);
+    aTo.quarantine.Take(aReport.crashNews, now);
     const bool taken = aTo.view.Take(aReport, now);
     if (taken && aReport.scope == ReportScope::Zone && !aReport.relayed) {
       auto relayed = aReport;
@@ -394,7 +398,7 @@
     Net net(size, 4);
     net.Steps(60);
     net.loss = 0.1;
-    for (std::uint32_t i = 0; i < kCrashesToQuarantine; ++i) {
+    for (std::uint32_t i = 0; i < quarantine::kCrashesToQuarantine; ++i) {
       auto& witness = *net.routers.at(static_cast<std::size_t>(size) - 1 - i);
       witness.quarantine.Crashed(kCrashing, UpstreamId(100 + i), net.now);
     }
@@ -417,7 +421,7 @@
     auto& late = *net.routers.back();
     late.alive = false;
     net.Steps(60);
-    for (std::uint32_t i = 0; i < kCrashesToQuarantine; ++i) {
+    for (std::uint32_t i = 0; i < quarantine::kCrashesToQuarantine; ++i) {
       net.routers.front()->quarantine.Crashed(
         kCrashing, UpstreamId(100 + i), net.now);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,10 +102,11 @@
   , m_fleet(FleetSettingsOf(aSettings, aLife))
   , m_logBudget(aSettings.loggedPerSecond)
   , m_pool(aLoop)
-  , m_checks(m_pool,
-             [this](base::UpstreamId aUpstream, fleet::CheckResult aResult) {
-               TakeCheck(aUpstream, aResult);
-             })
+  , m_checks(
+      m_pool,
+      [this](base::UpstreamId aUpstream, quarantine::CheckResult aResult) {
+        TakeCheck(aUpstream, aResult);
+      })
   , m_connections(aLoop, m_limits, *this)
   , m_newsLog(aLife)
   , m_members(aSettings.peerListen,
@@ -306,18 +307,19 @@
   m_checks.Tick(aNow);
   for (const auto& notice : m_fleet.TakeQuarantineNotices()) {
     LogLine("request-quarantine")
-      .Add("fingerprint", fleet::FingerprintText(notice.request))
-      .Add("change", fleet::kQuarantineChangeNames.NameOf(notice.change))
+      .Add("fingerprint", quarantine::FingerprintText(notice.request))
+      .Add("change", quarantine::kQuarantineChangeNames.NameOf(notice.change))
       .Add("crashes", static_cast<std::uint64_t>(notice.crashes))
       .Warn();
   }
 }
 
 void
-Gateway::TakeCheck(base::UpstreamId aUpstream, fleet::CheckResult aResult)
+Gateway::TakeCheck(base::UpstreamId aUpstream, quarantine::CheckResult aResult)
 {
   const auto notice = m_fleet.Checked(aUpstream, aResult, m_loop.Now());
-  const auto result = std::string(fleet::kCheckResultNames.NameOf(aResult));
+  const auto result =
+    std::string(quarantine::kCheckResultNames.NameOf(aResult));
   m_metrics.Count("upstream_checks_total{result=\"" + result + "\"}");
   LogLine("upstream-checked")
     .Add("upstream", notice.upstream)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -95,7 +95,7 @@
   void TickSlow();
   void FollowStop(base::TimePoint aNow);
   void CheckUpstreams(base::TimePoint aNow);
-  void TakeCheck(base::UpstreamId aUpstream, fleet::CheckResult aResult);
+  void TakeCheck(base::UpstreamId aUpstream, quarantine::CheckResult aResult);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -273,7 +273,7 @@
     failed, m_parts.fleet.Retries().Allows(m_service, now));
   LogLine("attempt-failed")
     .Add("request", m_request.id)
-    .Add("fingerprint", fleet::FingerprintText(m_fingerprint))
+    .Add("fingerprint", quarantine::FingerprintText(m_fingerprint))
     .Add("upstream", m_upstreamId)
     .Add("sent_ms_ago", (now - m_sentAt).count())
     .Add("why", aWhy)
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -125,11 +125,11 @@
   }
   m_service = *service;
   m_mustEndAt = std::min(m_mustEndAt, m_arrivedAt + m_route->timeout);
-  m_fingerprint = fleet::FingerprintOf({ m_workspace,
-                                         m_request.method,
-                                         m_request.host,
-                                         m_request.target,
-                                         m_request.body });
+  m_fingerprint = quarantine::FingerprintOf({ m_workspace,
+                                              m_request.method,
+                                              m_request.host,
+                                              m_request.target,
+                                              m_request.body });
   return true;
 }
 
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -131,7 +131,7 @@
   }
   LogLine line(aEvent);
   line.Add("request", m_request.id)
-    .Add("fingerprint", fleet::FingerprintText(m_fingerprint))
+    .Add("fingerprint", quarantine::FingerprintText(m_fingerprint))
     .Add("workspace", m_workspace)
     .Add("route", m_route->name)
     .Add("prompt_tokens", m_request.work.promptTokens)
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -59,7 +59,7 @@
   }
   for (const auto& one : m_fleet.Quarantined().Held(now)) {
     text += fmt::format("quarantined={} crashes={}\n",
-                        fleet::FingerprintText(one.request),
+                        quarantine::FingerprintText(one.request),
                         one.crashes);
   }
   return text;
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -103,7 +103,7 @@
 EncodeCrashes(const fleet::PeerReport& aReport)
 {
   std::vector<fb::Crash> crashes;
-  for (const auto& crash : aReport.crashes) {
+  for (const auto& crash : aReport.crashNews.crashes) {
     const auto request = base::Raw(crash.request);
     crashes.emplace_back(LowHalf(request),
                          HighHalf(request),
@@ -117,7 +117,7 @@
 EncodeClearances(const fleet::PeerReport& aReport)
 {
   std::vector<fb::Clearance> clearances;
-  for (const auto& clearance : aReport.clearances) {
+  for (const auto& clearance : aReport.crashNews.clearances) {
     const auto request = base::Raw(clearance.request);
     clearances.emplace_back(
       LowHalf(request), HighHalf(request), Short(clearance.age));
@@ -258,14 +258,15 @@
                             base::UpstreamId(aUse.upstream()) });
   });
   Each(wire->crashes(), [&](const fb::Crash& aCrash) {
-    report.crashes.push_back({ fleet::RequestFingerprint(Join(
-                                 aCrash.request_low(), aCrash.request_high())),
-                               base::UpstreamId(aCrash.upstream()),
-                               base::Duration(aCrash.age_ms()) });
+    report.crashNews.crashes.push_back(
+      { quarantine::RequestFingerprint(
+          Join(aCrash.request_low(), aCrash.request_high())),
+        base::UpstreamId(aCrash.upstream()),
+        base::Duration(aCrash.age_ms()) });
   });
   Each(wire->clearances(), [&](const fb::Clearance& aClearance) {
-    report.clearances.push_back(
-      { fleet::RequestFingerprint(
+    report.crashNews.clearances.push_back(
+      { quarantine::RequestFingerprint(
           Join(aClearance.request_low(), aClearance.request_high())),
         base::Duration(aClearance.age_ms()) });
   });
--- a/src/gateway/internal/upstreamchecks.cpp
+++ b/src/gateway/internal/upstreamchecks.cpp
@@ -7,7 +7,7 @@
 
 namespace hemlockgauge::gateway {
 
-using fleet::CheckResult;
+using quarantine::CheckResult;
 
 namespace {
 
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -130,11 +130,13 @@
   report.loads = { { base::UpstreamId(1), 2, 3 } };
   report.rates = { { base::WorkspaceId(4), { 5.0, 6.0 } } };
   report.uses = { { 0xffffffffffffULL, base::UpstreamId(7) } };
-  report.crashes = { { fleet::RequestFingerprint(0xfedcba9876543210ULL),
-                       base::UpstreamId(11),
-                       base::Duration(1234) } };
-  report.clearances = { { fleet::RequestFingerprint(0x123456789abcdef0ULL),
-                          base::Duration(56) } };
+  report.crashNews.crashes = { { quarantine::RequestFingerprint(
+                                   0xfedcba9876543210ULL),
+                                 base::UpstreamId(11),
+                                 base::Duration(1234) } };
+  report.crashNews.clearances = { { quarantine::RequestFingerprint(
+                                      0x123456789abcdef0ULL),
+                                    base::Duration(56) } };
   report.heard = { { base::RouterId(8), 5, base::TimePoint(9) } };
   report.members = { { { "10.1.0.33", 7400 }, 6, base::Duration(250) } };
   return report;
@@ -160,11 +162,13 @@
   cr_assert(read.loads.at(0).running == 3);
   cr_assert(read.rates.at(0).rate.begun == 6.0);
   cr_assert(read.uses.at(0).part == 0xffffffffffffULL);
-  cr_assert(read.crashes.at(0).request == report.crashes[0].request);
-  cr_assert(read.crashes.at(0).upstream == base::UpstreamId(11));
-  cr_assert(read.crashes.at(0).age == base::Duration(1234));
-  cr_assert(read.clearances.at(0).request == report.clearances[0].request);
-  cr_assert(read.clearances.at(0).age == base::Duration(56));
+  cr_assert(read.crashNews.crashes.at(0).request ==
+            report.crashNews.crashes[0].request);
+  cr_assert(read.crashNews.crashes.at(0).upstream == base::UpstreamId(11));
+  cr_assert(read.crashNews.crashes.at(0).age == base::Duration(1234));
+  cr_assert(read.crashNews.clearances.at(0).request ==
+            report.crashNews.clearances[0].request);
+  cr_assert(read.crashNews.clearances.at(0).age == base::Duration(56));
   cr_assert(read.heard.at(0).sequence == 5);
   cr_assert(read.heard.at(0).sentAt == base::TimePoint(9));
   cr_assert(read.members.at(0).address == report.members[0].address);
--- a/src/gateway/upstreamchecks.h
+++ b/src/gateway/upstreamchecks.h
@@ -2,8 +2,8 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
-#include "fleet/crashchecks.h"
 #include "http/clientconnection.h"
+#include "quarantine/crashchecks.h"
 
 #include <functional>
 #include <map>
@@ -17,8 +17,8 @@
 class UpstreamChecks : public http::IClientEvents
 {
 public:
-  using Told =
-    std::function<void(base::UpstreamId aUpstream, fleet::CheckResult aResult)>;
+  using Told = std::function<void(base::UpstreamId aUpstream,
+                                  quarantine::CheckResult aResult)>;
 
   UpstreamChecks(UpstreamPool& aPool, Told aTold);
 
@@ -43,7 +43,8 @@
     base::TimePoint beganAt{};
   };
 
-  void End(http::ClientConnection& aConnection, fleet::CheckResult aResult);
+  void End(http::ClientConnection& aConnection,
+           quarantine::CheckResult aResult);
 
   UpstreamPool& m_pool;
   Told m_told;
--- a/src/fleet/crashchecks.h
+++ b/src/quarantine/crashchecks.h
@@ -1,23 +1,12 @@
 #pragma once
 
-#include "fleet/fleettypes.h"
-#include "fleet/requestfingerprint.h"
+#include "quarantine/quarantinetypes.h"
 
 #include <cstddef>
 #include <map>
 #include <vector>
 
-namespace hemlockgauge::fleet {
-
-//! What a look at an upstream told whose connections broke under requests.
-enum class CheckResult : std::uint8_t
-{
-  Crashed, //!< nothing listens there any more
-  Lives,   //!< it takes connections
-  Unknown  //!< neither came in time
-};
-inline constexpr auto kCheckResultNames =
-  base::MakeEnumNames<CheckResult>("crashed", "lives", "unknown");
+namespace hemlockgauge::quarantine {
 
 //! Requests whose connection broke while an upstream ran them, by upstream,
 //! until a look there has told whether it crashed: a connection also breaks
--- a/src/fleet/internal/crashchecks.cpp
+++ b/src/quarantine/internal/crashchecks.cpp
@@ -1,10 +1,10 @@
-#include "fleet/crashchecks.h"
+#include "quarantine/crashchecks.h"
 
-#include "fleet/fleetconstants.h"
+#include "quarantine/quarantineconstants.h"
 
 #include <algorithm>
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 void
 CrashChecks::Broke(UpstreamId aUpstream,
--- a/src/fleet/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -1,11 +1,11 @@
-#include "fleet/quarantine.h"
+#include "quarantine/quarantine.h"
 
-#include "fleet/fleetconstants.h"
+#include "quarantine/quarantineconstants.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 namespace {
 
@@ -166,12 +166,12 @@
 }
 
 void
-Quarantine::Take(const PeerReport& aReport, TimePoint aNow)
+Quarantine::Take(const CrashNews& aNews, TimePoint aNow)
 {
-  for (const auto& clearance : aReport.clearances) {
+  for (const auto& clearance : aNews.clearances) {
     Clear(clearance.request, aNow - clearance.age);
   }
-  for (const auto& crash : aReport.crashes) {
+  for (const auto& crash : aNews.crashes) {
     if (crash.age < kCrashKept) {
       Add(crash.request, { crash.upstream, aNow - crash.age }, aNow);
     }
@@ -181,77 +181,71 @@
 //! Not what is about to be forgotten: two routers would remind each other of it
 //! for ever.
 void
-Quarantine::TellRecord(PeerReport& aReport,
+Quarantine::TellRecord(CrashNews& aNews,
                        RequestFingerprint aRequest,
                        const Record& aRecord,
-                       TimePoint aNow) const
+                       TimePoint aNow)
 {
   for (const auto& crash : aRecord.crashes) {
     const auto age = aNow - crash.at;
-    if (age < kCrashTold && aReport.crashes.size() < kMostCrashesTold) {
-      aReport.crashes.push_back({ aRequest, crash.upstream, age });
+    if (age < kCrashTold && aNews.crashes.size() < kMostCrashesTold) {
+      aNews.crashes.push_back({ aRequest, crash.upstream, age });
     }
   }
   if (!aRecord.clearedAt) {
     return;
   }
   const auto age = aNow - *aRecord.clearedAt;
-  if (age < kCrashTold && aReport.clearances.size() < kMostCrashesTold) {
-    aReport.clearances.push_back({ aRequest, age });
-  }
-}
-
-void
-Quarantine::Tell(PeerReport& aReport, TimePoint aNow)
-{
-  TellNews(aReport, aNow);
-  if (aReport.sequence % kQuarantineEvery == 0) {
-    TellInTurn(aReport, aNow);
+  if (age < kCrashTold && aNews.clearances.size() < kMostCrashesTold) {
+    aNews.clearances.push_back({ aRequest, age });
   }
 }
 
 //! Where there is more news than room, what most is known of goes first.
-void
-Quarantine::TellNews(PeerReport& aReport, TimePoint aNow)
+CrashNews
+Quarantine::TellNews(TimePoint aNow)
 {
-  std::vector<Records::iterator> news;
+  std::vector<Records::iterator> untold;
   for (auto it = m_records.begin(); it != m_records.end(); ++it) {
     if (it->second.toTell > 0) {
-      news.push_back(it);
+      untold.push_back(it);
     }
   }
-  std::sort(news.begin(), news.end(), [](const auto& aOne, const auto& aTwo) {
-    return aOne->second.Rank() > aTwo->second.Rank();
-  });
-  for (const auto& entry : news) {
-    const bool full = aReport.crashes.size() >= kMostCrashesTold ||
-                      aReport.clearances.size() >= kMostCrashesTold;
+  std::sort(
+    untold.begin(), untold.end(), [](const auto& aOne, const auto& aTwo) {
+      return aOne->second.Rank() > aTwo->second.Rank();
+    });
+  CrashNews news;
+  for (const auto& entry : untold) {
+    const bool full = news.crashes.size() >= kMostCrashesTold ||
+                      news.clearances.size() >= kMostCrashesTold;
     if (full) {
-      return;
+      break;
     }
     entry->second.toTell--;
-    TellRecord(aReport, entry->first, entry->second, aNow);
+    TellRecord(news, entry->first, entry->second, aNow);
   }
+  return news;
 }
 
-//! For routers that start or were cut off: all that is quarantined, and some of
-//! the suspects.
-void
-Quarantine::TellInTurn(PeerReport& aReport, TimePoint aNow)
+CrashNews
+Quarantine::TellInTurn(TimePoint aNow)
 {
+  CrashNews news;
   for (const auto& [request, record] : m_records) {
     if (record.held) {
-      TellRecord(aReport, request, record, aNow);
+      TellRecord(news, request, record, aNow);
     }
   }
   const auto count = std::min(kSuspectsInTurn, m_records.size());
   auto next = m_records.lower_bound(m_nextTold);
   for (std::size_t i = 0; i < count; ++i) {
     next = next == m_records.end() ? m_records.begin() : next;
-    TellRecord(aReport, next->first, next->second, aNow);
+    TellRecord(news, next->first, next->second, aNow);
     ++next;
   }
   m_nextTold = next == m_records.end() ? RequestFingerprint{} : next->first;
+  return news;
 }
 
 void
--- a/src/fleet/internal/recentsuccesses.cpp
+++ b/src/quarantine/internal/recentsuccesses.cpp
@@ -1,8 +1,8 @@
-#include "fleet/recentsuccesses.h"
+#include "quarantine/recentsuccesses.h"
 
-#include "fleet/fleetconstants.h"
+#include "quarantine/quarantineconstants.h"
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 void
 RecentSuccesses::Add(RequestFingerprint aRequest, TimePoint aNow)
--- a/src/fleet/internal/requestfingerprint.cpp
+++ b/src/quarantine/internal/requestfingerprint.cpp
@@ -1,11 +1,11 @@
-#include "fleet/requestfingerprint.h"
+#include "quarantine/requestfingerprint.h"
 
 #include "base/basetypes.h"
 #include "base/hash.h"
 
 #include <fmt/format.h>
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 RequestFingerprint
 FingerprintOf(const RequestIdentity& aIdentity)
--- a/src/fleet/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "fleet/fleettypes.h"
-#include "fleet/peerreport.h"
-#include "fleet/recentsuccesses.h"
-#include "fleet/requestfingerprint.h"
+#include "quarantine/quarantinetypes.h"
+#include "quarantine/recentsuccesses.h"
 
 #include <cstddef>
 #include <map>
@@ -11,23 +9,7 @@
 #include <tuple>
 #include <vector>
 
-namespace hemlockgauge::fleet {
-
-enum class QuarantineChange : std::uint8_t
-{
-  Quarantined, //!< goes to no upstream for a while
-  Cleared,     //!< an upstream ended it well
-  Expired      //!< may be tried once more
-};
-inline constexpr auto kQuarantineChangeNames =
-  base::MakeEnumNames<QuarantineChange>("quarantined", "cleared", "expired");
-
-struct QuarantineNotice
-{
-  RequestFingerprint request{};
-  QuarantineChange change = QuarantineChange::Quarantined;
-  std::size_t crashes = 0; //!< upstreams that crashed under it
-};
+namespace hemlockgauge::quarantine {
 
 //! Requests that are kept from upstreams, since upstreams crash under them.
 //!
@@ -63,9 +45,13 @@
                                   TimePoint aNow) const;
 
   //! What another router told.
-  void Take(const PeerReport& aReport, TimePoint aNow);
-  //! Puts into an own report what others may not know.
-  void Tell(PeerReport& aReport, TimePoint aNow);
+  void Take(const CrashNews& aNews, TimePoint aNow);
+  //! What others may not know yet; some of it leaves no trace, so it is told a
+  //! few times.
+  CrashNews TellNews(TimePoint aNow);
+  //! For routers that start or were cut off: all that is quarantined, and some
+  //! of the suspects, others each time.
+  CrashNews TellInTurn(TimePoint aNow);
   //! Forgets what is old.
   void Tick(TimePoint aNow);
 
@@ -104,12 +90,10 @@
   bool IsExplained(RequestFingerprint aRequest, UpstreamId aUpstream) const;
   std::size_t Unexplained(RequestFingerprint aRequest,
                           const Record& aRecord) const;
-  void TellRecord(PeerReport& aReport,
-                  RequestFingerprint aRequest,
-                  const Record& aRecord,
-                  TimePoint aNow) const;
-  void TellNews(PeerReport& aReport, TimePoint aNow);
-  void TellInTurn(PeerReport& aReport, TimePoint aNow);
+  static void TellRecord(CrashNews& aNews,
+                         RequestFingerprint aRequest,
+                         const Record& aRecord,
+                         TimePoint aNow);
   void MakeRoom();
   void Note(RequestFingerprint aRequest,
             QuarantineChange aChange,
--- a/src/fleet/recentsuccesses.h
+++ b/src/quarantine/recentsuccesses.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "fleet/fleettypes.h"
-#include "fleet/requestfingerprint.h"
+#include "quarantine/quarantinetypes.h"
 
 #include <deque>
 #include <optional>
 #include <unordered_map>
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 //! The requests that ended well here last, a bounded number of them: one that
 //! many callers send alike is known to be sound before an upstream crashes
--- a/src/fleet/requestfingerprint.h
+++ b/src/quarantine/requestfingerprint.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace hemlockgauge::fleet {
+namespace hemlockgauge::quarantine {
 
 //! The same for each coming of the same request, under whatever id and at
 //! whatever router; a hash, so it tells nothing of what the request holds.
--- a/src/fleet/tests/crashcheckstests.cpp
+++ b/src/quarantine/tests/crashcheckstests.cpp
@@ -1,10 +1,10 @@
-#include "fleet/crashchecks.h"
-#include "fleet/fleetconstants.h"
+#include "quarantine/crashchecks.h"
+#include "quarantine/quarantineconstants.h"
 
 #include <criterion/criterion.h>
 
 using namespace hemlockgauge;
-using namespace hemlockgauge::fleet;
+using namespace hemlockgauge::quarantine;
 
 namespace {
 
