--- a/src/base/error.h
+++ b/src/base/error.h
@@ -16,6 +16,7 @@
   BadValue,
   BadFrame,
   Unreachable,
+  Refused, //!< nothing listens there
   Internal
 };
 
@@ -27,6 +28,7 @@
                            "bad-value",
                            "bad-frame",
                            "unreachable",
+                           "refused",
                            "internal");
 
 //! The exception of every module: a typed code and a text for people.
--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -59,6 +59,10 @@
 inline constexpr Duration kMinRetryAfter = 1000ms;
 inline constexpr Duration kMaxRetryAfter = 60000ms;
 
+//! What is quarantined is told anew so often, for routers that start or were
+//! cut off: some hundred bytes, while anything is.
+inline constexpr Duration kQuarantineTold = 5000ms;
+
 // Upstream health
 inline constexpr int kFailuresToEject = 3;
 inline constexpr Duration kFirstEjection = 1000ms;
--- a/src/decision/decisioncore.cpp
+++ b/src/decision/decisioncore.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/decisionconstants.h"
 #include "decision/internal/corestate.h"
+#include "decision/internal/crashflow.h"
 #include "decision/internal/peerflow.h"
 #include "decision/internal/requestflow.h"
 #include "decision/internal/slotflow.h"
@@ -16,7 +17,8 @@
     : m_state(aSettings)
     , m_slots(m_state)
     , m_peers(m_state, m_slots)
-    , m_requests(m_state)
+    , m_crashes(m_state)
+    , m_requests(m_state, m_crashes)
   {
   }
 
@@ -49,6 +51,9 @@
   {
     m_slots.RefreshShares();
     m_peers.Tick();
+    if (m_crashes.Tick(m_peers.Neighbours())) {
+      m_requests.RefuseQuarantined();
+    }
     EndHold();
   }
   void Handle(const RequestQueued& aEvent) { m_requests.Take(aEvent); }
@@ -62,7 +67,12 @@
     }
     m_requests.Take(aEvent);
   }
-  void Handle(const FrameReceived& aEvent) { m_peers.Take(aEvent); }
+  void Handle(const FrameReceived& aEvent)
+  {
+    m_crashes.Take(aEvent.frame.crashNews);
+    m_peers.Take(aEvent);
+  }
+  void Handle(const UpstreamChecked& aEvent) { m_crashes.Take(aEvent); }
   void Handle(const LinkLost& aEvent) { m_peers.Take(aEvent); }
   void Handle(const DocumentRead& aEvent) { m_peers.Take(aEvent); }
   void Handle(const HostsRead& aEvent) { m_peers.Take(aEvent); }
@@ -113,6 +123,7 @@
   CoreState m_state;
   SlotFlow m_slots;
   PeerFlow m_peers;
+  CrashFlow m_crashes;
   RequestFlow m_requests;
   bool m_started = false;
   bool m_drainedTold = false;
--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -4,6 +4,7 @@
 #include "base/basetypes.h"
 #include "base/verdict.h"
 #include "document/documenttypes.h"
+#include "quarantine/quarantinetypes.h"
 
 #include <cstdint>
 #include <memory>
@@ -148,6 +149,7 @@
   std::vector<FreeHint> hints;
   std::vector<SlotReport> reports;
   std::vector<SlotGrant> grants;
+  quarantine::CrashNews crashNews;
 };
 
 enum class AttemptOutcome
@@ -180,7 +182,8 @@
   NoUpstream,
   RetriesSpent,
   UpstreamFailed,
-  Broken
+  Broken,
+  Quarantined //!< upstreams crash under it
 };
 inline constexpr auto kRefusalReasonNames =
   base::MakeEnumNames<RefusalReason>("draining",
@@ -192,7 +195,8 @@
                                      "no-upstream",
                                      "retries-spent",
                                      "upstream-failed",
-                                     "broken");
+                                     "broken",
+                                     "quarantined");
 
 // ---- events
 
@@ -203,6 +207,8 @@
   WorkspaceId workspace{};
   TimePoint deadline{};
   bool repeatable = false;
+  //! The same each time that the same request comes; 0: not known.
+  quarantine::RequestFingerprint fingerprint{};
 };
 
 struct RequestAbandoned
@@ -249,6 +255,13 @@
   bool leaving = false;
 };
 
+//! What a look at an upstream told whose connection broke under a request.
+struct UpstreamChecked
+{
+  UpstreamId upstream{};
+  quarantine::CheckResult result = quarantine::CheckResult::Unknown;
+};
+
 struct Tick
 {};
 
@@ -264,6 +277,7 @@
                            DocumentRead,
                            HostsRead,
                            LoadReported,
+                           UpstreamChecked,
                            DrainStarted>;
 
 // ---- actions
@@ -317,6 +331,13 @@
   base::Address address;
 };
 
+//! Whether it still listens; to be answered by UpstreamChecked.
+struct CheckUpstream
+{
+  UpstreamId upstream{};
+  base::Address address;
+};
+
 //! No request is left: the process may end.
 struct Drained
 {};
@@ -335,6 +356,7 @@
   SlotsGranted,
   SlotsLapsed,
   HostChanged,
+  QuarantineChanged,
   Woke,
   InvariantBroken
 };
@@ -351,6 +373,7 @@
                                     "slots-granted",
                                     "slots-lapsed",
                                     "host-changed",
+                                    "quarantine-changed",
                                     "woke",
                                     "invariant-broken");
 
@@ -371,6 +394,7 @@
                             DocumentRefused,
                             WatchPlatform,
                             PollLoad,
+                            CheckUpstream,
                             Drained,
                             DecisionRecord>;
 
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -10,6 +10,8 @@
 #include "decision/internal/requestbook.h"
 #include "decision/internal/retrybudget.h"
 #include "decision/internal/slotowner.h"
+#include "quarantine/crashchecks.h"
+#include "quarantine/quarantine.h"
 
 #include <map>
 #include <random>
@@ -54,6 +56,8 @@
   SlotOwner owner;
   RequestBook book;
   RetryBudget retries;
+  quarantine::CrashChecks crashChecks;
+  quarantine::Quarantine quarantine;
   Outbox outbox;
   std::mt19937_64 random;
   bool draining = false;
--- a/src/decision/internal/outbox.cpp
+++ b/src/decision/internal/outbox.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kHintBytes = 8;
 constexpr std::size_t kReportBytes = 20;
 constexpr std::size_t kGrantBytes = 12;
+constexpr std::size_t kCrashBytes = 16;
+constexpr std::size_t kClearanceBytes = 12;
 
 template<typename Vector>
 std::size_t
@@ -28,14 +30,14 @@
   return aVector.empty() ? 0 : kVectorBytes + aVector.size() * aEach;
 }
 
-//! Membership, hosts and documents must reach everyone in time; a plain
-//! heartbeat keeps this router from being called dead.
+//! Membership, hosts, documents and crashes must reach everyone in time; a
+//! plain heartbeat keeps this router from being called dead.
 bool
 MustNotWait(const Frame& aFrame)
 {
   return !aFrame.members.empty() || !aFrame.hosts.empty() ||
          !aFrame.documents.empty() || !aFrame.versions.empty() ||
-         aFrame.wantsSnapshot;
+         aFrame.wantsSnapshot || !aFrame.crashNews.IsEmpty();
 }
 
 }
@@ -51,6 +53,8 @@
   bytes += VectorBytes(aFrame.hints, kHintBytes);
   bytes += VectorBytes(aFrame.reports, kReportBytes);
   bytes += VectorBytes(aFrame.grants, kGrantBytes);
+  bytes += VectorBytes(aFrame.crashNews.crashes, kCrashBytes);
+  bytes += VectorBytes(aFrame.crashNews.clearances, kClearanceBytes);
   for (const auto& host : aFrame.hosts) {
     bytes += kHostBytes + host.name.size() + host.zone.size() +
              host.pool.size() + host.address.ip.size() +
--- a/src/decision/internal/peerflow.h
+++ b/src/decision/internal/peerflow.h
@@ -30,6 +30,8 @@
   void Leave();
   //! Hands out the waiting frames that the budget allows.
   void Flush();
+  //! Those next to this router in the tree.
+  std::vector<RouterId> Neighbours() const;
   //! A frame came since the last pause.
   bool HeardSincePause() const { return m_heard; }
 
@@ -44,7 +46,6 @@
   void Heartbeat(RouterId aNeighbour);
   void ProbeSomeone();
   void ReportWatching();
-  std::vector<RouterId> Neighbours() const;
   void NoteMember(const MemberNotice& aNotice);
 
   CoreState& m_state;
--- a/src/decision/internal/requestflow.cpp
+++ b/src/decision/internal/requestflow.cpp
@@ -38,6 +38,11 @@
            kMinRetryAfter);
     return;
   }
+  if (const auto held = m_crashes.HeldFor(aEvent)) {
+    Refuse(
+      aEvent.request, RefusalReason::Quarantined, base::Verdict::NotRun, *held);
+    return;
+  }
   if (queue->Demand() == 0) {
     pool.RefreshShares(m_state.view, m_state.now);
   }
@@ -119,15 +124,35 @@
 void
 RequestFlow::RefuseKnown(RequestId aRequest, RefusalReason aReason)
 {
-  auto* request = m_state.book.Find(aRequest);
+  const auto* request = m_state.book.Find(aRequest);
+  auto& pool = m_state.PoolOf(request->asked.pool);
+  const auto& queue = *pool.Find(request->asked.workspace);
+  RefuseWaiting(aRequest, aReason, RetryAfter(pool, queue));
+}
+
+void
+RequestFlow::RefuseWaiting(RequestId aRequest,
+                           RefusalReason aReason,
+                           Duration aRetryAfter)
+{
+  const auto* request = m_state.book.Find(aRequest);
   auto& pool = m_state.PoolOf(request->asked.pool);
-  auto& queue = *pool.Find(request->asked.workspace);
   const auto verdict =
     request->mayHaveRun ? base::Verdict::MayHaveRun : base::Verdict::NotRun;
-  const auto retryAfter = RetryAfter(pool, queue);
-  queue.Remove(aRequest);
+  pool.Find(request->asked.workspace)->Remove(aRequest);
   m_state.book.Erase(aRequest);
-  Refuse(aRequest, aReason, verdict, retryAfter);
+  Refuse(aRequest, aReason, verdict, aRetryAfter);
+}
+
+void
+RequestFlow::RefuseQuarantined()
+{
+  for (const auto id : m_state.book.AllQueued()) {
+    const auto held = m_crashes.HeldFor(m_state.book.Find(id)->asked);
+    if (held) {
+      RefuseWaiting(id, RefusalReason::Quarantined, *held);
+    }
+  }
 }
 
 void
@@ -189,6 +214,7 @@
   const auto workspace = pool.Find(request->asked.workspace)->Spec().name;
   pool.FinishAttempt(m_state.book, aEvent.request, m_state.now);
   CountHealth(pool, upstream, aEvent);
+  m_crashes.Ended(*request, upstream, aEvent.outcome);
   request->mayHaveRun = request->mayHaveRun || !RanNothing(aEvent.outcome);
   if (auto* lease = std::get_if<LeasePolicy>(&pool.Policy())) {
     lease->borrower.SlotFreed(upstream, pool.Needs(), pool.Slots());
@@ -265,6 +291,9 @@
   if (aOutcome == AttemptOutcome::BrokenLate || m_state.draining) {
     return false;
   }
+  if (m_crashes.HeldFor(aRequest.asked)) {
+    return false;
+  }
   const bool safe = RanNothing(aOutcome) || aRequest.asked.repeatable;
   const bool inTime = m_state.now < aRequest.asked.deadline;
   return safe && inTime && aRequest.attempts < kMaxAttempts &&
--- a/src/decision/internal/requestflow.h
+++ b/src/decision/internal/requestflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/internal/corestate.h"
+#include "decision/internal/crashflow.h"
 
 namespace hemlockgauge::decision {
 
@@ -8,8 +9,9 @@
 class RequestFlow
 {
 public:
-  explicit RequestFlow(CoreState& aState)
+  RequestFlow(CoreState& aState, CrashFlow& aCrashes)
     : m_state(aState)
+    , m_crashes(aCrashes)
   {
   }
 
@@ -20,6 +22,8 @@
   //! Requests whose workspace left the documents get an answer at once.
   void RefuseOrphans();
   void RefuseAllQueued(RefusalReason aReason);
+  //! Requests that wait, and under which upstreams turned out to crash.
+  void RefuseQuarantined();
   //! Starts all that may start now.
   void Dispatch();
 
@@ -32,6 +36,9 @@
               base::Verdict aVerdict,
               Duration aRetryAfter);
   void RefuseKnown(RequestId aRequest, RefusalReason aReason);
+  void RefuseWaiting(RequestId aRequest,
+                     RefusalReason aReason,
+                     Duration aRetryAfter);
   void DispatchPool(Pool& aPool);
   void Send(Pool& aPool, const Placement& aPlacement);
   void CountHealth(Pool& aPool,
@@ -42,6 +49,7 @@
   Duration RetryAfter(const Pool& aPool, const WorkspaceQueue& aQueue) const;
 
   CoreState& m_state;
+  CrashFlow& m_crashes;
 };
 
 }
--- a/src/platform/internal/httpget.cpp
+++ b/src/platform/internal/httpget.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <memory>
 #include <strings.h>
@@ -73,11 +74,15 @@
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   if (result != CURLE_OK || status != 200) {
-    throw base::Error(base::ErrorCode::Unreachable,
-                      url + ": " +
-                        (result != CURLE_OK
-                           ? std::string(curl_easy_strerror(result))
-                           : "status " + std::to_string(status)));
+    long systemError = 0;
+    curl_easy_getinfo(curl, CURLINFO_OS_ERRNO, &systemError);
+    const bool refused =
+      result == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+    throw base::Error(
+      refused ? base::ErrorCode::Refused : base::ErrorCode::Unreachable,
+      url + ": " +
+        (result != CURLE_OK ? std::string(curl_easy_strerror(result))
+                            : "status " + std::to_string(status)));
   }
   return answer;
 }
--- a/src/platform/internal/httpget.h
+++ b/src/platform/internal/httpget.h
@@ -16,8 +16,9 @@
   std::optional<std::uint64_t> revision; //!< of the X-Revision header
 };
 
-//! One GET on a new connection. Throws Error(Unreachable) on anything but
-//! 200 within the limit; ends early when aStop turns true.
+//! One GET on a new connection. Throws Error(Refused) if nothing listens there,
+//! Error(Unreachable) on anything else but 200 within the limit; ends early
+//! when aStop turns true.
 HttpAnswer
 HttpGet(const base::Address& aAddress,
         const std::string& aPath,
--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -48,6 +48,7 @@
   m_documents = std::thread([this] { RunDocuments(); });
   m_hosts = std::thread([this] { RunHosts(); });
   m_loads = std::thread([this] { RunLoads(); });
+  m_lookers = std::thread([this] { RunChecks(); });
 }
 
 void
@@ -55,7 +56,7 @@
 {
   m_stop = true;
   m_wake.notify_all();
-  for (auto* thread : { &m_documents, &m_hosts, &m_loads }) {
+  for (auto* thread : { &m_documents, &m_hosts, &m_loads, &m_lookers }) {
     if (thread->joinable()) {
       thread->join();
     }
@@ -79,6 +80,16 @@
   }
 }
 
+void
+PlatformClient::CheckUpstream(const decision::CheckUpstream& aCheck)
+{
+  const std::lock_guard lock(m_mutex);
+  if (m_checks.size() < kMaxPolls) {
+    m_checks.push_back(aCheck);
+    m_wake.notify_all();
+  }
+}
+
 base::Duration
 PlatformClient::AnswerAge() const
 {
@@ -193,4 +204,34 @@
   }
 }
 
+void
+PlatformClient::RunChecks()
+{
+  using quarantine::CheckResult;
+  while (!m_stop) {
+    decision::CheckUpstream check;
+    {
+      std::unique_lock lock(m_mutex);
+      m_wake.wait(lock, [&] { return m_stop || !m_checks.empty(); });
+      if (m_stop) {
+        return;
+      }
+      check = m_checks.front();
+      m_checks.pop_front();
+    }
+    auto result = CheckResult::Lives;
+    try {
+      HttpGet(check.address, "/v1/load", kLoadLimit, m_stop);
+    } catch (const base::Error& error) {
+      const bool refused = error.Code() == base::ErrorCode::Refused;
+      result = refused ? CheckResult::Crashed : CheckResult::Unknown;
+    }
+    base::LogLine("upstream-checked")
+      .Add("address", check.address.Text())
+      .Add("result", quarantine::kCheckResultNames.NameOf(result))
+      .Info();
+    m_post(decision::UpstreamChecked{ check.upstream, result });
+  }
+}
+
 }
--- a/src/platform/internal/platformclient.h
+++ b/src/platform/internal/platformclient.h
@@ -13,7 +13,8 @@
 
 namespace hemlockgauge::platform {
 
-//! Three threads: documents, hosts, and load of upstreams. A watch that
+//! Four threads: documents, hosts, load of upstreams, and looks at upstreams
+//! whose connections broke. A watch that
 //! stays silent is given up after its own limit and opened anew.
 class PlatformClient : public IPlatformClient
 {
@@ -24,6 +25,7 @@
   void Start(Post aPost) override;
   void SetWatching(bool aOn) override;
   void PollLoad(const decision::PollLoad& aPoll) override;
+  void CheckUpstream(const decision::CheckUpstream& aCheck) override;
   void Stop() override;
   base::Duration AnswerAge() const override;
 
@@ -31,6 +33,7 @@
   void RunDocuments();
   void RunHosts();
   void RunLoads();
+  void RunChecks();
   void ReadDocuments(std::uint64_t aAfter, base::Duration aWait);
   void NoteAnswer();
   void NoteFailure(const char* aWhat, const std::string& aWhy);
@@ -47,9 +50,11 @@
   std::mutex m_mutex;
   std::condition_variable m_wake;
   std::deque<decision::PollLoad> m_polls;
+  std::deque<decision::CheckUpstream> m_checks;
   std::thread m_documents;
   std::thread m_hosts;
   std::thread m_loads;
+  std::thread m_lookers;
 };
 
 }
--- a/src/router/internal/control.cpp
+++ b/src/router/internal/control.cpp
@@ -285,6 +285,12 @@
   m_parts.platform.PollLoad(aAction);
 }
 
+void
+Control::Carry(const decision::CheckUpstream& aAction)
+{
+  m_parts.platform.CheckUpstream(aAction);
+}
+
 void
 Control::Carry(const decision::Drained&)
 {
--- a/src/router/internal/control.h
+++ b/src/router/internal/control.h
@@ -76,6 +76,7 @@
   void Carry(const decision::DocumentRefused& aAction);
   void Carry(const decision::WatchPlatform& aAction);
   void Carry(const decision::PollLoad& aAction);
+  void Carry(const decision::CheckUpstream& aAction);
   void Carry(const decision::Drained& aAction);
   void Carry(const decision::DecisionRecord& aAction);
 
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -37,11 +37,23 @@
     case RefusalReason::Draining:
     case RefusalReason::DeadlineUnreachable:
     case RefusalReason::NoUpstream:
+    case RefusalReason::Quarantined:
       break;
   }
   return 503;
 }
 
+quarantine::RequestFingerprint
+FingerprintOf(const CallerRequest& aRequest)
+{
+  const auto target = aRequest.path + "?" + aRequest.query;
+  return quarantine::FingerprintOf({ aRequest.workspace->name,
+                                     aRequest.method,
+                                     aRequest.service->name,
+                                     target,
+                                     aRequest.body });
+}
+
 }
 
 TrafficPlane::TrafficPlane(const document::RouterSettings& aSettings,
@@ -93,11 +105,10 @@
 TrafficPlane::Submit(std::shared_ptr<Exchange> aExchange)
 {
   const auto& request = aExchange->Request();
-  const decision::RequestQueued queued{ request.id,
-                                        request.service->pool,
-                                        request.workspace->id,
-                                        request.deadline,
-                                        request.repeatable };
+  const decision::RequestQueued queued{
+    request.id,       request.service->pool, request.workspace->id,
+    request.deadline, request.repeatable,    FingerprintOf(request)
+  };
   {
     const std::lock_guard lock(m_mutex);
     m_exchanges[request.id] = std::move(aExchange);
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -5,6 +5,9 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace hemlockgauge::wire {
 
 using base::Error;
@@ -14,6 +17,7 @@
 
 constexpr flatbuffers::uoffset_t kMaxTables = 100000;
 constexpr flatbuffers::uoffset_t kMaxDepth = 8;
+constexpr int kWordBits = 32;
 
 template<typename Wire, typename Items, typename Convert>
 flatbuffers::Offset<flatbuffers::Vector<const Wire*>>
@@ -92,6 +96,65 @@
   return address;
 }
 
+std::uint32_t
+LowHalf(quarantine::RequestFingerprint aRequest)
+{
+  return static_cast<std::uint32_t>(base::Raw(aRequest));
+}
+
+std::uint32_t
+HighHalf(quarantine::RequestFingerprint aRequest)
+{
+  return static_cast<std::uint32_t>(base::Raw(aRequest) >> kWordBits);
+}
+
+quarantine::RequestFingerprint
+Join(std::uint32_t aLow, std::uint32_t aHigh)
+{
+  return quarantine::RequestFingerprint((std::uint64_t{ aHigh } << kWordBits) |
+                                        aLow);
+}
+
+std::uint32_t
+Millis(base::Duration aAge)
+{
+  constexpr std::int64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(aAge.count(), 0, kMost));
+}
+
+fb::FrameCrash
+PutCrash(const quarantine::CrashReport& aCrash)
+{
+  return { LowHalf(aCrash.request),
+           HighHalf(aCrash.request),
+           base::Raw(aCrash.upstream),
+           Millis(aCrash.age) };
+}
+
+quarantine::CrashReport
+GetCrash(const fb::FrameCrash& aCrash)
+{
+  return { Join(aCrash.request_low(), aCrash.request_high()),
+           base::UpstreamId(aCrash.upstream()),
+           base::Duration(aCrash.age_ms()) };
+}
+
+fb::FrameClearance
+PutClearance(const quarantine::ClearanceReport& aClearance)
+{
+  return { LowHalf(aClearance.request),
+           HighHalf(aClearance.request),
+           Millis(aClearance.age) };
+}
+
+quarantine::ClearanceReport
+GetClearance(const fb::FrameClearance& aClearance)
+{
+  return { Join(aClearance.request_low(), aClearance.request_high()),
+           base::Duration(aClearance.age_ms()) };
+}
+
 flatbuffers::Offset<fb::Host>
 PutHost(flatbuffers::FlatBufferBuilder& aBuilder,
         const decision::HostEntry& aHost)
@@ -199,6 +262,10 @@
       return fb::Grant(
         base::Raw(aOne.upstream), aOne.sequence, aOne.granted, aOne.wantedBack);
     });
+  const auto crashes =
+    PutStructs<fb::FrameCrash>(builder, aFrame.crashNews.crashes, PutCrash);
+  const auto clearances = PutStructs<fb::FrameClearance>(
+    builder, aFrame.crashNews.clearances, PutClearance);
   fb::FinishFrameBuffer(builder,
                         fb::CreateFrame(builder,
                                         base::Raw(aFrame.sender),
@@ -216,7 +283,9 @@
                                         down,
                                         hints,
                                         reports,
-                                        grants));
+                                        grants,
+                                        crashes,
+                                        clearances));
   return { builder.GetBufferPointer(),
            builder.GetBufferPointer() + builder.GetSize() };
 }
@@ -282,6 +351,10 @@
                                   aOne.granted(),
                                   aOne.wanted_back() };
     });
+  frame.crashNews.crashes =
+    Get<quarantine::CrashReport>(wire->crashes(), GetCrash);
+  frame.crashNews.clearances =
+    Get<quarantine::ClearanceReport>(wire->clearances(), GetClearance);
   return frame;
 }
 
