Red: a planned stop meets a request that comes on a kept connection

Cause: the stop looks whether any request is in progress and then ends everything; callers keep their connections and send the next one meanwhile.

The question whether a stop may end is the traffic's (IsQuiet). Frames' codec tests hold news of crashes.

Conclusion: this is the cut of one request that was seen once at a stop, and worse than it.

--- a/src/router/internal/control.cpp
+++ b/src/router/internal/control.cpp
@@ -159,8 +159,7 @@
     m_parts.traffic.CloseListener();
     LogLine("listener-closed").Info();
   }
-  const bool done =
-    m_listenerClosed && m_drained && m_parts.traffic.Active() == 0;
+  const bool done = m_listenerClosed && m_drained && m_parts.traffic.IsQuiet();
   const bool mustCut = requests > 1 || now - m_stopAt >= m_settings.stopLimit;
   if (!done && !mustCut) {
     return;
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -229,6 +229,12 @@
   return m_exchanges.size();
 }
 
+bool
+TrafficPlane::IsQuiet()
+{
+  return Active() == 0;
+}
+
 std::size_t
 TrafficPlane::Stop()
 {
--- a/src/traffic/internal/trafficplane.h
+++ b/src/traffic/internal/trafficplane.h
@@ -33,6 +33,7 @@
   void SetDocument(const decision::DocumentInForce& aDocument) override;
   void CloseListener() override;
   std::size_t Active() const override;
+  bool IsQuiet() override;
   std::size_t Stop() override;
 
   std::shared_ptr<const RoutingTable> Table() const override;
--- a/src/traffic/itraffic.h
+++ b/src/traffic/itraffic.h
@@ -42,6 +42,9 @@
   virtual void CloseListener() = 0;
   //! Requests whose callers have not got all of their answer.
   virtual std::size_t Active() const = 0;
+  //! After CloseListener: whether nothing more can come from any caller, so
+  //! that Stop cuts nothing. To be asked again until it is so.
+  virtual bool IsQuiet() = 0;
   //! Ends everything; returns how many requests were cut.
   virtual std::size_t Stop() = 0;
 };
--- /dev/null
+++ b/src/traffic/tests/stoptests.cpp
@@ -0,0 +1,79 @@
+#include "trafficfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockgauge;
+using namespace hemlockgauge::traffic::tests;
+using standins::HttpRequest;
+using standins::HttpResponse;
+
+//! What a planned stop does to callers.
+
+namespace {
+
+std::size_t
+Count(char*, std::size_t aSize, std::size_t aCount, void* aOut)
+{
+  *static_cast<std::size_t*>(aOut) += aSize * aCount;
+  return aSize * aCount;
+}
+
+//! Sends one request after another on the connection that it keeps, until one
+//! isn't answered. Returns whether that answer had begun.
+bool
+AskUntilUnanswered(std::uint16_t aPort, std::atomic<int>& aAnswered)
+{
+  auto* curl = curl_easy_init();
+  std::size_t got = 0;
+  const auto url = "http://127.0.0.1:" + std::to_string(aPort) + "/s/x";
+  auto* headers = curl_slist_append(nullptr, "Authorization: Bearer key");
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 20000L);
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(curl, CURLOPT_POSTFIELDS, "{}");
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, Count);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &got);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, Count);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &got);
+  while (curl_easy_perform(curl) == CURLE_OK) {
+    aAnswered++;
+    got = 0;
+  }
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(curl);
+  return got > 0;
+}
+
+}
+
+// Of a planned stop one request was cut, once, beside other work: r2 logged
+// event=stopped requests_cut=1, and the load counted cut=1. The router ended as
+// soon as no request was in progress, while callers kept their connections and
+// could send the next one; what came between the look and the end was cut.
+Test(stop, CallersThatKeepTheirConnectionsAreNotCut)
+{
+  TrafficFixture fixture(21400, "plain", [](const HttpRequest& aRequest) {
+    HttpResponse response;
+    response.headers["X-Request-Id"] = aRequest.headers.at("x-request-id");
+    response.body = "booked\n";
+    return response;
+  });
+  std::atomic<int> answered{ 0 };
+  std::atomic<int> cut{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back(
+      [&] { cut += AskUntilUnanswered(fixture.Port(), answered) ? 1 : 0; });
+  }
+  cr_assert(WaitUntil([&] { return answered > 30; }));
+  fixture.traffic->CloseListener();
+  cr_assert(WaitUntil([&] { return fixture.traffic->IsQuiet(); }));
+  const auto stopped = fixture.traffic->Stop();
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  cr_assert(stopped == 0, "%zu cut by the stop", stopped);
+  cr_assert(cut == 0, "%d answers broke off", cut.load());
+}
--- a/src/wire/tests/wiretests.cpp
+++ b/src/wire/tests/wiretests.cpp
@@ -28,6 +28,11 @@
     frame.hints.push_back({ base::UpstreamId(i), 2 });
     frame.reports.push_back({ base::UpstreamId(i), 8, i, 1, 2, 3, 4 });
     frame.grants.push_back({ base::UpstreamId(i), i, 6, 9 });
+    const auto request =
+      quarantine::RequestFingerprint(0xfedcba9800000000ULL + i);
+    frame.crashNews.crashes.push_back(
+      { request, base::UpstreamId(i), base::Duration(100 + i) });
+    frame.crashNews.clearances.push_back({ request, base::Duration(i) });
     frame.versions.push_back({ "doc" + std::to_string(i), i });
   }
   decision::HostEntry host;
@@ -62,6 +67,11 @@
   cr_assert(copy.members == frame.members);
   cr_assert(copy.reports[2].want == 3);
   cr_assert(copy.grants[1].wantedBack == 9);
+  const auto& crash = copy.crashNews.crashes[2];
+  cr_assert(crash.request == frame.crashNews.crashes[2].request);
+  cr_assert(crash.upstream == base::UpstreamId(2));
+  cr_assert(crash.age == base::Duration(102));
+  cr_assert(copy.crashNews.clearances[1].age == base::Duration(1));
   cr_assert(copy.hosts[0].peerAddress == frame.hosts[0].peerAddress);
   cr_assert(copy.documents[0].text == frame.documents[0].text);
   cr_assert(copy.down[2].demand == 10 && copy.down[2].behindMs == -7);
