--- a/src/traffic/internal/callerserver.cpp
+++ b/src/traffic/internal/callerserver.cpp
@@ -231,8 +231,7 @@
 void
 CallerServer::CloseListener()
 {
-  if (m_listening && m_callers != nullptr) {
-    m_listening = false;
+  if (m_listening.exchange(false) && m_callers != nullptr) {
     const auto socket = MHD_quiesce_daemon(m_callers);
     if (socket != MHD_INVALID_SOCKET) {
       close(socket);
@@ -240,6 +239,22 @@
   }
 }
 
+void
+CallerServer::CloseIdle()
+{
+  const std::lock_guard lock(m_mutex);
+  for (const auto& [socket, since] : m_waiting) {
+    shutdown(socket, SHUT_RD);
+  }
+}
+
+std::size_t
+CallerServer::Connections()
+{
+  const std::lock_guard lock(m_mutex);
+  return m_connections;
+}
+
 void
 CallerServer::Stop()
 {
@@ -255,6 +270,9 @@
 CallerServer::OnConnection(MHD_Connection* aConnection, bool aStarted)
 {
   SetWaiting(aConnection, aStarted);
+  const std::lock_guard lock(m_mutex);
+  m_connections += aStarted ? 1 : 0;
+  m_connections -= aStarted ? 0 : 1;
 }
 
 void
@@ -399,6 +417,9 @@
   auto* user = new std::shared_ptr<Exchange>(aWork.exchange);
   auto* response = MHD_create_response_from_callback(
     MHD_SIZE_UNKNOWN, kBlockBytes, &ReadExchange, user, &FreeExchange);
+  if (!m_listening) {
+    MHD_add_response_header(response, "Connection", "close");
+  }
   const auto verdict = std::string(base::kVerdictNames.NameOf(head.verdict));
   MHD_add_response_header(response, "X-Verdict", verdict.c_str());
   MHD_add_response_header(
--- a/src/traffic/internal/callerserver.h
+++ b/src/traffic/internal/callerserver.h
@@ -4,6 +4,7 @@
 #include "traffic/internal/exchange.h"
 #include "traffic/routingtable.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,7 +49,12 @@
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
 
+  //! No new connections; each answer from now on closes its own.
   void CloseListener();
+  //! Reads nothing more from connections that wait for a request; a request
+  //! that was read already is still answered.
+  void CloseIdle();
+  std::size_t Connections();
   void Stop();
   //! Closes connections whose request stays incomplete for too long.
   void CloseSlowCallers(base::TimePoint aNow);
@@ -79,8 +85,9 @@
   metrics::Metrics& m_metrics;
   MHD_Daemon* m_callers = nullptr;
   MHD_Daemon* m_operators = nullptr;
-  bool m_listening = true;
+  std::atomic<bool> m_listening{ true };
   std::mutex m_mutex;
+  std::size_t m_connections = 0;
   //! When each connection began to wait for a whole request.
   std::map<int, base::TimePoint> m_waiting;
 };
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -18,6 +18,9 @@
 using namespace std::chrono_literals;
 
 constexpr base::Duration kSweepPeriod = 100ms;
+//! A connection that was accepted right before the listener closed is counted
+//! by then.
+constexpr base::Duration kQuietFor = 50ms;
 
 int
 StatusOf(RefusalReason aReason)
@@ -111,6 +114,16 @@
   };
   {
     const std::lock_guard lock(m_mutex);
+    if (m_stop) {
+      //! NOTE one that waited now would be suspended at the server's end,
+      //! which ends the process.
+      aExchange->Refuse({ StatusOf(RefusalReason::Draining),
+                          std::string(decision::kRefusalReasonNames.NameOf(
+                            RefusalReason::Draining)),
+                          base::Verdict::NotRun,
+                          {} });
+      return;
+    }
     m_exchanges[request.id] = std::move(aExchange);
   }
   m_metrics.Count("requests_total");
@@ -229,10 +242,21 @@
   return m_exchanges.size();
 }
 
+//! Callers keep connections and send the next request on them, so that none is
+//! in progress says nothing of the next moment: the connections end first.
 bool
 TrafficPlane::IsQuiet()
 {
-  return Active() == 0;
+  if (Active() == 0) {
+    m_server->CloseIdle();
+  }
+  if (Active() > 0 || m_server->Connections() > 0) {
+    m_quietSince.reset();
+    return false;
+  }
+  const auto now = base::MonotonicNow();
+  m_quietSince = m_quietSince.value_or(now);
+  return now - *m_quietSince >= kQuietFor;
 }
 
 std::size_t
@@ -241,20 +265,17 @@
   if (!m_server) {
     return 0;
   }
-  {
-    const std::lock_guard lock(m_mutex);
-    m_stop = true;
-  }
-  m_wake.notify_all();
-  m_sweeper.join();
-  const auto cut = Active();
   std::vector<std::shared_ptr<Exchange>> left;
   {
     const std::lock_guard lock(m_mutex);
+    m_stop = true;
     for (const auto& [id, exchange] : m_exchanges) {
       left.push_back(exchange);
     }
   }
+  const auto cut = left.size();
+  m_wake.notify_all();
+  m_sweeper.join();
   for (const auto& exchange : left) {
     exchange->Abort();
   }
--- a/src/traffic/internal/trafficplane.h
+++ b/src/traffic/internal/trafficplane.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -61,6 +62,7 @@
   std::unique_ptr<CallerServer> m_server;
   std::condition_variable m_wake;
   bool m_stop = false;
+  std::optional<base::TimePoint> m_quietSince;
   std::thread m_sweeper;
 };
 
