A broken plain answer: the stall limit of its test lies beyond a starved machine's pauses

Callers saw: nothing; a test found the router's own 502 where it looks for an answer that breaks.

Cause: traced under load 12 to 17 on five cores: 15 of about 1,900 runs failed, each 0.30 to 0.33 s after its begin with status 502, upstream-failed, may-have-run; whole runs took up to 0.56 s. The fixture's stall limit is 300 ms; a stand-in that gets no processor for so long is given up before a byte came, which is right and said truly.

Change: that test has a stall limit of 20 s; what it asserts is unchanged. Ruled out: taking the 502 for allowed there, which would let a lost answer pass. One other failure (30.34 s, no outcome) was the first run of a loop that met the last process of another loop on the same port; both listen by address reuse.

--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -263,13 +263,25 @@
   cr_assert(fixture.Call().body.find("booked") == std::string::npos);
 }
 
+// On a machine with three times more to do than cores this once ended without
+// an error: "status 502", body "upstream-failed", "may-have-run", 0.30 to 0.33
+// s after its begin, while whole runs took up to 0.56 s. The upstream got no
+// processor for its stall limit, so the router gave it up before a byte had
+// come, and said so. The limit is far beyond such pauses here, for what is
+// looked at is an answer that breaks.
 Test(path, ABrokenPlainAnswerNeverLooksWhole)
 {
-  TrafficFixture fixture(21100, "plain", [](const HttpRequest& aRequest) {
-    auto response = PlainAnswer(aRequest);
-    response.stream = [] { return Chunk{ "", true }; };
-    return response;
-  });
+  constexpr int kNoStallMs = 20000;
+  TrafficFixture fixture(
+    21100,
+    "plain",
+    [](const HttpRequest& aRequest) {
+      auto response = PlainAnswer(aRequest);
+      response.stream = [] { return Chunk{ "", true }; };
+      return response;
+    },
+    false,
+    kNoStallMs);
   const auto answer = fixture.Call();
   cr_assert(answer.result != CURLE_OK,
             "status %d, body '%s'",
--- a/src/traffic/tests/trafficfixture.h
+++ b/src/traffic/tests/trafficfixture.h
@@ -126,7 +126,8 @@
   TrafficFixture(std::uint16_t aPort,
                  const std::string& aKind,
                  Handler aHandler,
-                 bool aRepeatable = false)
+                 bool aRepeatable = false,
+                 int aStallLimitMs = 300)
     : m_port(aPort)
   {
     const base::Address upstream{ "127.0.0.1",
@@ -149,8 +150,8 @@
       "[service]\nname = s\npath_prefix = /s\n" +
       std::string(aRepeatable ? "repeatable_path = /s\n" : "") +
       "[upstream]\npool = p\nkind = " + aKind +
-      "\nconcurrency = 4\nstall_limit_ms = 300\n[workspace:w]\nkey_sha256 = " +
-      Sha256Hex("key") + "\n";
+      "\nconcurrency = 4\nstall_limit_ms = " + std::to_string(aStallLimitMs) +
+      "\n[workspace:w]\nkey_sha256 = " + Sha256Hex("key") + "\n";
     traffic->SetDocument({ 1,
                            std::make_shared<const document::ServiceDocument>(
                              document::ParseDocument("s", text)) });
