--- a/src/quarantine/tests/quarantinetests.cpp
+++ b/src/quarantine/tests/quarantinetests.cpp
@@ -67,10 +67,11 @@
   for (std::uint32_t i = 1; i <= 3; ++i) {
     quarantine.Crashed(kCrashing, UpstreamId(i), 100ms);
   }
-  for (std::uint32_t upstream = 10; upstream < 210; ++upstream) {
+  for (std::uint64_t upstream = 10; upstream < 210; ++upstream) {
     for (std::uint64_t run = 0; run < 64; ++run) {
       const auto request = RequestFingerprint(upstream * 1000 + run);
-      quarantine.Crashed(request, UpstreamId(upstream), 200ms);
+      quarantine.Crashed(
+        request, UpstreamId(static_cast<std::uint32_t>(upstream)), 200ms);
     }
   }
   cr_assert(quarantine.Suspects() <= kMostSuspects);
--- a/src/traffic/tests/stoptests.cpp
+++ b/src/traffic/tests/stoptests.cpp
@@ -62,8 +62,10 @@
   });
   std::atomic<int> answered{ 0 };
   std::atomic<int> cut{ 0 };
+  constexpr std::size_t kCallers = 6;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 6; ++i) {
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back(
       [&] { cut += AskUntilUnanswered(fixture.Port(), answered) ? 1 : 0; });
   }
