Mend: crashes are explained only by a request under which more upstreams crashed

Callers would have seen: a request that crashes upstreams going on to three more, and a sound one refused in its place.

Cause: a crash that a quarantined request explains counted for no other, and the first that was told of explained all; what merely met the same three crashes hid the true cause.

Change: only a quarantined request with more crashes explains; one more crash under it frees what it explains then. Types of looks stand before the fleet. Ruled out: no explaining at all, which keeps what was beside refused.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -210,7 +210,7 @@
   return false;
 }
 
-std::vector<Fleet::UpstreamToCheck>
+std::vector<UpstreamToCheck>
 Fleet::UpstreamsToCheck(TimePoint aNow)
 {
   std::vector<UpstreamToCheck> due;
@@ -224,7 +224,7 @@
   return due;
 }
 
-Fleet::CrashNotice
+CheckNotice
 Fleet::Checked(UpstreamId aUpstream,
                quarantine::CheckResult aResult,
                TimePoint aNow)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,6 +132,21 @@
                                   "broken",
                                   "caller-gone");
 
+//! An upstream whose connections broke under requests.
+struct UpstreamToCheck
+{
+  UpstreamId upstream{};
+  base::Address address;
+};
+
+//! What a look at one has told.
+struct CheckNotice
+{
+  std::string upstream;
+  quarantine::CheckResult result = quarantine::CheckResult::Unknown;
+  std::size_t runsBroken = 0; //!< requests that it did not end
+};
+
 //! Everything that is decided about requests: no socket, clock, thread or
 //! file; time is told in each call. One object a router, one thread.
 class Fleet
@@ -162,30 +177,18 @@
   //! Returns true if this end takes its upstream out for a while.
   bool Ended(AttemptId aAttempt, AttemptEnd aEnd, TimePoint aNow);
   RetryBudget& Retries() { return m_retries; }
-  //! An upstream whose connections broke under requests.
-  struct UpstreamToCheck
-  {
-    UpstreamId upstream{};
-    base::Address address;
-  };
+  // ---- requests under which upstreams crash
   //! Upstreams to be looked at now, whether they still listen; the result of
   //! each is to be told by Checked.
   std::vector<UpstreamToCheck> UpstreamsToCheck(TimePoint aNow);
-  //! Returns what is to be said of it.
-  struct CrashNotice
-  {
-    std::string upstream;
-    quarantine::CheckResult result = quarantine::CheckResult::Unknown;
-    std::size_t runsBroken = 0; //!< requests that it did not end
-  };
+  CheckNotice Checked(UpstreamId aUpstream,
+                      quarantine::CheckResult aResult,
+                      TimePoint aNow);
   const quarantine::Quarantine& Quarantined() const { return m_quarantine; }
   std::vector<quarantine::QuarantineNotice> TakeQuarantineNotices()
   {
     return m_quarantine.TakeNotices();
   }
-  CrashNotice Checked(UpstreamId aUpstream,
-                      quarantine::CheckResult aResult,
-                      TimePoint aNow);
 
   // ---- other routers
   void SetPlan(const ExchangePlan& aPlan);
--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -68,6 +68,9 @@
   }
   record.toTell = kTimesTold;
   Judge(aRequest, record, aNow);
+  if (record.held) {
+    ReleaseExplained();
+  }
   MakeRoom();
 }
 
@@ -75,7 +78,7 @@
 Quarantine::Judge(RequestFingerprint aRequest, Record& aRecord, TimePoint aNow)
 {
   const bool guilty = aNow - aRecord.Newest() < kQuarantineTime &&
-                      Unexplained(aRequest, aRecord) >= kCrashesToQuarantine;
+                      Unexplained(aRecord) >= kCrashesToQuarantine;
   if (guilty && !aRecord.held) {
     aRecord.held = true;
     Note(aRequest, QuarantineChange::Quarantined, aRecord);
@@ -104,22 +107,24 @@
   const bool isNews = !record.clearedAt || voided > 0;
   record.clearedAt = aAt;
   record.toTell = isNews ? kTimesTold : record.toTell;
-  if (record.held && Unexplained(aRequest, record) < kCrashesToQuarantine) {
+  if (record.held && Unexplained(record) < kCrashesToQuarantine) {
     record.held = false;
     Note(aRequest, QuarantineChange::Cleared, record);
   }
   MakeRoom();
 }
 
+//! NOTE not by one that met as few crashes: it may be what was beside the true
+//! cause, and would hide it.
 bool
-Quarantine::IsExplained(RequestFingerprint aRequest, UpstreamId aUpstream) const
+Quarantine::IsExplained(const Record& aRecord, UpstreamId aUpstream) const
 {
   return std::any_of(
     m_records.begin(), m_records.end(), [&](const auto& aEntry) {
-      const auto& [request, record] = aEntry;
-      return record.held && request != aRequest &&
-             std::any_of(record.crashes.begin(),
-                         record.crashes.end(),
+      const auto& other = aEntry.second;
+      return other.held && other.crashes.size() > aRecord.crashes.size() &&
+             std::any_of(other.crashes.begin(),
+                         other.crashes.end(),
                          [&](const Crash& aCrash) {
                            return aCrash.upstream == aUpstream;
                          });
@@ -127,20 +132,31 @@
 }
 
 std::size_t
-Quarantine::Unexplained(RequestFingerprint aRequest,
-                        const Record& aRecord) const
+Quarantine::Unexplained(const Record& aRecord) const
 {
   return static_cast<std::size_t>(std::count_if(
     aRecord.crashes.begin(), aRecord.crashes.end(), [&](const Crash& aCrash) {
-      return !IsExplained(aRequest, aCrash.upstream);
+      return !IsExplained(aRecord, aCrash.upstream);
     }));
 }
 
+//! One more crash under a quarantined request may clear what was beside it.
+void
+Quarantine::ReleaseExplained()
+{
+  for (auto& [request, record] : m_records) {
+    if (record.held && Unexplained(record) < kCrashesToQuarantine) {
+      record.held = false;
+      Note(request, QuarantineChange::Cleared, record);
+    }
+  }
+}
+
 std::size_t
 Quarantine::Crashes(RequestFingerprint aRequest) const
 {
   const auto found = m_records.find(aRequest);
-  return found == m_records.end() ? 0 : Unexplained(aRequest, found->second);
+  return found == m_records.end() ? 0 : Unexplained(found->second);
 }
 
 std::optional<Duration>
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -21,7 +21,8 @@
 //!
 //! Who merely shared an upstream with a crash keeps its service: one whole
 //! answer clears a request, also one that came shortly before the crash, and a
-//! crash that a quarantined request explains counts for no other.
+//! crash is explained, and counts for no other, by a quarantined request under
+//! which more upstreams crashed.
 //!
 //! The state is what routers have told lately: merged in any order, bounded by
 //! kMostSuspects, and told again now and then for routers that start or were
@@ -46,8 +47,7 @@
 
   //! What another router told.
   void Take(const CrashNews& aNews, TimePoint aNow);
-  //! What others may not know yet; some of it leaves no trace, so it is told a
-  //! few times.
+  //! What others may not know yet, each a few times: reports get lost.
   CrashNews TellNews(TimePoint aNow);
   //! For routers that start or were cut off: all that is quarantined, and some
   //! of the suspects, others each time.
@@ -87,9 +87,9 @@
   void Add(RequestFingerprint aRequest, const Crash& aCrash, TimePoint aNow);
   void Clear(RequestFingerprint aRequest, TimePoint aAt);
   void Judge(RequestFingerprint aRequest, Record& aRecord, TimePoint aNow);
-  bool IsExplained(RequestFingerprint aRequest, UpstreamId aUpstream) const;
-  std::size_t Unexplained(RequestFingerprint aRequest,
-                          const Record& aRecord) const;
+  bool IsExplained(const Record& aRecord, UpstreamId aUpstream) const;
+  std::size_t Unexplained(const Record& aRecord) const;
+  void ReleaseExplained();
   static void TellRecord(CrashNews& aNews,
                          RequestFingerprint aRequest,
                          const Record& aRecord,
--- a/src/quarantine/quarantineconstants.h
+++ b/src/quarantine/quarantineconstants.h
@@ -31,7 +31,7 @@
 inline constexpr base::Duration kSoundFor = 1000ms;
 //! Until a look at an upstream has told whether it crashed.
 inline constexpr base::Duration kUnsureFor = 100ms;
-//! Requests remembered, and crashes of each: some 100 KB.
+//! Requests remembered, and crashes of each: some 400 KB if all are full.
 inline constexpr std::size_t kMostSuspects = 1024;
 inline constexpr std::size_t kMostCrashesKept = 16;
 //! Requests that ended well, remembered here: of half a minute.
