Soak: an upstream's address ends with it

Traced: looks say lives right after a crash (11.579 broken, 11.620 lives), for the proxy before the upstream was closed at the soak's next tick, tens of ms later on a busy machine, and took connections meanwhile.

Change: the stand-in tells of its crash before its connections end, and the proxy closes in that moment. The promise and its bound are unchanged.

--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -182,6 +182,9 @@
     }
     return static_cast<Misbehaviour>(1 + draw / kSpoilOneIn % 10);
   });
+  //! NOTE its address ends with it: for a while longer the proxy alone would
+  //! take connections, which no process that has ended does.
+  kept.worker->SetOnCrash([&kept] { kept.proxy->Close(); });
   kept.worker->SetObserver(
     [this, &kept](const standins::WorkerRun& aRun) { OnRun(kept, aRun); });
   List(kept, false);
@@ -254,7 +257,7 @@
                                m_crashingRuns.size()));
 }
 
-//! Its address is gone with it; its entry lapses, and another one starts.
+//! Its entry lapses, and another one starts.
 void
 SoakRun::FollowCrash(std::size_t aUpstream, base::TimePoint aNow)
 {
@@ -264,7 +267,6 @@
   }
   if (upstream.crashedAt == base::TimePoint{}) {
     upstream.crashedAt = aNow;
-    upstream.proxy->Close();
   }
   const auto past = aNow - upstream.crashedAt;
   const bool wasListed = upstream.leftAt == base::TimePoint{};
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -170,6 +170,9 @@
     return;
   }
   m_crashed = true;
+  if (m_onCrash) {
+    m_onCrash();
+  }
   m_works.clear();
   m_listener.Close();
   m_connections.AbortAll();
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -92,6 +92,11 @@
   std::size_t Connections() const { return m_connections.Size(); }
   //! Ends as a process does: nothing is answered, and nothing listens.
   void Crash();
+  //! Told at once, before any connection ends.
+  void SetOnCrash(std::function<void()> aOnCrash)
+  {
+    m_onCrash = std::move(aOnCrash);
+  }
   bool HasCrashed() const { return m_crashed; }
 
   //! The body of a plain answer, or the data of an event (from 1).
@@ -136,6 +141,7 @@
   WorkerSettings m_settings;
   Judge m_judge;
   Observer m_observer;
+  std::function<void()> m_onCrash;
   base::CallerLimits m_limits;
   std::vector<std::unique_ptr<WorkerRun>> m_runs;
   std::vector<Work> m_works;
