A router that starts is told at once what is quarantined

Cause: what is quarantined is told once a second; a starting router takes requests before.

Change: who asks for members, as a starting router does, gets it with the answer. Ruled out: telling it in each report, which costs bytes all the time.

Left: the first tenth of a second after a start.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -184,6 +184,11 @@
   CheckNotice Checked(UpstreamId aUpstream,
                       quarantine::CheckResult aResult,
                       TimePoint aNow);
+  //! What a router should know that has just started.
+  quarantine::CrashNews CrashNewsForStart(TimePoint aNow)
+  {
+    return m_quarantine.TellInTurn(aNow);
+  }
   const quarantine::Quarantine& Quarantined() const { return m_quarantine; }
   std::vector<quarantine::QuarantineNotice> TakeQuarantineNotices()
   {
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -55,6 +55,9 @@
     reply.router = m_settings.id;
     reply.zone = base::HashName(m_settings.zone);
     reply.members = m_members.Known(now);
+    //! NOTE a router that starts takes requests before the next report that
+    //! holds what is quarantined.
+    reply.crashNews = m_fleet.CrashNewsForStart(now);
     m_peers->Send(reply, { aFrom });
   }
   if (aReport.reader.port != 0) {
