Observability: what callers bring to a busy router, and what the fleet knows of a workspace

Change: a router without rest says once a second how many connections it accepted, closed unread and had back within a second, and how many requests it read and refused (router-busy, in the place of callers-turned-away). Lines of requests say what their workspace asks and gets, and what the best served one gets. No decision changes. Ruled out: the address of each closed connection, a line each under a flood.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -104,6 +104,8 @@
   bool passesCallLevel = true; //!< see PassingPart
   bool routerBusy = false;     //!< refused for that, before a place was sought
   double excess = 0;           //!< see AdmissionInput
+  WorkspaceRate rate;          //!< of its workspace, as the fleet knows it
+  double mostBegun = 0;        //!< of any workspace, as the fleet knows it
   //! Its workspace gets far less than the one that gets most, and asks more.
   bool farBehind = false;
   Duration peersAge{}; //!< since the oldest report that counts came
@@ -283,7 +285,7 @@
                   const Candidate& aCandidate,
                   const UnseenLoad& aUnseen,
                   const PlaceResult& aResult) const;
-  double BegunFor(WorkspaceId aWorkspace) const;
+  WorkspaceRate RateOf(WorkspaceId aWorkspace) const;
   bool IsStarved(WorkspaceId aWorkspace) const;
   AttemptId Begin(const PlaceRequest& aRequest,
                   UpstreamId aUpstream,
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -26,11 +26,11 @@
   }
 }
 
-double
-Fleet::BegunFor(WorkspaceId aWorkspace) const
+WorkspaceRate
+Fleet::RateOf(WorkspaceId aWorkspace) const
 {
   const auto found = m_fleetRates.find(aWorkspace);
-  return found == m_fleetRates.end() ? 0.0 : found->second.begun;
+  return found == m_fleetRates.end() ? WorkspaceRate{} : found->second;
 }
 
 //! None may get less than half of what it asks, or of what the best served one
@@ -38,12 +38,9 @@
 bool
 Fleet::IsStarved(WorkspaceId aWorkspace) const
 {
-  const auto found = m_fleetRates.find(aWorkspace);
-  if (found == m_fleetRates.end() || !m_othersWait) {
-    return false;
-  }
-  const auto& rate = found->second;
-  return rate.begun < kStarved * std::min(rate.asked, m_mostBegun);
+  const auto rate = RateOf(aWorkspace);
+  return m_othersWait &&
+         rate.begun < kStarved * std::min(rate.asked, m_mostBegun);
 }
 
 //! Upstreams of its service that may get it. Those that failed lately come in
@@ -221,7 +218,9 @@
 {
   PlaceResult result;
   const bool generates = aRequest.work->IsGeneration();
-  const double begun = BegunFor(aRequest.workspace);
+  result.rate = RateOf(aRequest.workspace);
+  result.mostBegun = m_mostBegun;
+  const double begun = result.rate.begun;
   result.insideShare = begun < m_shareLevel;
   result.insidePromise =
     result.insideShare || (generates && begun < m_promisedLevel);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,7 @@
 constexpr base::Duration kFastTick = fleet::kExchangeStep;
 //! Time limits of connections, gauges, reports.
 constexpr base::Duration kSlowTick = fleet::kReportPeriod;
+constexpr base::Duration kIntakePeriod = 1000ms;
 //! A loop that did not come round for this long stood still.
 constexpr base::Duration kStoodStill = 1000ms;
 //! After the stop began, the balancer still sends new connections until it
@@ -140,25 +141,30 @@
       return Page(aTarget);
     });
   m_listener = std::make_unique<http::Listener>(
-    m_loop, m_settings.callersListen, [this](const ACE_SOCK_Stream& aStream) {
-      Accept(aStream);
+    m_loop,
+    m_settings.callersListen,
+    [this](const ACE_SOCK_Stream& aStream, std::uint32_t aCaller) {
+      Accept(aStream, aCaller);
     });
   m_loop.Subscribe(kFastTick, [this] { TickFast(); });
   m_loop.Subscribe(kSlowTick, [this] { TickSlow(); });
 }
 
 void
-Gateway::Accept(const ACE_SOCK_Stream& aStream)
+Gateway::Accept(const ACE_SOCK_Stream& aStream, std::uint32_t aCaller)
 {
+  const auto now = m_loop.Now();
+  m_intake.CountReturn(aCaller, now);
   const bool full = m_connections.Size() >= kMostCallers &&
                     m_connections.CloseLongestIdle(kCallersToClose) == 0;
   if (full || fleet::TurnsAway(m_loop.BusyFor(), m_fleet.BusyPart())) {
     m_metrics.Count("callers_turned_away_total");
-    m_turnedAway++;
+    m_intake.CountTurnedAway(aCaller, now);
     ACE_SOCK_Stream refused(aStream);
     refused.close();
     return;
   }
+  m_intake.CountAccepted();
   m_connections.Add(aStream);
 }
 
@@ -174,6 +180,7 @@
     m_loop, m_fleet,   m_dialects.callers, m_dialects.upstreams,
     m_pool, m_metrics, m_logBudget
   };
+  m_intake.CountRead();
   auto exchange = std::make_unique<Exchange>(parts, *this, aConnection);
   auto* key = exchange.get();
   m_exchanges[key] = std::move(exchange);
@@ -218,6 +225,9 @@
 void
 Gateway::OnOver(Exchange& aExchange)
 {
+  if (!aExchange.WasPlaced()) {
+    m_intake.CountRefused();
+  }
   const auto found = m_exchanges.find(&aExchange);
   if (found == m_exchanges.end()) {
     return;
@@ -357,6 +367,34 @@
   }
 }
 
+//! A busy router says once a second what its callers bring and how much of it
+//! is read.
+void
+Gateway::ReportIntake(base::TimePoint aNow)
+{
+  if (aNow - m_intakeReportedAt < kIntakePeriod) {
+    return;
+  }
+  const auto past = aNow - m_intakeReportedAt;
+  m_intakeReportedAt = aNow;
+  const auto counts = m_intake.Take();
+  const bool busy = m_loop.BusyFor() > fleet::kTurnAwayAfter;
+  if (!busy && counts.turnedAway == 0) {
+    return;
+  }
+  LogLine("router-busy")
+    .Add("within_ms", past.count())
+    .Add("accepted", counts.accepted)
+    .Add("turned_away", counts.turnedAway)
+    .Add("returned", counts.returned)
+    .Add("read", counts.read)
+    .Add("refused", counts.refused)
+    .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
+    .Add("busy_ms", m_loop.BusyFor().count())
+    .Add("busy_part", m_fleet.BusyPart())
+    .Info();
+}
+
 void
 Gateway::TickSlow()
 {
@@ -367,15 +405,7 @@
     m_metrics.Count("requests_unlogged_total", left);
     LogLine("requests-unlogged").Add("count", left).Info();
   }
-  if (m_turnedAway > 0) {
-    LogLine("callers-turned-away")
-      .Add("count", m_turnedAway)
-      .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
-      .Add("busy_ms", m_loop.BusyFor().count())
-      .Add("busy_part", m_fleet.BusyPart())
-      .Info();
-    m_turnedAway = 0;
-  }
+  ReportIntake(now);
   m_pool.Sweep(now);
   if (const auto gone = m_fleet.Upstreams().Tick(now); !gone.empty()) {
     TakeNotices(gone);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "fleet/newslog.h"
 #include "fleet/sourceoptions.h"
 #include "fleet/sourcepolicy.h"
+#include "gateway/callerintake.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/inewssource.h"
@@ -90,7 +91,8 @@
   void OnStoreReached(base::TimePoint aAt) override;
 
 private:
-  void Accept(const ACE_SOCK_Stream& aStream);
+  void Accept(const ACE_SOCK_Stream& aStream, std::uint32_t aCaller);
+  void ReportIntake(base::TimePoint aNow);
   void TickFast();
   void TickSlow();
   void FollowStop(base::TimePoint aNow);
@@ -141,7 +143,8 @@
   bool m_ready = false;
   bool m_stopped = false;
   std::size_t m_cut = 0;
-  std::uint64_t m_turnedAway = 0; //!< callers, since the last slow tick
+  CallerIntake m_intake;
+  base::TimePoint m_intakeReportedAt{};
   base::TimePoint m_startedAt{};
   base::TimePoint m_lastTick{};
 };
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -70,7 +70,10 @@
   void OnCallerGone();
   void OnCallerDrained();
   //! Looks at the time limits.
+  //! Looks at the time limits.
   void Tick(base::TimePoint aNow);
+  //! Whether any upstream was chosen for it.
+  bool WasPlaced() const { return !m_tried.empty(); }
 
   HeadVerdict OnAnswerHead(http::ClientConnection& aConnection,
                            http::ResponseHead&& aHead) override;
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -10,6 +10,7 @@
 #include "metrics/metrics.h"
 
 #include <algorithm>
+#include <cmath>
 
 //! How a request gets its place and goes there.
 namespace hemlockgauge::gateway {
@@ -152,6 +153,9 @@
     .Add("inside_promise", aPlace.insidePromise ? "yes" : "no")
     .Add("starved", aPlace.starved ? "yes" : "no")
     .Add("excess", aPlace.excess)
+    .Add("asked_per_s", std::lround(aPlace.rate.asked))
+    .Add("begun_per_s", std::lround(aPlace.rate.begun))
+    .Add("most_begun_per_s", std::lround(aPlace.mostBegun))
     .Add("passes_level", aPlace.passesLevel ? "yes" : "no")
     .Add("passes_call_level", aPlace.passesCallLevel ? "yes" : "no")
     .Add("far_behind", aPlace.farBehind ? "yes" : "no")
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -6,6 +6,7 @@
 
 #include <ace/INET_Addr.h>
 
+#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -59,12 +60,16 @@
 {
   for (int i = 0; i < kAcceptsPerRound && m_open; ++i) {
     //! NOTE ACE takes a second call to make it non-blocking.
-    const int accepted = accept4(
-      m_acceptor.get_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in caller{};
+    socklen_t size = sizeof(caller);
+    const int accepted = accept4(m_acceptor.get_handle(),
+                                 reinterpret_cast<sockaddr*>(&caller),
+                                 &size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted == -1) {
       return;
     }
-    m_onConnection(ACE_SOCK_Stream(accepted));
+    m_onConnection(ACE_SOCK_Stream(accepted), ntohl(caller.sin_addr.s_addr));
   }
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -6,6 +6,7 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 
+#include <cstdint>
 #include <functional>
 
 namespace hemlockgauge::eventloop {
@@ -18,7 +19,9 @@
 class Listener : public eventloop::IIoHandler
 {
 public:
-  using OnConnection = std::function<void(const ACE_SOCK_Stream& aStream)>;
+  //! aCaller: the other end's IPv4 address, in host order.
+  using OnConnection =
+    std::function<void(const ACE_SOCK_Stream& aStream, std::uint32_t aCaller)>;
 
   //! Throws Error(Unreachable) if the address can't be listened on.
   Listener(eventloop::EventLoop& aLoop,
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -185,7 +185,7 @@
     : m_loop(aLoop)
     , m_listener(aLoop,
                  { "127.0.0.1", aPort },
-                 [this](const ACE_SOCK_Stream& aStream) {
+                 [this](const ACE_SOCK_Stream& aStream, std::uint32_t) {
                    connections.push_back(std::make_unique<ServerConnection>(
                      m_loop, aStream, limits, *this));
                  })
