Fix: a busy router closes no connection unread

Cause: a router without rest for 150 ms closed new connections unread, so that their callers would turn to another router. They come back to the same one, at once: a request that was closed four times cost more of its processor than the same request refused twice, about as much as one served. The more callers came, the fewer were read. Class: shedding load at a cost that grows with what is shed.

Evidence: the lines of the busy router, 5,248 of 5,248 new connections of callers that had been closed within the second, 98 to 152 requests read a second where 1,227 were read before; the model, in which more callers mean fewer served.

Change: nothing is closed unread. The queue of new connections holds what the router reads in 100 ms (processor_share, a new setting, from the platform's); what doesn't fit is dropped by the kernel at no cost. A router without room for connections pauses in accepting (it closed them unread, too).

Why it holds: what a request costs this router no longer rises with what it refuses.

--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -46,15 +46,6 @@
 bool
 ShedsWhileBusy(bool aOwed, Duration aRouterBusy, Duration aTarget);
 
-//! Answers the same flood a step sooner, before anything is read: a router that
-//! has not rested for kTurnAwayAfter closes new connections unread, so that
-//! their callers, whoever they are, turn to another router at once, instead of
-//! waiting a second for a connection. Not if many routers are as busy: callers
-//! would find no better place, and learn nothing of when to come back.
-//! aBusyPart: of the fleet's routers.
-bool
-TurnsAway(Duration aRouterBusy, double aBusyPart);
-
 //! Answers overload: more is asked than can be read in time. Engines admit
 //! in the order of arrival and know no priorities, so a request that is
 //! taken too late makes all behind it late. Refused at once, it can come
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -83,11 +83,17 @@
 //! the streams that run there too: with .06, .10 and .18, .902, .905 and .884
 //! of what is owed was served, means of 15 days with faults.
 inline constexpr double kOutsideShareLimit = 0.10;
-//! A router that has not rested for this long turns new connections away: they
-//! have waited as long, a fifth to a half of what targets allow.
-inline constexpr base::Duration kTurnAwayAfter = 150ms;
-//! Not if this part of the routers is as busy.
-inline constexpr double kTurnAwayPart = 0.25;
+//! A router that has not rested for this long counts as busy.
+inline constexpr base::Duration kBusyAfter = 150ms;
+//! New connections wait for at most about this long to be accepted: a fraction
+//! of the shortest targets.
+inline constexpr base::Duration kQueueWait = 100ms;
+//! Requests that a router reads in a second of a whole core's time, some of
+//! them served and most of them refused.
+inline constexpr double kReadPerCoreSecond = 10000;
+//! Bounds of how many may wait: callers that lost another router come at once.
+inline constexpr std::size_t kQueueLeast = 64;
+inline constexpr std::size_t kQueueMost = 1024;
 //! Inside the promise alone: between the two, nearer to what is owed. With 0.1
 //! three in a hundred more were refused and 0.02 less of the worth was served
 //! (ten days on which two fifths of the engines are lost under floods).
--- a/src/fleet/internal/admission.cpp
+++ b/src/fleet/internal/admission.cpp
@@ -65,12 +65,6 @@
          busy > kOutsideShareLimit * static_cast<double>(aTarget.count());
 }
 
-bool
-TurnsAway(Duration aRouterBusy, double aBusyPart)
-{
-  return aRouterBusy > kTurnAwayAfter && aBusyPart < kTurnAwayPart;
-}
-
 Admission
 Admit(const AdmissionInput& aInput)
 {
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -104,7 +104,7 @@
 Fleet::Tell(Duration aBusyFor, TimePoint aNow)
 {
   PeerReport report;
-  report.busy = aBusyFor > kTurnAwayAfter ? 1 : 0;
+  report.busy = aBusyFor > kBusyAfter ? 1 : 0;
   report.router = m_settings.router;
   report.life = m_settings.life;
   report.sequence = ++m_reportSequence;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "eventloop/eventloop.h"
+#include "fleet/queuelimit.h"
 #include "gateway/icallerdialect.h"
 #include "gateway/istoredialect.h"
 #include "gateway/iupstreamdialect.h"
@@ -13,6 +14,7 @@
 
 #include <fmt/format.h>
 
+#include <utility>
 #include <vector>
 
 namespace hemlockgauge::gateway {
@@ -113,6 +115,7 @@
   , m_members(aSettings.peerListen,
               base::HashName(aSettings.zone),
               SeedsOf(aSettings))
+  , m_intakeReportedAt(aLoop.Now())
   , m_startedAt(aLoop.Now())
   , m_lastTick(m_startedAt)
 {
@@ -143,29 +146,28 @@
   m_listener = std::make_unique<http::Listener>(
     m_loop,
     m_settings.callersListen,
-    [this](const ACE_SOCK_Stream& aStream, std::uint32_t aCaller) {
-      Accept(aStream, aCaller);
-    });
+    [this](const ACE_SOCK_Stream& aStream) { Accept(aStream); },
+    fleet::QueueLimit(m_settings.processorShare));
   m_loop.Subscribe(kFastTick, [this] { TickFast(); });
   m_loop.Subscribe(kSlowTick, [this] { TickSlow(); });
 }
 
 void
-Gateway::Accept(const ACE_SOCK_Stream& aStream, std::uint32_t aCaller)
+Gateway::Accept(const ACE_SOCK_Stream& aStream)
+{
+  m_intake.accepted++;
+  m_connections.Add(aStream);
+  FollowRoom();
+}
+
+//! While there is no room for connections they wait: callers that are closed
+//! unread come back at once.
+void
+Gateway::FollowRoom()
 {
-  const auto now = m_loop.Now();
-  m_intake.CountReturn(aCaller, now);
   const bool full = m_connections.Size() >= kMostCallers &&
                     m_connections.CloseLongestIdle(kCallersToClose) == 0;
-  if (full || fleet::TurnsAway(m_loop.BusyFor(), m_fleet.BusyPart())) {
-    m_metrics.Count("callers_turned_away_total");
-    m_intake.CountTurnedAway(aCaller, now);
-    ACE_SOCK_Stream refused(aStream);
-    refused.close();
-    return;
-  }
-  m_intake.CountAccepted();
-  m_connections.Add(aStream);
+  m_listener->Pause(full);
 }
 
 void
@@ -180,7 +182,7 @@
     m_loop, m_fleet,   m_dialects.callers, m_dialects.upstreams,
     m_pool, m_metrics, m_logBudget
   };
-  m_intake.CountRead();
+  m_intake.read++;
   auto exchange = std::make_unique<Exchange>(parts, *this, aConnection);
   auto* key = exchange.get();
   m_exchanges[key] = std::move(exchange);
@@ -226,7 +228,7 @@
 Gateway::OnOver(Exchange& aExchange)
 {
   if (!aExchange.WasPlaced()) {
-    m_intake.CountRefused();
+    m_intake.refused++;
   }
   const auto found = m_exchanges.find(&aExchange);
   if (found == m_exchanges.end()) {
@@ -362,6 +364,7 @@
   FollowSource(now);
   m_newsServer->Tick(now);
   FollowStop(now);
+  FollowRoom();
   for (const auto stage : m_exchangeClock.Due(TimeOfDay())) {
     TellOthers(stage, now);
   }
@@ -377,19 +380,18 @@
   }
   const auto past = aNow - m_intakeReportedAt;
   m_intakeReportedAt = aNow;
-  const auto counts = m_intake.Take();
-  const bool busy = m_loop.BusyFor() > fleet::kTurnAwayAfter;
-  if (!busy && counts.turnedAway == 0) {
+  const auto counts = std::exchange(m_intake, {});
+  const bool busy = m_loop.BusyFor() > fleet::kBusyAfter;
+  if (!busy && !m_listener->IsPaused()) {
     return;
   }
   LogLine("router-busy")
     .Add("within_ms", past.count())
     .Add("accepted", counts.accepted)
-    .Add("turned_away", counts.turnedAway)
-    .Add("returned", counts.returned)
     .Add("read", counts.read)
     .Add("refused", counts.refused)
     .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
+    .Add("room", m_listener->IsPaused() ? "no" : "yes")
     .Add("busy_ms", m_loop.BusyFor().count())
     .Add("busy_part", m_fleet.BusyPart())
     .Info();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,7 +91,8 @@
   void OnStoreReached(base::TimePoint aAt) override;
 
 private:
-  void Accept(const ACE_SOCK_Stream& aStream, std::uint32_t aCaller);
+  void Accept(const ACE_SOCK_Stream& aStream);
+  void FollowRoom();
   void ReportIntake(base::TimePoint aNow);
   void TickFast();
   void TickSlow();
@@ -143,7 +144,7 @@
   bool m_ready = false;
   bool m_stopped = false;
   std::size_t m_cut = 0;
-  CallerIntake m_intake;
+  CallerIntake m_intake; //!< since m_intakeReportedAt
   base::TimePoint m_intakeReportedAt{};
   base::TimePoint m_startedAt{};
   base::TimePoint m_lastTick{};
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 constexpr double kMostRatio = 100.0;
 constexpr double kMostSlack = 1e6;
 constexpr double kMostLogged = 1e6;
+constexpr double kMostShare = 1024;
 
 base::Duration
 Millis(SectionReader& aReader, std::string_view aKey, base::Duration aDefault)
@@ -65,6 +66,8 @@
   aSettings.controlListen = aReader.Address("control_listen");
   aSettings.peerListen = aReader.Address("peer_listen");
   aSettings.grace = Millis(aReader, "stop_grace_ms", aSettings.grace);
+  aSettings.processorShare =
+    aReader.RealOr("processor_share", 0, kMostShare, aSettings.processorShare);
   aSettings.logLevel = aReader.TextOr("log_level", "info");
   aSettings.loggedPerSecond = aReader.RealOr(
     "logged_requests_per_second", 1, kMostLogged, aSettings.loggedPerSecond);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -32,6 +32,8 @@
   base::Duration heartbeat{ 1200 };
   //! Between the request to stop and the kill.
   base::Duration grace{ 8000 };
+  //! Of a core, that this process gets.
+  double processorShare = 1;
   double retryRatio = 0.2;
   double retrySlack = 20;
   base::Duration retryWindow{ 10000 };
--- a/src/gateway/internal/newsserver.cpp
+++ b/src/gateway/internal/newsserver.cpp
@@ -22,11 +22,9 @@
   : m_loop(aLoop)
   , m_log(aLog)
   , m_proofAge(std::move(aProofAge))
-  , m_listener(aLoop,
-               aListen,
-               [this](const ACE_SOCK_Stream& aStream, std::uint32_t) {
-                 Accept(aStream);
-               })
+  , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
+    Accept(aStream);
+  })
 {
 }
 
--- a/src/gateway/internal/probeserver.cpp
+++ b/src/gateway/internal/probeserver.cpp
@@ -14,16 +14,14 @@
                          Handler aHandler)
   : m_handler(std::move(aHandler))
   , m_connections(aLoop, m_limits, *this)
-  , m_listener(aLoop,
-               aListen,
-               [this](const ACE_SOCK_Stream& aStream, std::uint32_t) {
-                 if (m_connections.Size() >= kMostConnections) {
-                   ACE_SOCK_Stream refused(aStream);
-                   refused.close();
-                   return;
-                 }
-                 m_connections.Add(aStream);
-               })
+  , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
+    if (m_connections.Size() >= kMostConnections) {
+      ACE_SOCK_Stream refused(aStream);
+      refused.close();
+      return;
+    }
+    m_connections.Add(aStream);
+  })
 {
 }
 
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -6,7 +6,6 @@
 
 #include <ace/INET_Addr.h>
 
-#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -14,21 +13,20 @@
 
 namespace {
 
-//! Connections that may wait to be accepted: over the callers that come
-//! back at once when another router is lost.
-constexpr int kBacklog = 1024;
 constexpr int kAcceptsPerRound = 64;
 
 }
 
 Listener::Listener(eventloop::EventLoop& aLoop,
                    const base::Address& aAddress,
-                   OnConnection aOnConnection)
+                   OnConnection aOnConnection,
+                   std::size_t aQueue)
   : m_loop(aLoop)
   , m_onConnection(std::move(aOnConnection))
 {
   const ACE_INET_Addr address(aAddress.port, aAddress.ip.c_str());
-  if (m_acceptor.open(address, 1, PF_INET, kBacklog) == -1) {
+  const auto queue = static_cast<int>(aQueue);
+  if (m_acceptor.open(address, 1, PF_INET, queue) == -1) {
     throw base::Error(base::ErrorCode::Unreachable,
                       aAddress.Text() + ": can't be listened on");
   }
@@ -55,21 +53,27 @@
   }
 }
 
+void
+Listener::Pause(bool aPaused)
+{
+  if (!m_open || aPaused == m_paused) {
+    return;
+  }
+  m_paused = aPaused;
+  m_loop.Modify(m_acceptor.get_handle(), aPaused ? 0U : EPOLLIN);
+}
+
 void
 Listener::OnIo(std::uint32_t)
 {
-  for (int i = 0; i < kAcceptsPerRound && m_open; ++i) {
+  for (int i = 0; i < kAcceptsPerRound && m_open && !m_paused; ++i) {
     //! NOTE ACE takes a second call to make it non-blocking.
-    sockaddr_in caller{};
-    socklen_t size = sizeof(caller);
-    const int accepted = accept4(m_acceptor.get_handle(),
-                                 reinterpret_cast<sockaddr*>(&caller),
-                                 &size,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int accepted = accept4(
+      m_acceptor.get_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted == -1) {
       return;
     }
-    m_onConnection(ACE_SOCK_Stream(accepted), ntohl(caller.sin_addr.s_addr));
+    m_onConnection(ACE_SOCK_Stream(accepted));
   }
 }
 
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -60,11 +60,9 @@
   , m_judge([](const WorkerRun&) { return Misbehaviour::None; })
   , m_observer([](const WorkerRun&) {})
   , m_connections(aLoop, m_limits, *this)
-  , m_listener(aLoop,
-               aSettings.listen,
-               [this](const ACE_SOCK_Stream& aStream, std::uint32_t) {
-                 m_connections.Add(aStream);
-               })
+  , m_listener(aLoop, aSettings.listen, [this](const ACE_SOCK_Stream& aStream) {
+    m_connections.Add(aStream);
+  })
 {
   m_loop.Subscribe(kTick, [this] { Tick(); });
 }
