A store that comes back from a copy is read anew once its last writes are back

Cause: the platform's store may come back from a copy some seconds old, with a higher Store-Era; its revisions are given out again. A router that went on from its revision missed what was written under the first of them, and took the copy's answers as proof that keys still hold which a lost version had withdrawn.

Change: the reader follows the era. In a new one its place and its listing are dropped, it lists again 2.3 s after the era was first seen by any router (upstreams write themselves again within about two seconds), and nothing proves a key before. Routers tell each other of a new era for ten seconds. A stored configuration older than the one in force here or told by any router proves nothing. Ruled out: to list at once (the copy's older entries, with upstreams that left, would be taken); an era kept by each follower (who turns to the store after its return would not know it).

Open: routers that all start after the return, and know no newer version, can't tell an old copy from the newest store.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -164,6 +164,11 @@
   bool SetConfig(ConfigPtr aConfig);
   const RouteTable* Routes() const { return m_routes.get(); }
   std::uint64_t ConfigVersion() const;
+  //! Whether no other router told a newer version than the one in force.
+  bool KnowsNewestConfig() const
+  {
+    return ConfigVersion() >= m_newestConfigTold;
+  }
   UpstreamList& Upstreams() { return m_list; }
   const UpstreamList& Upstreams() const { return m_list; }
   //! To be called after each change of the list.
@@ -331,6 +336,7 @@
   std::unordered_map<AttemptId, Attempt> m_attempts;
   AttemptId m_nextAttempt = 1;
   std::uint64_t m_reportSequence = 0;
+  std::uint64_t m_newestConfigTold = 0; //!< by other routers
 };
 
 }
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -214,6 +214,11 @@
 //! How long after the store's return its news may tell of such lapses: the
 //! first answer and some of the way.
 inline constexpr base::Duration kLapseNoticed = 300ms;
+//! What a store that came back from a copy has lost is written again within
+//! this, by upstreams with their next heartbeats.
+inline constexpr base::Duration kRewriteGrace = 2300ms;
+//! How long routers tell each other that the store came back from a copy.
+inline constexpr base::Duration kEraTold = 10000ms;
 //! A router's news answers at least this often; silent for longer, it is
 //! passed over.
 inline constexpr base::Duration kNewsWait = 700ms;
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -36,6 +36,7 @@
 Fleet::Take(const PeerReport& aReport, TimePoint aNow)
 {
   m_quarantine.Take(aReport.crashNews, aNow);
+  m_newestConfigTold = std::max(m_newestConfigTold, aReport.configVersion);
   if (!m_peers.Take(aReport, aNow)) {
     return false;
   }
@@ -89,7 +90,9 @@
 void
 Fleet::TakeProof(const PeerReport& aReport)
 {
-  if (aReport.configVersion == 0 || aReport.configVersion != ConfigVersion()) {
+  const bool isOurs =
+    aReport.configVersion != 0 && aReport.configVersion == ConfigVersion();
+  if (!isOurs || !KnowsNewestConfig()) {
     return;
   }
   const auto self = base::RouterId(base::HashName(m_settings.router));
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -93,6 +93,9 @@
   //! what that one tells is proven; port 0: none.
   base::Address reader;
   Duration readerAge{};
+  //! See StoreEra; 0: none began lately.
+  std::uint64_t storeEra = 0;
+  Duration storeEraAge{};
   bool relayed = false; //!< passed on within a zone, not sent by its router
   bool wantsMembers = false; //!< the sender knows hardly anyone
   std::vector<HeardRouter> heard;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "fleet/newslog.h"
 #include "fleet/sourceoptions.h"
 #include "fleet/sourcepolicy.h"
+#include "fleet/storeera.h"
 #include "gateway/callerintake.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
@@ -104,6 +105,7 @@
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
   void FollowSource(base::TimePoint aNow);
   void OpenSource();
+  bool IsNewestStored() const;
   void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
   void TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow);
   void TellOwn(base::TimePoint aNow);
@@ -126,6 +128,9 @@
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   fleet::NewsLog m_newsLog;
   fleet::SourcePolicy m_sources;
+  fleet::StoreEra m_storeEra;
+  //! The configuration's version as the source of news told it last.
+  std::optional<std::uint64_t> m_storedVersion;
   fleet::KnownReader m_knownReader;
   //! When all that m_newsLog tells held. Keys may be proven by more: the
   //! reports of others say nothing of upstreams.
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -60,6 +60,9 @@
     reply.crashNews = m_fleet.CrashNewsForStart(now);
     m_peers->Send(reply, { aFrom });
   }
+  if (aReport.storeEra != 0) {
+    m_storeEra.Told(aReport.storeEra, aReport.storeEraAge, now);
+  }
   if (aReport.reader.port != 0) {
     m_knownReader.Learn(aReport.reader, now - aReport.readerAge);
   }
@@ -134,6 +137,10 @@
   m_ownReport = m_fleet.Tell(m_loop.BusyFor(), aNow);
   auto& own = m_ownReport;
   own.zone = base::HashName(m_settings.zone);
+  if (const auto age = m_storeEra.Age(aNow)) {
+    own.storeEra = m_storeEra.Era();
+    own.storeEraAge = *age;
+  }
   if (const auto reader = m_knownReader.Best(aNow)) {
     own.reader = *reader;
     own.readerAge = m_knownReader.ProofAge(aNow);
@@ -191,6 +198,7 @@
 {
   const auto& source = m_sources.Current();
   m_opened = source;
+  m_storedVersion.reset();
   LogLine("news-source")
     .Add("kind", fleet::kSourceKindNames.NameOf(source.kind))
     .Add("address", source.address.Text())
@@ -202,6 +210,7 @@
       m_dialects.store,
       *this,
       m_metrics,
+      m_storeEra,
       m_sources.IsPreferred() ? kStorePause : kStorePauseLastResort);
     return;
   }
@@ -236,7 +245,9 @@
 Gateway::OnStoredConfig(const std::string& aBytes)
 {
   try {
-    if (SetConfig(m_dialects.store.DecodeConfig(aBytes))) {
+    auto config = m_dialects.store.DecodeConfig(aBytes);
+    m_storedVersion = config->version;
+    if (SetConfig(std::move(config))) {
       m_newsLog.SetConfig(m_fleet.ConfigVersion(), aBytes);
     }
   } catch (const base::Error& error) {
@@ -285,9 +296,23 @@
   TakeNotices(m_fleet.Upstreams().Remove(aId, m_loop.Now()));
 }
 
+//! A store that came back from a copy may hold an older version than the one
+//! in force here or at another router, and proves nothing then.
+bool
+Gateway::IsNewestStored() const
+{
+  const auto version = m_fleet.ConfigVersion();
+  return m_storedVersion.value_or(version) >= version &&
+         m_fleet.KnowsNewestConfig();
+}
+
 void
 Gateway::OnProven(base::TimePoint aAt)
 {
+  if (!IsNewestStored()) {
+    m_metrics.Count("unproven_answers_total");
+    return;
+  }
   m_fleet.ConfigFreshness().Proven(aAt);
   m_newsProvenAt = std::max(m_newsProvenAt, aAt);
   if (m_sources.Current().kind == fleet::SourceKind::Store) {
--- a/src/gateway/internal/reportcodec.cpp
+++ b/src/gateway/internal/reportcodec.cpp
@@ -196,7 +196,9 @@
                                Short(aReport.loadAge),
                                &calls,
                                &crashes,
-                               &clearances);
+                               &clearances,
+                               aReport.storeEra,
+                               Short(aReport.storeEraAge));
   fb::FinishPeerReportBuffer(builder, root);
   const auto* data = builder.GetBufferPointer();
   return { data, data + builder.GetSize() };
@@ -229,6 +231,8 @@
   report.busy = wire->busy();
   report.relayed = wire->relayed();
   report.loadAge = base::Duration(wire->load_age_ms());
+  report.storeEra = wire->store_era();
+  report.storeEraAge = base::Duration(wire->store_era_age_ms());
   if (wire->reader_port() > 0) {
     report.reader = { UnpackIp(wire->reader_ip()), wire->reader_port() };
     report.readerAge = base::Duration(wire->reader_age_ms());
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -34,12 +34,14 @@
                              const IStoreDialect& aDialect,
                              INewsEvents& aEvents,
                              metrics::Metrics& aMetrics,
+                             fleet::StoreEra& aEra,
                              base::Duration aMostPause)
   : m_loop(aLoop)
   , m_address(aStore)
   , m_dialect(aDialect)
   , m_events(aEvents)
   , m_metrics(aMetrics)
+  , m_era(aEra)
   , m_mostPause(aMostPause)
 {
 }
@@ -70,6 +72,7 @@
   m_calling = true;
   m_calledAt = m_loop.Now();
   m_status = 0;
+  m_headers = {};
   m_body.clear();
   if (m_step == Step::List && m_listAfter.empty()) {
     m_listBeganAt = m_calledAt;
@@ -93,6 +96,7 @@
 StoreFollower::OnAnswerHead(http::ClientConnection&, http::ResponseHead&& aHead)
 {
   m_status = aHead.status;
+  m_headers = std::move(aHead.headers);
   return HeadVerdict::Take;
 }
 
@@ -115,13 +119,51 @@
   }
 }
 
+void
+StoreFollower::ListAgain()
+{
+  m_step = Step::List;
+  m_listAfter.clear();
+  m_placeEra.reset();
+}
+
+bool
+StoreFollower::FollowEra()
+{
+  const auto era = m_dialect.DecodeEra(m_headers);
+  if (!era) {
+    return true;
+  }
+  const auto now = m_loop.Now();
+  const auto before = m_era.Era();
+  if (!m_era.Seen(*era, now)) {
+    throw base::Error(base::ErrorCode::BadValue, "an answer of an earlier era");
+  }
+  const bool moved = m_placeEra && *m_placeEra != *era;
+  if (!moved && m_era.IsSettled(now)) {
+    m_placeEra = era;
+    return true;
+  }
+  m_metrics.Count("store_eras_total");
+  base::LogLine("store-came-from-copy")
+    .Add("era", *era)
+    .Add("known", before)
+    .Add("revision", m_revision)
+    .Warn();
+  ListAgain();
+  m_nextCallAt = std::max(now, m_era.SettledAt());
+  return false;
+}
+
 void
 StoreFollower::TakeAnswer()
 {
+  if (!FollowEra()) {
+    return;
+  }
   if (m_status == kHistoryGone && m_step == Step::Watch) {
     base::LogLine("store-history-gone").Add("revision", m_revision).Info();
-    m_step = Step::List;
-    m_listAfter.clear();
+    ListAgain();
     Call();
     return;
   }
--- a/src/gateway/istoredialect.h
+++ b/src/gateway/istoredialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleettypes.h"
+#include "http/httptypes.h"
 
 #include <cstdint>
 #include <optional>
@@ -59,6 +60,10 @@
                                   base::Duration aWait) const = 0;
   virtual StorePage DecodeList(std::string_view aBody) const = 0;
   virtual StorePage DecodeWatch(std::string_view aBody) const = 0;
+  //! Which copy of the store answered: see fleet::StoreEra. Nothing if the
+  //! answer doesn't say.
+  virtual std::optional<std::uint64_t> DecodeEra(
+    const http::HeaderList& aHeaders) const = 0;
   //! Throws Error(BadValue) naming what is wrong.
   virtual fleet::ConfigPtr DecodeConfig(std::string_view aBytes) const = 0;
 };
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -2,12 +2,14 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
+#include "fleet/storeera.h"
 #include "gateway/inewssource.h"
 #include "gateway/istoredialect.h"
 #include "http/clientconnection.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hemlockgauge::eventloop {
@@ -21,8 +23,9 @@
 
 //! Keeps up with the platform's store: lists it once, then watches for
 //! changes with one call at a time, and lists again when its place in the
-//! history is gone. Reads only. After a failure it pauses, at most
-//! aMostPause: the store counts refused calls too.
+//! history is gone, or the store came back from a copy; then not before what
+//! the copy lacks is written again. Reads only. After a failure it pauses, at
+//! most aMostPause: the store counts refused calls too.
 class StoreFollower
   : public INewsSource
   , public http::IClientEvents
@@ -33,6 +36,7 @@
                 const IStoreDialect& aDialect,
                 INewsEvents& aEvents,
                 metrics::Metrics& aMetrics,
+                fleet::StoreEra& aEra,
                 base::Duration aMostPause);
   ~StoreFollower() override;
 
@@ -59,6 +63,9 @@
 
   void Call();
   void TakeAnswer();
+  //! Returns false if the answer is of an era in which nothing is known yet.
+  bool FollowEra();
+  void ListAgain();
   //! The store has answered what can be read.
   void TakeReturn();
   //! Whether something was told.
@@ -74,12 +81,15 @@
   const IStoreDialect& m_dialect;
   INewsEvents& m_events;
   metrics::Metrics& m_metrics;
+  fleet::StoreEra& m_era;
+  std::optional<std::uint64_t> m_placeEra; //!< of m_revision and of the listing
   std::unique_ptr<http::ClientConnection> m_connection;
   Step m_step = Step::List;
   bool m_calling = false;
   bool m_lost = false;
   bool m_everAnswered = false;
   int m_status = 0;
+  http::HeaderList m_headers;
   std::string m_body;
   std::string m_listAfter;
   std::uint64_t m_listRevision = 0;
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -127,6 +127,8 @@
   report.configVersion = 12;
   report.configAge = base::Duration(34);
   report.wantsMembers = true;
+  report.storeEra = 1ULL << 33;
+  report.storeEraAge = base::Duration(2345);
   report.loads = { { base::UpstreamId(1), 2, 3 } };
   report.rates = { { base::WorkspaceId(4), { 5.0, 6.0 } } };
   report.uses = { { 0xffffffffffffULL, base::UpstreamId(7) } };
@@ -159,6 +161,8 @@
   cr_assert(read.reading == 2000.0);
   cr_assert(read.configVersion == 12);
   cr_assert(read.configAge == report.configAge);
+  cr_assert(read.storeEra == report.storeEra);
+  cr_assert(read.storeEraAge == report.storeEraAge);
   cr_assert(read.loads.at(0).running == 3);
   cr_assert(read.rates.at(0).rate.begun == 6.0);
   cr_assert(read.uses.at(0).part == 0xffffffffffffULL);
--- a/src/soak/tests/flaweddialects.h
+++ b/src/soak/tests/flaweddialects.h
@@ -98,6 +98,11 @@
   }
   gateway::StorePage DecodeList(std::string_view aBody) const override;
   gateway::StorePage DecodeWatch(std::string_view aBody) const override;
+  std::optional<std::uint64_t> DecodeEra(
+    const http::HeaderList& aHeaders) const override
+  {
+    return m_true.DecodeEra(aHeaders);
+  }
   fleet::ConfigPtr DecodeConfig(std::string_view aBytes) const override;
 
 private:
--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -60,16 +60,16 @@
 void
 StoreStandin::Record(const std::string& aKey, const std::string& aJson)
 {
-  m_history.push_back({ aKey, m_revision, aJson });
+  m_content.history.push_back({ aKey, m_content.revision, aJson });
 }
 
 void
 StoreStandin::Put(const std::string& aKey, const std::string& aData)
 {
-  auto& item = m_items[aKey];
+  auto& item = m_content.items[aKey];
   item.data = aData;
-  item.revision = ++m_revision;
-  item.created = item.created == 0 ? m_revision : item.created;
+  item.revision = ++m_content.revision;
+  item.created = item.created == 0 ? m_content.revision : item.created;
   Record(aKey,
          json{ { "key", aKey },
                { "data", EncodeBase64(aData) },
@@ -82,14 +82,15 @@
 void
 StoreStandin::Remove(const std::string& aKey)
 {
-  if (m_items.erase(aKey) == 0) {
+  if (m_content.items.erase(aKey) == 0) {
     return;
   }
-  ++m_revision;
-  Record(
-    aKey,
-    json{ { "key", aKey }, { "revision", m_revision }, { "deleted", true } }
-      .dump());
+  ++m_content.revision;
+  Record(aKey,
+         json{ { "key", aKey },
+               { "revision", m_content.revision },
+               { "deleted", true } }
+           .dump());
 }
 
 void
@@ -121,8 +122,21 @@
 void
 StoreStandin::ForgetHistory()
 {
-  m_history.clear();
-  m_oldest = m_revision;
+  m_content.history.clear();
+  m_content.oldest = m_content.revision;
+}
+
+void
+StoreStandin::TakeCopy()
+{
+  m_copy = m_content;
+}
+
+void
+StoreStandin::Restore()
+{
+  m_content = m_copy;
+  m_era++;
 }
 
 void
@@ -149,16 +163,24 @@
   Tick();
 }
 
+bool
+StoreStandin::KnowsSince(std::uint64_t aRevision) const
+{
+  return aRevision >= m_content.oldest && aRevision <= m_content.revision;
+}
+
 bool
 StoreStandin::HasNews(const Waiting& aWaiting) const
 {
   const auto after = QueryNumber(aWaiting.target, "after");
   const auto prefix = QueryField(aWaiting.target, "prefix");
-  return after < m_oldest ||
-         std::any_of(
-           m_history.begin(), m_history.end(), [&](const Change& aChange) {
-             return aChange.revision > after && aChange.key.starts_with(prefix);
-           });
+  return !KnowsSince(after) ||
+         std::any_of(m_content.history.begin(),
+                     m_content.history.end(),
+                     [&](const Change& aChange) {
+                       return aChange.revision > after &&
+                              aChange.key.starts_with(prefix);
+                     });
 }
 
 void
@@ -188,7 +210,7 @@
     Send(aConnection, 200, RangeBody(aTarget));
   } else if (!aTarget.starts_with("/api/kv-watch")) {
     Send(aConnection, 404, "");
-  } else if (QueryNumber(aTarget, "after") < m_oldest) {
+  } else if (!KnowsSince(QueryNumber(aTarget, "after"))) {
     Send(aConnection, kHistoryGone, "");
   } else {
     Send(aConnection, 200, WatchBody(aTarget));
@@ -202,7 +224,7 @@
   const auto after = QueryField(aTarget, "after");
   json entries = json::array();
   bool hasMore = false;
-  for (const auto& [key, item] : m_items) {
+  for (const auto& [key, item] : m_content.items) {
     if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
       continue;
     }
@@ -217,7 +239,7 @@
                         { "leaseId", 0 } });
   }
   return json{
-    { "entries", entries }, { "hasMore", hasMore }, { "at", m_revision }
+    { "entries", entries }, { "hasMore", hasMore }, { "at", m_content.revision }
   }.dump();
 }
 
@@ -227,12 +249,12 @@
   const auto after = QueryNumber(aTarget, "after");
   const auto prefix = QueryField(aTarget, "prefix");
   json events = json::array();
-  for (const auto& change : m_history) {
+  for (const auto& change : m_content.history) {
     if (change.revision > after && change.key.starts_with(prefix)) {
       events.push_back(json::parse(change.json));
     }
   }
-  return json{ { "events", events }, { "at", m_revision } }.dump();
+  return json{ { "events", events }, { "at", m_content.revision } }.dump();
 }
 
 void
@@ -243,6 +265,7 @@
   std::string head;
   http::AppendStatusLine(head, aStatus, "Answer");
   http::AppendField(head, "Content-Type", "application/json");
+  http::AppendNumberField(head, "Store-Era", m_era);
   aConnection.BeginAnswer(head, http::Framing::Length, aBody.size());
   aConnection.Write(aBody);
   aConnection.EndAnswer();
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -54,6 +54,11 @@
   void RemoveUpstream(const std::string& aId);
   //! Watches from before now get 410.
   void ForgetHistory();
+  //! All that it holds is kept as a copy.
+  void TakeCopy();
+  //! It comes back from the last copy, in a new era: what was written since is
+  //! gone, its revisions are given out again.
+  void Restore();
 
   void OnRequest(http::ServerConnection& aConnection,
                  http::RequestHead&& aHead,
@@ -93,6 +98,7 @@
 
   void Record(const std::string& aKey, const std::string& aJson);
   void Tick();
+  bool KnowsSince(std::uint64_t aRevision) const;
   bool HasNews(const Waiting& aWaiting) const;
   void Answer(http::ServerConnection& aConnection, const std::string& aTarget);
   void Send(http::ServerConnection& aConnection,
@@ -101,12 +107,19 @@
   std::string RangeBody(const std::string& aTarget) const;
   std::string WatchBody(const std::string& aTarget) const;
 
+  struct Content
+  {
+    std::uint64_t revision = 1;
+    std::uint64_t oldest = 1; //!< history before this is forgotten
+    std::map<std::string, Item> items;
+    std::deque<Change> history;
+  };
+
   eventloop::EventLoop& m_loop;
   base::CallerLimits m_limits;
-  std::uint64_t m_revision = 1;
-  std::uint64_t m_oldest = 1; //!< history before this is forgotten
-  std::map<std::string, Item> m_items;
-  std::deque<Change> m_history;
+  Content m_content;
+  Content m_copy;
+  std::uint64_t m_era = 1;
   std::vector<Waiting> m_waiting;
   http::ConnectionSet m_connections;
   http::Listener m_listener;
