--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -39,10 +39,7 @@
 
 //! Answers a flood on one router that is slower than the flood: what it takes
 //! waits unseen before it is read, at most for as long as the router has not
-//! rested. What is not owed is refused then without a look at the upstreams;
-//! its caller comes back to another router, which is free. It cut the median
-//! first token in the zone of a flooded router of an eighth of a core from
-//! 322 to 97 ms, over 34 s.
+//! rested. What is not owed is refused then without a look at the upstreams.
 bool
 ShedsWhileBusy(bool aOwed, Duration aRouterBusy, Duration aTarget);
 
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -4,8 +4,7 @@
 
 #include <cstddef>
 
-//! Limits and weights of the decisions about requests. What was tried beside
-//! them, with figures, is in docs/PLATFORM.md and docs/MEASUREMENTS.md.
+//! Limits and weights of the decisions about requests.
 namespace hemlockgauge::fleet {
 
 using namespace std::chrono_literals;
@@ -24,8 +23,7 @@
 //! A copy is worth it up to so many times the reading that it saves: the
 //! copying request waits alone, all behind it wait for reading.
 inline constexpr double kCopyWorth = 2.0;
-//! Reading speed before anything was measured, in tokens a ms: three
-//! quarters of what today's engines do at their best.
+//! Reading speed of an engine that has not answered yet, in tokens a ms.
 inline constexpr double kReadRatePrior = 28.0;
 inline constexpr double kReadRateLeast = 1.0;
 inline constexpr double kReadRateMost = 400.0;
@@ -36,7 +34,7 @@
 inline constexpr double kReadRateGain = 0.1;
 //! What an engine adds to each first token: one step and the way there.
 inline constexpr double kFirstTokenFixedMs = 12.0;
-//! Time of an answer of a plain service before anything was measured, in ms.
+//! Time of an answer of a plain service that has not answered yet, in ms.
 inline constexpr double kServicePriorMs = 40.0;
 inline constexpr double kServiceGain = 0.1;
 //! An upstream's service counts for this many of its own answers.
@@ -52,8 +50,8 @@
 //! often besides the request's own wait.
 inline constexpr double kRereadWeight = 2.0;
 inline constexpr int kMostRanks = 6;
-//! Engines that a prefix may go to. Of 4, 5 and 8, which were tried in the
-//! model of 40 routers over 30 engines, 8 served a tenth less when calm.
+//! Engines that a prefix may go to: the more there are, the more often it is
+//! read again.
 inline constexpr std::size_t kPrefixReach = 5;
 //! Engines that a request looks at which none of these can serve in time.
 inline constexpr std::size_t kSampleSize = 8;
@@ -62,8 +60,7 @@
 inline constexpr double kSpreadPart = 0.1;
 //! What others sent since the news counts so many times (e) where a place is
 //! drawn: a load that is levelled faster than that against the age of what is
-//! known of it swings. With 1, 2 in 100 calls met a full upstream, with e under
-//! one (model of 40 routers, news 300 ms old, nine tenths of what can be run).
+//! known of it swings.
 inline constexpr double kUnseenTimes = 2.72;
 //! Extra for a way between availability zones and back, in ms.
 inline constexpr double kOtherZoneMs = 2.0;
@@ -80,8 +77,7 @@
 //! Outside its share a request is taken only while there is room, so that
 //! it does not make those inside wait: if it would not wait longer for
 //! others than this part of its target. What begins beyond the shares slows
-//! the streams that run there too: with .06, .10 and .18, .902, .905 and .884
-//! of what is owed was served, means of 15 days with faults.
+//! the streams that run there too.
 inline constexpr double kOutsideShareLimit = 0.10;
 //! A router that has not rested for this long counts as busy.
 inline constexpr base::Duration kBusyAfter = 150ms;
@@ -94,9 +90,7 @@
 //! Bounds of how many may wait: callers that lost another router come at once.
 inline constexpr std::size_t kQueueLeast = 64;
 inline constexpr std::size_t kQueueMost = 1024;
-//! Inside the promise alone: between the two, nearer to what is owed. With 0.1
-//! three in a hundred more were refused and 0.02 less of the worth was served
-//! (ten days on which two fifths of the engines are lost under floods).
+//! Inside the promise alone: between the two, nearer to what is owed.
 inline constexpr double kInsidePromiseLimit = 0.7;
 //! A starved workspace is served late rather than refused: callers wait for
 //! several targets. Engines that are full of others' prompts would keep it out
@@ -130,16 +124,15 @@
 inline constexpr base::Duration kShareMemory = 2000ms;
 //! The part of what all engines can read that may begin at once beyond the
 //! shares: of learned speeds, which have the time for generated tokens in
-//! them. In the model 0.8 leaves a tenth of the engines idle and 1.2 makes the
-//! wait half as long again; where forecasts hold, the wait bounds it anyway.
+//! them. Where forecasts hold, the wait bounds it anyway.
 inline constexpr double kReadingUseLeast = 1.0;
 inline constexpr double kReadingUseMost = 3.0;
 //! Mean errors of the foreseen wait, in ms: a calm day's, and one that makes
 //! requests of the shortest targets late.
 inline constexpr double kForecastErrorSmall = 40.0;
 inline constexpr double kForecastErrorLarge = 140.0;
-//! Weight of one more first token in the mean error: two seconds of one
-//! router's requests on a grown deployment.
+//! Weight of one more first token in the mean error: it covers about the last
+//! 25 of them.
 inline constexpr double kForecastGain = 0.04;
 
 //! The part of what a plain service can run that may begin: at more its queue
--- a/src/fleet/passlevel.h
+++ b/src/fleet/passlevel.h
@@ -10,9 +10,8 @@
 //! alone then lets waves through, for all routers see room at the same time.
 //! The rates asked are sums over the fleet and change slowly, so all routers
 //! agree on the level without knowing what the others send right now. Not for
-//! small fleets: there the waits are known well enough, and the level, which
-//! is an estimate, served .85 of what is owed instead of .90
-//! (Association, scale-1; docs/PLATFORM.md).
+//! small fleets: there the waits are known well enough, and the level
+//! is an estimate.
 class PassLevel
 {
 public:
