A busy router reads a request with its connection

Cause: a small router under a flood has its processor's time used by refusing; a connection that ends with its first answer was put under the loop's watch for one read.

Change: a loop that has had no rest reads at once what has come with a new connection, and watches it only if it goes on.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -156,7 +156,8 @@
 Gateway::Accept(const ACE_SOCK_Stream& aStream)
 {
   m_intake.accepted++;
-  m_connections.Add(aStream);
+  const bool busy = m_loop.BusyFor() > base::Duration{};
+  m_connections.Add(aStream, busy);
   FollowRoom();
 }
 
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -18,12 +18,17 @@
 ConnectionSet::~ConnectionSet() = default;
 
 void
-ConnectionSet::Add(const ACE_SOCK_Stream& aStream)
+ConnectionSet::Add(const ACE_SOCK_Stream& aStream, bool aReadNow)
 {
   auto connection =
     std::make_unique<ServerConnection>(m_loop, aStream, m_limits, m_events);
   auto* key = connection.get();
   m_connections[key] = std::move(connection);
+  if (aReadNow) {
+    key->StartReading();
+  } else {
+    key->Start();
+  }
 }
 
 void
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -28,7 +28,8 @@
   ConnectionSet(const ConnectionSet&) = delete;
   ConnectionSet& operator=(const ConnectionSet&) = delete;
 
-  void Add(const ACE_SOCK_Stream& aStream);
+  //! aReadNow: see ServerConnection::StartReading.
+  void Add(const ACE_SOCK_Stream& aStream, bool aReadNow = false);
   //! To be called from IServerEvents::OnClosed.
   void Forget(ServerConnection& aConnection);
   void Sweep(base::TimePoint aNow);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -65,9 +65,7 @@
   , m_limits(aLimits)
   , m_events(aEvents)
   , m_since(aLoop.Now())
-  , m_watched(EPOLLIN)
 {
-  m_loop.Add(m_stream.get_handle(), *this, m_watched);
 }
 
 ServerConnection::~ServerConnection()
@@ -78,18 +76,36 @@
   }
 }
 
+void
+ServerConnection::StartReading()
+{
+  Read();
+  Watch();
+}
+
+//! Its answer is whole and goes out in this round of the loop, the last one.
+bool
+ServerConnection::ClosesWithFlush() const
+{
+  return m_state == State::Answering && m_flushDue && m_answerEnded &&
+         m_closeAfter;
+}
+
 void
 ServerConnection::Watch()
 {
-  if (m_state == State::Closed) {
+  if (m_state == State::Closed || (!m_isAdded && ClosesWithFlush())) {
     return;
   }
   std::uint32_t events = m_in.size() < kMaxReadAhead ? EPOLLIN : 0U;
   events |= Unsent() > 0 ? EPOLLOUT : 0U;
-  if (events != m_watched) {
-    m_watched = events;
+  if (!m_isAdded) {
+    m_isAdded = true;
+    m_loop.Add(m_stream.get_handle(), *this, events);
+  } else if (events != m_watched) {
     m_loop.Modify(m_stream.get_handle(), events);
   }
+  m_watched = events;
 }
 
 void
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -50,6 +50,11 @@
                    const ACE_SOCK_Stream& aStream,
                    const base::CallerLimits& aLimits,
                    IServerEvents& aEvents);
+  //! To be called once: reads when something comes.
+  void Start() { Watch(); }
+  //! Instead: reads now what has come already. Saves a busy loop a call for
+  //! each connection that ends with its first answer.
+  void StartReading();
   ~ServerConnection() override;
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
@@ -121,6 +126,7 @@
   void Close();
   void LosePeer();
   void Watch();
+  bool ClosesWithFlush() const;
 
   eventloop::EventLoop& m_loop;
   ACE_SOCK_Stream m_stream;
@@ -137,6 +143,7 @@
   std::size_t m_sent = 0;
   Framing m_framing = Framing::None;
   std::uint32_t m_watched = 0;
+  bool m_isAdded = false; //!< to the loop
   bool m_bodyTooLarge = false;
   bool m_answerBegun = false;
   bool m_answerEnded = false;
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -188,6 +188,11 @@
                [this](const ACE_SOCK_Stream& aStream) {
                  connections.push_back(std::make_unique<ServerConnection>(
                    m_loop, aStream, limits, *this));
+                 if (readsNow) {
+                   connections.back()->StartReading();
+                 } else {
+                   connections.back()->Start();
+                 }
                })
   {
   }
@@ -200,6 +205,9 @@
     if (aHead.target == "/wait") {
       return;
     }
+    if (closesAfter) {
+      aConnection.CloseAfterAnswer();
+    }
     std::string head;
     AppendStatusLine(head, 200, "OK");
     aConnection.BeginAnswer(head, Framing::Chunked);
@@ -222,6 +230,8 @@
   void OnDrained(ServerConnection&) override {}
   void OnClosed(ServerConnection&) override { closed++; }
 
+  bool readsNow = false;
+  bool closesAfter = false;
   base::CallerLimits limits;
   std::vector<std::unique_ptr<ServerConnection>> connections;
   std::vector<std::string> targets;
@@ -331,6 +341,40 @@
   RunUntil(loop, [&] { return caller.ends == 1; });
 }
 
+//! A busy loop reads a request with its connection; what is not there yet, or
+//! goes on after the first answer, is read later.
+Test(connections, WhatIsReadWithItsConnectionIsAnsweredWhole)
+{
+  for (const bool closes : { false, true }) {
+    for (const bool isThere : { false, true }) {
+      eventloop::EventLoop loop;
+      EchoServer server(loop, 21012);
+      server.readsNow = true;
+      server.closesAfter = closes;
+      server.listener.Pause(true);
+      Caller caller;
+      ClientConnection client(loop, { "127.0.0.1", 21012 }, caller);
+      if (isThere) {
+        client.Send(kPost);
+      }
+      const auto sent = loop.Now() + std::chrono::milliseconds(50);
+      RunUntil(loop, [&] { return loop.Now() > sent; });
+      server.listener.Pause(false);
+      RunUntil(loop, [&] { return !server.connections.empty(); });
+      if (!isThere) {
+        client.Send(kPost);
+      }
+      RunUntil(loop, [&] { return caller.ends == 1; });
+      cr_assert(caller.body == "hello");
+      cr_assert(caller.reusable == !closes);
+      if (!closes) {
+        client.Send(kPost);
+        RunUntil(loop, [&] { return caller.ends == 2; });
+      }
+    }
+  }
+}
+
 //! A slow reader behind may ask for a pause just as the answer ends.
 Test(connections, APauseEndsWithItsAnswer)
 {
