Soak: a router inherits no listener of an upstream that crashes

Cause: the soak starts its routers after its stand-ins listen, and they inherited the listeners. An upstream that crashed went on taking connections, in the routers' kernel queues, and never answered: looks said lives (seen by ss: its port is still listened on while its replacement has started), callers waited 130 ms and left.

Change: a router is started with no descriptors but its log.

--- a/src/soak/routerprocess.cpp
+++ b/src/soak/routerprocess.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char** environ;
 
@@ -37,6 +38,8 @@
   posix_spawn_file_actions_addopen(
     &files, 1, m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&files, 1, 2);
+  //! NOTE a router would keep the listeners of upstreams open that crash.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   char* arguments[] = { m_program.data(), m_settings.data(), nullptr };
   const int failed =
     posix_spawn(&m_pid, m_program.c_str(), &files, nullptr, arguments, environ);
