Soak: the store comes back from a copy

Cause: no random run had a store that loses what it acknowledged last.

Ruled out: a new kind among the drawn faults (it would change all known seeds).

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_uint32(routers, 3, "router processes");
 DEFINE_uint32(upstreams, 5, "upstreams");
 DEFINE_uint32(callers, 12, "callers");
+DEFINE_uint32(restores, 0, "how often the store comes back from a copy");
 DEFINE_uint32(port, 26000, "first of a hundred free ports on loopback");
 DEFINE_string(router, "", "the gateway program");
 DEFINE_string(directory, "", "where settings, logs and reports are put");
@@ -35,6 +36,7 @@
       settings.routers = FLAGS_routers;
       settings.upstreams = FLAGS_upstreams;
       settings.callers = FLAGS_callers;
+      settings.restores = FLAGS_restores;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
         FLAGS_directory + "/seed-" + std::to_string(settings.seed);
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -25,7 +25,8 @@
   StoreForgets,
   ResetStore,
   ChangeConfig,
-  WithdrawKey
+  WithdrawKey,
+  RestoreStore //!< it comes back from a copy; what was lost is written again
 };
 inline constexpr auto kFaultKindNames =
   base::MakeEnumNames<FaultKind>("kill-router",
@@ -43,7 +44,8 @@
                                  "store-forgets",
                                  "reset-store",
                                  "change-config",
-                                 "withdraw-key");
+                                 "withdraw-key",
+                                 "restore-store");
 
 struct Fault
 {
@@ -59,6 +61,7 @@
   std::uint32_t routers = 3;
   std::uint32_t upstreams = 5;
   std::uint32_t callers = 12;
+  std::uint32_t restores = 0;     //!< of the store, besides the other faults
   base::Duration length{ 20000 }; //!< of the faults; quiet time follows
 };
 
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -17,6 +17,10 @@
 using namespace std::chrono_literals;
 
 constexpr base::Duration kTick = 5ms;
+//! Between the copies of the store that it may come back from.
+constexpr base::Duration kCopyPeriod = 2000ms;
+//! From the store's return until what it lost is written again.
+constexpr base::Duration kRewriteDelay = 700ms;
 constexpr base::Duration kRestartAfter = 300ms;
 //! Bounds of the promises, with what a busy test machine adds.
 constexpr base::Duration kLeavingBound = 6000ms;
@@ -115,6 +119,31 @@
                       RouterIp(1));
 }
 
+void
+SoakRun::Write(std::function<void()> aWrite)
+{
+  aWrite();
+  m_written.push_back(std::move(aWrite));
+}
+
+//! Copies are taken now and then; what a restore lost is written again a
+//! little after it, oldest first.
+void
+SoakRun::FollowCopies(base::TimePoint aNow)
+{
+  if (m_rewriteAt && aNow >= *m_rewriteAt) {
+    m_rewriteAt.reset();
+    for (const auto& write : m_written) {
+      write();
+    }
+  }
+  if (!m_rewriteAt && aNow - m_copiedAt > kCopyPeriod) {
+    m_copiedAt = aNow;
+    m_store.TakeCopy();
+    m_written.clear();
+  }
+}
+
 void
 SoakRun::PutConfig()
 {
@@ -137,7 +166,7 @@
   // The workspace's name carries the number of the key: a run shows which
   // key let it in.
   m_shared.key = fmt::format("key-{}", m_keyNumber);
-  m_store.PutConfig(
+  const auto text =
     fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
                 R"({{"name":"plain"}},{{"name":"engine","engine":)"
                 R"({{"slots":16,"kvCapacity":100000}}}}],)"
@@ -150,7 +179,8 @@
                 route("resumable", "streaming", "engine", 3, true),
                 route("crash", "streaming", "engine", 3, true),
                 m_keyNumber,
-                m_shared.key));
+                m_shared.key);
+  Write([this, text] { m_store.PutConfig(text); });
 }
 
 void
@@ -196,12 +226,12 @@
 {
   const bool engine = aUpstream.index % 2 == 0;
   const int slot = std::stoi(aUpstream.id.substr(aUpstream.id.rfind('-') + 1));
-  m_store.PutUpstream(aUpstream.id,
-                      { engine ? "engine" : "plain",
-                        At(60 + slot),
-                        "z0",
-                        16,
-                        aDraining ? "draining" : "ready" });
+  const standins::StoredEntry entry{ engine ? "engine" : "plain",
+                                     At(60 + slot),
+                                     "z0",
+                                     16,
+                                     aDraining ? "draining" : "ready" };
+  Write([this, id = aUpstream.id, entry] { m_store.PutUpstream(id, entry); });
 }
 
 void
@@ -272,7 +302,7 @@
   const bool wasListed = upstream.leftAt == base::TimePoint{};
   if (wasListed && past > kUntilLapse) {
     upstream.leftAt = aNow;
-    m_store.RemoveUpstream(upstream.id);
+    Write([this, id = upstream.id] { m_store.RemoveUpstream(id); });
   }
   if (!upstream.replaced && past > kUntilReplaced) {
     upstream.replaced = true;
@@ -353,7 +383,7 @@
   if (aFault.kind == FaultKind::DrainUpstream) {
     List(*upstream, true);
   } else {
-    m_store.RemoveUpstream(upstream->id);
+    Write([this, id = upstream->id] { m_store.RemoveUpstream(id); });
   }
 }
 
@@ -373,6 +403,11 @@
     case FaultKind::ResetStore:
       m_storeProxy->ResetAll();
       return;
+    case FaultKind::RestoreStore:
+      m_store.faults.mute = true;
+      m_store.Restore();
+      m_rewriteAt = m_loop.Now() + aFault.lasts + kRewriteDelay;
+      return;
     case FaultKind::WithdrawKey:
       m_withdrawnAt[fmt::format("w-{}", m_keyNumber)] = m_loop.Now();
       m_keyNumber++;
@@ -415,6 +450,7 @@
         }
       }
       return;
+    case FaultKind::RestoreStore:
     case FaultKind::StoreMute:
       m_store.faults.mute = false;
       m_storeProxy->ResetAll();
@@ -468,6 +504,7 @@
     }
     return over;
   });
+  FollowCopies(now);
   ReviveRouters(now);
   FollowCrashes(now);
   m_crashingCaller.Tick(now);
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -10,8 +10,10 @@
 #include "standins/storestandin.h"
 #include "standins/workerstandin.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +62,8 @@
   void WriteSettings(std::uint32_t aRouter);
   void AddUpstream(std::uint32_t aIndex);
   void List(const Upstream& aUpstream, bool aDraining);
+  void Write(std::function<void()> aWrite);
+  void FollowCopies(base::TimePoint aNow);
   void PutConfig();
   void Tick();
   void Begin(const Fault& aFault);
@@ -94,6 +98,10 @@
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   CrashingCaller m_crashingCaller;
   std::vector<base::TimePoint> m_crashingRuns;
+  //! What was written since the store's last copy, to be written again.
+  std::vector<std::function<void()>> m_written;
+  base::TimePoint m_copiedAt{};
+  std::optional<base::TimePoint> m_rewriteAt;
   std::uint64_t m_configVersion = 0;
   std::uint32_t m_keyNumber = 0;
   std::map<std::string, base::TimePoint> m_withdrawnAt; //!< by key's workspace
--- a/src/soak/tests/soaktests.cpp
+++ b/src/soak/tests/soaktests.cpp
@@ -35,6 +35,23 @@
             static_cast<std::size_t>(FaultKind::WithdrawKey) + 1);
 }
 
+Test(soakplan, RestoresLeaveASeedsOtherFaultsAsTheyAre)
+{
+  SoakSettings settings;
+  settings.seed = 5;
+  const auto without = MakePlan(settings);
+  settings.restores = 2;
+  auto with = MakePlan(settings);
+  const auto restores = std::erase_if(with, [](const Fault& aFault) {
+    return aFault.kind == FaultKind::RestoreStore;
+  });
+  cr_assert(restores == 2);
+  cr_assert(with.size() == without.size());
+  for (std::size_t i = 0; i < with.size(); ++i) {
+    cr_assert(with[i].at == without[i].at && with[i].kind == without[i].kind);
+  }
+}
+
 Test(promises, ASecondRunOfWhatMayRunOnceIsCaught)
 {
   Promises promises;
