--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -130,7 +130,10 @@
   cr_assert(answer.body == WholeStream("r1-1-1"), "%s", answer.body.c_str());
   cr_assert(answer.Says("X-Verdict: ran"));
   cr_assert(engine.runs == 1);
-  cr_assert(engine.resumes == aResumes);
+  cr_assert(engine.resumes == aResumes,
+            "%d resumes, %s",
+            engine.resumes.load(),
+            fixture.metrics.Text().c_str());
   const bool stalled =
     fixture.metrics.Text().find("upstream_stalls_total 1") != std::string::npos;
   cr_assert(stalled == (aBreak == Break::Silence));
