--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -328,10 +328,10 @@
 Test(connections, WhoConnectsWhileThereIsNoRoomIsServedLater)
 {
   eventloop::EventLoop loop;
-  EchoServer server(loop, 21011);
+  EchoServer server(loop, 20901);
   server.listener.Pause(true);
   Caller caller;
-  ClientConnection client(loop, { "127.0.0.1", 21011 }, caller);
+  ClientConnection client(loop, { "127.0.0.1", 20901 }, caller);
   client.Send(kPost);
   const auto pausedUntil = loop.Now() + std::chrono::milliseconds(100);
   RunUntil(loop, [&] { return loop.Now() > pausedUntil; });
@@ -348,12 +348,12 @@
   for (const bool closes : { false, true }) {
     for (const bool isThere : { false, true }) {
       eventloop::EventLoop loop;
-      EchoServer server(loop, 21012);
+      EchoServer server(loop, 20902);
       server.readsNow = true;
       server.closesAfter = closes;
       server.listener.Pause(true);
       Caller caller;
-      ClientConnection client(loop, { "127.0.0.1", 21012 }, caller);
+      ClientConnection client(loop, { "127.0.0.1", 20902 }, caller);
       if (isThere) {
         client.Send(kPost);
       }
