Evacuated zones, cold upstreams and regions are kept

Change: evacuations are decoded at the platform's edge, told by listings, watches and between routers, and end only by proof that is newer than their news; SuitabilityOf says for each upstream why it may not get a request, for first tries, retries and copies of prompt memory alike; levels and capacity follow what may get work. A cold upstream gets nothing but from one owner, by rendezvous among routers whose view has settled, at half of the limit. Regions of route and workspace both bind. Ruled out: ending an evacuation with any listing that lacks it (a source cut off from the store lacks it too).

--- a/src/fleet/exchangeplan.h
+++ b/src/fleet/exchangeplan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/address.h"
+#include "fleet/warmup.h"
 
 #include <cstdint>
 #include <vector>
@@ -38,6 +39,9 @@
   std::vector<base::Address> readers;
   std::size_t readRank = 0; //!< this router's place in that order
 
+  //! Among whom cold upstreams are shared out.
+  RouterSet routers;
+
   //! Whether reports come through hubs; in a small fleet they come directly.
   bool IsLarge() const { return !groupHubs.empty(); }
   //! Whether this router sums up for others; in a small fleet none does.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -20,6 +20,9 @@
 void
 Fleet::Reconfigure(const FleetSettings& aSettings)
 {
+  m_settings.coldLimit = aSettings.coldLimit;
+  m_settings.regionOfZone = aSettings.regionOfZone;
+  m_warmUp.Configure(aSettings.coldLimit);
   m_list.Configure(aSettings.lapseAfter);
   m_freshness.Configure(aSettings.revocationBound);
   m_retries.Configure(
@@ -36,6 +39,8 @@
     status.id = upstream.entry.id;
     status.service = upstream.entry.service;
     status.draining = upstream.entry.draining;
+    status.evacuated = upstream.evacuated;
+    status.coldFor = std::max(upstream.coldUntil - aNow, Duration{});
     status.ejected = upstream.health.IsEjected(aNow);
     status.unreadTokens = upstream.reading.Unread(aNow) + told.unreadTokens;
     status.running = upstream.running + told.running;
@@ -53,7 +58,7 @@
     return false;
   }
   m_routes = std::make_unique<RouteTable>(std::move(aConfig));
-  FollowUpstreams();
+  FollowServices();
   SetKeptPrefixes();
   return true;
 }
@@ -81,7 +86,7 @@
 }
 
 void
-Fleet::FollowUpstreams()
+Fleet::FollowUpstreams(TimePoint aNow)
 {
   std::erase_if(m_upstreams, [&](const auto& aEntry) {
     const auto found = m_list.Entries().find(aEntry.second.entry.id);
@@ -93,16 +98,34 @@
       continue;
     }
     auto& upstream = m_upstreams[UpstreamIdOf(entry)];
-    upstream.entry = entry;
-    upstream.isEngine = false;
-    if (m_routes) {
-      const auto& services = m_routes->Config()->services;
-      const auto found = services.find(entry.service);
-      upstream.isEngine = found != services.end() && found->second.IsEngine();
+    if (upstream.entry.coldFor != entry.coldFor) {
+      upstream.coldUntil = aNow + entry.coldFor;
     }
+    upstream.entry = entry;
+    upstream.evacuated = m_evacuations.Contains(entry.zone);
+  }
+  FollowServices();
+}
+
+void
+Fleet::FollowServices()
+{
+  for (auto& [id, upstream] : m_upstreams) {
+    const auto* service = FindService(upstream.entry.service);
+    upstream.isEngine = service != nullptr && service->IsEngine();
+    upstream.coldPerSecond = service != nullptr ? service->coldPerSecond : 0;
   }
 }
 
+std::size_t
+Fleet::UpstreamsOfZone(const std::string& aZone) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    m_upstreams.begin(), m_upstreams.end(), [&](const auto& aEntry) {
+      return aEntry.second.entry.zone == aZone;
+    }));
+}
+
 Fleet::Upstream*
 Fleet::Find(UpstreamId aUpstream)
 {
@@ -145,7 +168,8 @@
   std::size_t all = 0;
   std::size_t out = 1;
   for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.entry.service != aUpstream.entry.service) {
+    if (upstream.entry.service != aUpstream.entry.service ||
+        upstream.evacuated) {
       continue;
     }
     all++;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,6 +3,7 @@
 #include "fleet/admission.h"
 #include "fleet/calllevels.h"
 #include "fleet/callrates.h"
+#include "fleet/evacuations.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
 #include "fleet/forecasterror.h"
@@ -17,8 +18,10 @@
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
+#include "fleet/suitability.h"
 #include "fleet/upstreamhealth.h"
 #include "fleet/upstreamlist.h"
+#include "fleet/warmup.h"
 #include "quarantine/crashchecks.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/requestfingerprint.h"
@@ -44,6 +47,9 @@
   double retryRatio = 0.2;
   double retrySlack = 20;
   Duration retryWindow{ 10000 };
+  ColdLimit coldLimit{};
+  //! By availability zone; one that isn't named lies in no region.
+  std::map<std::string, std::string> regionOfZone{};
 };
 
 //! A request that looks for a place.
@@ -53,6 +59,8 @@
   const Work* work = nullptr;
   std::string service;
   WorkspaceId workspace{};
+  //! Where requests of its workspace may run; none: anywhere.
+  const std::vector<std::string>* workspaceRegions = nullptr;
   std::uint64_t key = 0; //!< differs between requests
   RequestFingerprint fingerprint{};
   Duration waited{};
@@ -87,6 +95,9 @@
   base::Address address;
   UpstreamId upstream{};
   Duration retryAfter{};
+  //! Why no upstream of its service may get it, of the one that is nearest to
+  //! getting work; Fits where there is one.
+  Suitability suitability = Suitability::Unlisted;
   double foreseenMs = 0;
   double unreadTokens = 0;
   double missingTokens = 0;
@@ -171,8 +182,11 @@
   }
   UpstreamList& Upstreams() { return m_list; }
   const UpstreamList& Upstreams() const { return m_list; }
-  //! To be called after each change of the list.
-  void FollowUpstreams();
+  //! To be called after each change of the list or of the evacuations.
+  void FollowUpstreams(TimePoint aNow);
+  Evacuations& Evacuated() { return m_evacuations; }
+  const Evacuations& Evacuated() const { return m_evacuations; }
+  std::size_t UpstreamsOfZone(const std::string& aZone) const;
   Freshness& ConfigFreshness() { return m_freshness; }
   const Freshness& ConfigFreshness() const { return m_freshness; }
 
@@ -224,6 +238,8 @@
     std::string id;
     std::string service;
     bool draining = false;
+    bool evacuated = false;
+    Duration coldFor{};
     bool ejected = false;
     double unreadTokens = 0; //!< of all routers
     std::uint32_t running = 0;
@@ -237,6 +253,9 @@
   {
     UpstreamEntry entry;
     bool isEngine = false;
+    bool evacuated = false;
+    double coldPerSecond = 0; //!< see Service
+    TimePoint coldUntil{ TimePoint::min() };
     ReadRate readRate;
     UpstreamTime time;
     UpstreamHealth health;
@@ -255,8 +274,18 @@
     bool waitsForFirst = true;
   };
 
+  Suitability SuitabilityOf(const PlaceRequest& aRequest,
+                            UpstreamId aId,
+                            const Upstream& aUpstream,
+                            TimePoint aNow) const;
+  //! Whether it may get anything new at all.
+  bool TakesWork(const Upstream& aUpstream, TimePoint aNow) const;
+  bool IsCold(const Upstream& aUpstream, TimePoint aNow) const;
+  Duration UntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const;
   std::vector<UpstreamId> Eligible(const PlaceRequest& aRequest,
+                                   PlaceResult& aResult,
                                    TimePoint aNow) const;
+  void FollowServices();
   const Service* FindService(const std::string& aName) const;
   std::vector<PrefixHolder> HoldersFor(const PlaceRequest& aRequest,
                                        TimePoint aNow) const;
@@ -279,9 +308,9 @@
                 PlaceResult& aResult,
                 TimePoint aNow) const;
   PlaceResult Entitlement(const PlaceRequest& aRequest, TimePoint aNow);
-  double ReadingCapacity() const;
-  double Room(double aBegun) const;
-  void SetLevels();
+  double ReadingCapacity(TimePoint aNow) const;
+  double Room(double aBegun, TimePoint aNow) const;
+  void SetLevels(TimePoint aNow);
   void AgePrefixes(TimePoint aNow);
   void TakeProof(const PeerReport& aReport);
   void KeepUses(const PeerReport& aReport);
@@ -305,6 +334,8 @@
   PlacementPolicy m_policy;
   std::unique_ptr<RouteTable> m_routes;
   UpstreamList m_list;
+  Evacuations m_evacuations;
+  WarmUp m_warmUp;
   Freshness m_freshness;
   RetryBudget m_retries;
   quarantine::CrashChecks m_crashChecks;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -119,6 +119,12 @@
 //! callers honour up to a third.
 inline constexpr double kRetryAfterPart = 0.3;
 inline constexpr base::Duration kRetryAfterLeast = 20ms;
+//! When a request comes back for which there is no upstream: another router may
+//! know one, or the list may change.
+inline constexpr base::Duration kNoUpstreamWait = 100ms;
+//! The same where an operator's word keeps them all from it, or all are cold
+//! for long.
+inline constexpr base::Duration kNoUpstreamWaitMost = 1000ms;
 //! Memory of the meters of what workspaces ask: half of the window over
 //! which shares are owed.
 inline constexpr base::Duration kShareMemory = 2000ms;
@@ -177,6 +183,9 @@
 //! lost and a router without power is noticed so.
 inline constexpr base::Duration kReportKept = 1000ms;
 inline constexpr base::Duration kMemberKept = 10000ms;
+//! A router that learned of no new member for this long knows the fleet: what
+//! members tell of others has been told once or more.
+inline constexpr base::Duration kRoutersSettle = 2000ms;
 //! Not heard by anyone for this long, a router is passed over as a hub.
 inline constexpr base::Duration kMemberAlive = 3000ms;
 //! Members are told every so many periods.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -57,6 +57,8 @@
   bool isPublic = false;  //!< needs no key
   bool resumable = false; //!< a stream may go on at another upstream
   std::vector<ServiceWeight> split;
+  //! Where its requests may run; empty: anywhere.
+  std::vector<std::string> allowedRegions;
 
   bool MayRunAgain() const
   {
@@ -77,6 +79,10 @@
   //! there are none.
   double copyMbps = 0;
 
+  //! Requests a second that a cold upstream bears from all routers together;
+  //! 0: not said.
+  double coldPerSecond = 0;
+
   bool IsEngine() const { return engineSlots > 0; }
   bool CanCopy() const { return copyMbps > 0 && bytesPerToken > 0; }
 };
@@ -93,6 +99,8 @@
   double tokensPerSecond = 0;
   bool needsKeys = false;
   std::unordered_map<std::string, std::string> workspaceOfKey;
+  //! Where requests of a workspace may run; one that isn't named: anywhere.
+  std::unordered_map<std::string, std::vector<std::string>> regionsOfWorkspace;
 };
 
 using ConfigPtr = std::shared_ptr<const FleetConfig>;
@@ -111,7 +119,7 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
-  Duration coldFor{}; //!< how much longer it is slow after its start
+  Duration coldFor{}; //!< how much longer it is cold, when this was written
 
   bool operator==(const UpstreamEntry&) const = default;
 };
--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -43,7 +43,8 @@
     sum.asked += rate.asked;
     sum.begun += rate.begun;
   }
-  SetLevels();
+  m_warmUp.Forget(aNow);
+  SetLevels(aNow);
   SetCallLevels(aNow);
 }
 
@@ -53,7 +54,7 @@
 {
   std::map<ServiceId, ServicePlaces> services;
   for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine || upstream.entry.draining) {
+    if (upstream.isEngine || !TakesWork(upstream, aNow)) {
       continue;
     }
     const auto running = upstream.running + m_peers.LoadOf(id).running;
@@ -72,11 +73,11 @@
 
 //! What all engines together can read, in tokens a second.
 double
-Fleet::ReadingCapacity() const
+Fleet::ReadingCapacity(TimePoint aNow) const
 {
   double perMs = 0;
   for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine && !upstream.entry.draining) {
+    if (upstream.isEngine && TakesWork(upstream, aNow)) {
       perMs += upstream.readRate.TokensPerMs();
     }
   }
@@ -88,7 +89,7 @@
 //! promised than they ever could, each would be inside its share otherwise and
 //! all would wait, the smallest workspaces too.
 void
-Fleet::SetLevels()
+Fleet::SetLevels(TimePoint aNow)
 {
   m_shareLevel = std::numeric_limits<double>::infinity();
   m_promisedLevel = std::numeric_limits<double>::infinity();
@@ -105,7 +106,7 @@
     begun += rate.begun;
     m_mostBegun = std::max(m_mostBegun, rate.begun);
   }
-  const double room = Room(begun);
+  const double room = Room(begun, aNow);
   const double owed = std::min(promised, std::max(begun, room));
   m_promisedLevel = MaxMinLevel(m_fleetRates, promised);
   m_shareLevel = MaxMinLevel(m_fleetRates, owed);
@@ -125,12 +126,12 @@
 //! What may begin in a second: as much as the engines can read. What is found
 //! in caches need not be read.
 double
-Fleet::Room(double aBegun) const
+Fleet::Room(double aBegun, TimePoint aNow) const
 {
   const double reading = m_demand.Reading() + m_peers.Reading();
   const double begunPerRead =
     reading > 0 ? std::max(aBegun / reading, 1.0) : 1.0;
-  return m_forecastError.ReadingUse() * ReadingCapacity() * begunPerRead;
+  return m_forecastError.ReadingUse() * ReadingCapacity(aNow) * begunPerRead;
 }
 
 }
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -43,26 +43,79 @@
          rate.begun < kStarved * std::min(rate.asked, m_mostBegun);
 }
 
+bool
+Fleet::IsCold(const Upstream& aUpstream, TimePoint aNow) const
+{
+  return aUpstream.coldPerSecond > 0 && aNow < aUpstream.coldUntil;
+}
+
+bool
+Fleet::TakesWork(const Upstream& aUpstream, TimePoint aNow) const
+{
+  return !aUpstream.entry.draining && !aUpstream.evacuated &&
+         !IsCold(aUpstream, aNow);
+}
+
+Suitability
+Fleet::SuitabilityOf(const PlaceRequest& aRequest,
+                     UpstreamId aId,
+                     const Upstream& aUpstream,
+                     TimePoint aNow) const
+{
+  const auto& entry = aUpstream.entry;
+  if (entry.service != aRequest.service) {
+    return Suitability::Unlisted;
+  }
+  if (entry.draining) {
+    return Suitability::Draining;
+  }
+  if (!MayRunIn(m_settings.regionOfZone, entry.zone, aRequest)) {
+    return Suitability::OtherRegion;
+  }
+  if (aUpstream.evacuated) {
+    return Suitability::Evacuated;
+  }
+  if (std::find(aRequest.avoid.begin(), aRequest.avoid.end(), aId) !=
+      aRequest.avoid.end()) {
+    return Suitability::Tried;
+  }
+  const bool held = IsCold(aUpstream, aNow) &&
+                    !m_warmUp.MaySend(aId, aUpstream.coldPerSecond, aNow);
+  return held ? Suitability::Cold : Suitability::Fits;
+}
+
 //! Upstreams of its service that may get it. Those that failed lately come in
 //! only if there are no others.
 std::vector<UpstreamId>
-Fleet::Eligible(const PlaceRequest& aRequest, TimePoint aNow) const
+Fleet::Eligible(const PlaceRequest& aRequest,
+                PlaceResult& aResult,
+                TimePoint aNow) const
 {
   std::vector<UpstreamId> sound;
   std::vector<UpstreamId> ejected;
   for (const auto& [id, upstream] : m_upstreams) {
-    const auto& entry = upstream.entry;
-    const bool fits =
-      entry.service == aRequest.service && !entry.draining &&
-      std::find(aRequest.avoid.begin(), aRequest.avoid.end(), id) ==
-        aRequest.avoid.end();
-    if (fits) {
+    const auto suitability = SuitabilityOf(aRequest, id, upstream, aNow);
+    aResult.suitability = std::max(aResult.suitability, suitability);
+    if (suitability == Suitability::Fits) {
       (upstream.health.IsEjected(aNow) ? ejected : sound).push_back(id);
     }
   }
   return sound.empty() ? ejected : sound;
 }
 
+//! Until the first of its service's upstreams is warm.
+Duration
+Fleet::UntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const
+{
+  auto least = Duration::max();
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (SuitabilityOf(aRequest, id, upstream, aNow) == Suitability::Cold) {
+      least = std::min(least, upstream.coldUntil - aNow);
+    }
+  }
+  return least;
+}
+
 const Service*
 Fleet::FindService(const std::string& aName) const
 {
@@ -89,10 +142,10 @@
   for (std::size_t i = prompt.size(); i > 1 && holders.empty(); --i) {
     for (const auto id : m_prefixes.HoldersOf(prompt[i - 2].id)) {
       const auto found = m_upstreams.find(id);
-      const bool gives = found != m_upstreams.end() &&
-                         !found->second.entry.draining &&
-                         found->second.entry.service == aRequest.service &&
-                         !found->second.health.IsEjected(aNow);
+      const bool gives =
+        found != m_upstreams.end() &&
+        IsWorkable(SuitabilityOf(aRequest, id, found->second, aNow)) &&
+        !found->second.health.IsEjected(aNow);
       if (gives) {
         holders.push_back({ id,
                             m_prefixes.Held(*aRequest.work, id),
@@ -280,13 +333,14 @@
   const bool apart = result.crashes > 0;
   const auto policy = apart ? Spread() : m_policy;
   const auto key = shared != nullptr && !apart ? shared->id : aRequest.key;
-  const auto eligible = Eligible(aRequest, aNow);
+  const auto eligible = Eligible(aRequest, result, aNow);
   const auto holders = HoldersFor(aRequest, aNow);
   auto candidates = Candidates(aRequest, eligible, holders, policy, key, aNow);
   const auto unseen = Unseen(aRequest, candidates, aNow);
   auto placed = fleet::Place(policy, candidates, key, unseen);
   if (!placed) {
-    result.retryAfter = kRetryAfterLeast;
+    result.retryAfter =
+      RetryAfterFor(result.suitability, UntilWarm(aRequest, aNow));
     return result;
   }
   auto admission =
@@ -342,6 +396,9 @@
   attempt.rounds = aCandidate.Rounds();
   attempt.sentAt = aNow;
   upstream.running++;
+  if (IsCold(upstream, aNow)) {
+    m_warmUp.Sent(aUpstream, aNow);
+  }
   const auto id = m_nextAttempt++;
   const double aheadMs = aCandidate.unreadTokens / aCandidate.readRate;
   upstream.reading.Sent(
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -71,6 +71,7 @@
 Fleet::SetPlan(const ExchangePlan& aPlan)
 {
   m_group = aPlan.group;
+  m_warmUp.SetRouters(aPlan.routers);
   m_sumsUp = aPlan.SumsUp();
   m_newsIsOld = aPlan.IsLarge();
   if (!m_sumsUp) {
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -57,6 +57,9 @@
     if (m_members.size() >= kMostMembers && !m_members.contains(text)) {
       continue;
     }
+    if (!m_members.contains(text)) {
+      m_grownAt = aNow;
+    }
     auto& member = m_members[text];
     member.address = known.address;
     member.zone = known.zone;
@@ -98,7 +101,27 @@
       alive.push_back(member);
     }
   }
-  return MakeExchangePlan(m_self, alive);
+  auto plan = MakeExchangePlan(m_self, alive);
+  plan.routers = Routers(aNow);
+  return plan;
+}
+
+//! Routers that were not heard lately belong to it too: one that is cut off
+//! from the others comes to the same owners as they do, until it has forgotten
+//! them. By then it is alone, or knows only routers that are cut off with it.
+RouterSet
+Membership::Routers(TimePoint aNow) const
+{
+  RouterSet set;
+  set.self = m_self.hash;
+  set.routers.push_back(m_self.hash);
+  for (const auto& [text, member] : m_members) {
+    set.routers.push_back(member.hash);
+  }
+  const bool isAlone = !m_seeds.empty() && IsAlone(aNow);
+  const bool hearsMost = 2 * Alive(aNow) > set.routers.size();
+  set.isSettled = !isAlone && hearsMost && aNow - m_grownAt >= kRoutersSettle;
+  return set;
 }
 
 std::vector<base::Address>
--- a/src/fleet/internal/newslog.cpp
+++ b/src/fleet/internal/newslog.cpp
@@ -52,6 +52,15 @@
   m_hasUpstreams = true;
 }
 
+void
+NewsLog::SetEvacuations(const std::vector<Evacuation>& aAll)
+{
+  if (m_evacuations != aAll) {
+    m_evacuations = aAll;
+    Note("");
+  }
+}
+
 bool
 NewsLog::KnowsSince(const NewsAsk& aAsk) const
 {
@@ -78,6 +87,7 @@
   if (aAsk.configVersion < m_configVersion) {
     news.config = m_config;
   }
+  news.evacuations = m_evacuations;
   news.full = !KnowsSince(aAsk);
   if (news.full) {
     for (const auto& [id, entry] : m_upstreams) {
@@ -87,7 +97,7 @@
   }
   std::set<std::string> changed;
   for (const auto& change : m_changes) {
-    if (change.sequence > aAsk.sequence) {
+    if (change.sequence > aAsk.sequence && !change.id.empty()) {
       changed.insert(change.id);
     }
   }
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -43,10 +43,12 @@
   };
 
   bool IsAlive(const Member& aMember, TimePoint aNow) const;
+  RouterSet Routers(TimePoint aNow) const;
 
   FleetMember m_self;
   std::vector<base::Address> m_seeds;
   std::map<std::string, Member> m_members;
+  TimePoint m_grownAt{ TimePoint::min() / 2 }; //!< m_members
   TimePoint m_seedsToldAt{ TimePoint::min() / 2 };
 };
 
--- a/src/fleet/news.h
+++ b/src/fleet/news.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "fleet/evacuations.h"
 #include "fleet/fleettypes.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,8 @@
   std::string config;  //!< as the store holds it; empty: nothing newer
   std::vector<UpstreamEntry> upstreams;
   std::vector<std::string> removed;
+  //! All that are in force; nothing: not told.
+  std::optional<std::vector<Evacuation>> evacuations;
 };
 
 }
--- a/src/fleet/newslog.h
+++ b/src/fleet/newslog.h
@@ -19,6 +19,8 @@
   void SetConfig(std::uint64_t aVersion, const std::string& aBytes);
   //! Notes what differs from the last call.
   void SetUpstreams(const std::map<std::string, UpstreamEntry>& aEntries);
+  //! All that are in force.
+  void SetEvacuations(const std::vector<Evacuation>& aAll);
 
   //! Whether the store was listed: who has just started and was told nothing
   //! must not be taken for an empty store.
@@ -31,7 +33,7 @@
   struct Change
   {
     std::uint64_t sequence = 0;
-    std::string id;
+    std::string id; //!< empty: of the evacuations
   };
 
   bool KnowsSince(const NewsAsk& aAsk) const;
@@ -43,6 +45,7 @@
   std::string m_config;
   bool m_hasUpstreams = false;
   std::map<std::string, UpstreamEntry> m_upstreams;
+  std::vector<Evacuation> m_evacuations;
   std::deque<Change> m_changes;
 };
 
--- a/src/fleet/tests/corefixture.h
+++ b/src/fleet/tests/corefixture.h
@@ -27,11 +27,21 @@
   return config;
 }
 
+inline FleetSettings
+BenchSettings()
+{
+  FleetSettings settings;
+  settings.router = "r1";
+  settings.zone = "zone-a";
+  settings.life = 1;
+  return settings;
+}
+
 //! One router over some upstreams, and the means to ask it.
 struct Bench
 {
   Bench()
-    : fleet({ "r1", "zone-a", 1 })
+    : fleet(BenchSettings())
   {
     route.kind = CallKind::Stream;
     route.target = 800ms;
@@ -50,7 +60,7 @@
       entries.push_back(entry);
     }
     fleet.Upstreams().Replace(entries, now);
-    fleet.FollowUpstreams();
+    fleet.FollowUpstreams(now);
   }
 
   //! One engine that started at aStartedAt.
@@ -63,7 +73,7 @@
     entry.zone = "zone-a";
     entry.startedAt = aStartedAt;
     fleet.Upstreams().Put(entry);
-    fleet.FollowUpstreams();
+    fleet.FollowUpstreams(now);
   }
 
   PlaceRequest Ask(std::uint64_t aPrefix,
--- a/src/fleet/tests/crashingfleet.cpp
+++ b/src/fleet/tests/crashingfleet.cpp
@@ -67,7 +67,7 @@
     entries.push_back(entry);
   }
   aFleet.Upstreams().Replace(entries, Now());
-  aFleet.FollowUpstreams();
+  aFleet.FollowUpstreams(Now());
 }
 
 void
--- a/src/fleet/tests/loadmodel.cpp
+++ b/src/fleet/tests/loadmodel.cpp
@@ -150,7 +150,7 @@
       fleet.SetPlan(plan);
     }
     fleet.Upstreams().Replace(entries, m_fleet.Now());
-    fleet.FollowUpstreams();
+    fleet.FollowUpstreams(m_fleet.Now());
   }
   for (const auto& kind : aLoad.kinds) {
     Route route;
--- a/src/fleet/tests/plainmodel.cpp
+++ b/src/fleet/tests/plainmodel.cpp
@@ -90,7 +90,7 @@
     auto& fleet = m_fleet.Add({ "r" + std::to_string(i), "zone-a", 1 });
     fleet.SetConfig(config);
     fleet.Upstreams().Replace(entries, m_fleet.Now());
-    fleet.FollowUpstreams();
+    fleet.FollowUpstreams(m_fleet.Now());
   }
 }
 
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -56,7 +56,7 @@
       entries.push_back(entry);
     }
     fleet.Upstreams().Replace(entries, now);
-    fleet.FollowUpstreams();
+    fleet.FollowUpstreams(now);
   }
 
   PlaceResult Place(std::uint64_t aPrefix, std::vector<UpstreamId> aAvoid = {})
@@ -155,7 +155,7 @@
     } else {
       bench.fleet.Upstreams().Put(entry);
     }
-    bench.fleet.FollowUpstreams();
+    bench.fleet.FollowUpstreams(bench.now);
     cr_assert(bench.Place(7, { first.upstream }).copyFrom.port == 0, "%s", how);
   }
 }
--- a/src/fleet/tests/upstreamtests.cpp
+++ b/src/fleet/tests/upstreamtests.cpp
@@ -48,7 +48,7 @@
   bad.id = "u0";
   bad.usable = false;
   bench.fleet.Upstreams().Put(bad);
-  bench.fleet.FollowUpstreams();
+  bench.fleet.FollowUpstreams(bench.now);
   for (std::uint64_t prefix = 0; prefix < 6; ++prefix) {
     cr_assert(bench.Place(bench.Ask(prefix)).upstreamId == "u1");
   }
@@ -64,7 +64,7 @@
   leaving.service = "engines";
   leaving.draining = true;
   bench.fleet.Upstreams().Put(leaving);
-  bench.fleet.FollowUpstreams();
+  bench.fleet.FollowUpstreams(bench.now);
   for (int i = 0; i < 20; ++i) {
     cr_assert(bench.Place(bench.Ask(7)).upstreamId != first.upstreamId);
   }
@@ -77,13 +77,13 @@
   Bench bench;
   bench.List(2);
   bench.fleet.Upstreams().Remove("u0", bench.now);
-  bench.fleet.FollowUpstreams();
+  bench.fleet.FollowUpstreams(bench.now);
   for (std::uint64_t i = 0; i < 20; ++i) {
     const auto place = bench.Place(bench.Ask(i));
     cr_assert(place.upstreamId == "u1");
     bench.fleet.Ended(place.attempt, AttemptEnd::Answered, bench.now);
   }
   bench.fleet.Upstreams().Remove("u1", bench.now);
-  bench.fleet.FollowUpstreams();
+  bench.fleet.FollowUpstreams(bench.now);
   cr_assert(bench.Place(bench.Ask(1)).outcome == PlaceOutcome::NoUpstream);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,6 +60,8 @@
   settings.retryRatio = aSettings.retryRatio;
   settings.retrySlack = aSettings.retrySlack;
   settings.retryWindow = aSettings.retryWindow;
+  settings.coldLimit = aSettings.coldLimit;
+  settings.regionOfZone = aSettings.regionOfZone;
   return settings;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -87,6 +87,9 @@
   void OnListed(const std::vector<fleet::UpstreamEntry>& aEntries) override;
   void OnUpstream(const fleet::UpstreamEntry& aEntry) override;
   void OnRemoved(const std::string& aId) override;
+  void OnEvacuations(const std::vector<fleet::Evacuation>& aAll) override;
+  void OnEvacuated(const fleet::Evacuation& aEvacuation) override;
+  void OnRestored(const std::string& aZone) override;
   void OnProven(base::TimePoint aAt) override;
   void OnStoreLost(const std::string& aWhy) override;
   void OnStoreReached(base::TimePoint aAt) override;
@@ -101,6 +104,7 @@
   void CheckUpstreams(base::TimePoint aNow);
   void TakeCheck(base::UpstreamId aUpstream, quarantine::CheckResult aResult);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
+  void TakeZones(const std::vector<fleet::ZoneNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
   void FollowSource(base::TimePoint aNow);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -98,6 +98,30 @@
   aReader.Finish();
 }
 
+void
+ReadColdLimit(SectionReader aReader, GatewaySettings& aSettings)
+{
+  aSettings.coldLimit.overrun =
+    aReader.RealOr("overrun", 0, kMostRatio, aSettings.coldLimit.overrun);
+  aSettings.coldLimit.slack =
+    aReader.RealOr("slack", 0, kMostSlack, aSettings.coldLimit.slack);
+  aReader.Finish();
+}
+
+//! Lines "zone = ZONE:REGION".
+void
+ReadRegions(SectionReader aReader, GatewaySettings& aSettings)
+{
+  for (const auto& line : aReader.All("zone")) {
+    const auto colon = line.find(':');
+    if (colon == 0 || colon == std::string::npos || colon + 1 == line.size()) {
+      aReader.Fail(ErrorCode::BadValue, "zone", "expected ZONE:REGION");
+    }
+    aSettings.regionOfZone[line.substr(0, colon)] = line.substr(colon + 1);
+  }
+  aReader.Finish();
+}
+
 void
 ReadPeers(SectionReader aReader, GatewaySettings& aSettings)
 {
@@ -142,11 +166,16 @@
       ReadRetries(reader, settings);
     } else if (section.name == "peers") {
       ReadPeers(reader, settings);
+    } else if (section.name == "cold_upstreams") {
+      ReadColdLimit(reader, settings);
+    } else if (section.name == "regions") {
+      ReadRegions(reader, settings);
     } else {
       throw Error(ErrorCode::UnknownKey,
                   aFile + ":" + std::to_string(section.entries.front().line) +
                     ": [" + section.name +
-                    "]: expected [gateway], [store], [retries] or [peers]");
+                    "]: expected [gateway], [store], [retries], [peers], "
+                    "[cold_upstreams] or [regions]");
     }
   }
   if (!hasGateway || !hasStore) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet.h"
 #include "fleet/fleetconstants.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,9 @@
   double retryRatio = 0.2;
   double retrySlack = 20;
   base::Duration retryWindow{ 10000 };
+  fleet::ColdLimit coldLimit;
+  //! Region by availability zone.
+  std::map<std::string, std::string> regionOfZone;
   fleet::PlacementKind placement = fleet::PlacementKind::PrefixAffinity;
   std::string logLevel = "info";
   //! Requests a second that have their lines in the log; the rest is only
--- a/src/gateway/inewssource.h
+++ b/src/gateway/inewssource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/basetypes.h"
+#include "fleet/evacuations.h"
 #include "fleet/fleettypes.h"
 
 #include <string>
@@ -21,6 +22,10 @@
   virtual void OnListed(const std::vector<fleet::UpstreamEntry>& aEntries) = 0;
   virtual void OnUpstream(const fleet::UpstreamEntry& aEntry) = 0;
   virtual void OnRemoved(const std::string& aId) = 0;
+  //! Every evacuation that is in force now.
+  virtual void OnEvacuations(const std::vector<fleet::Evacuation>& aAll) = 0;
+  virtual void OnEvacuated(const fleet::Evacuation& aEvacuation) = 0;
+  virtual void OnRestored(const std::string& aZone) = 0;
   //! All that the store held at aAt has been told.
   virtual void OnProven(base::TimePoint aAt) = 0;
   virtual void OnStoreLost(const std::string& aWhy) = 0;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -70,7 +70,6 @@
   void OnCallerGone();
   void OnCallerDrained();
   //! Looks at the time limits.
-  //! Looks at the time limits.
   void Tick(base::TimePoint aNow);
   //! Whether any upstream was chosen for it.
   bool WasPlaced() const { return !m_tried.empty(); }
@@ -96,6 +95,7 @@
   void PlaceFirst();
   bool PlaceAgain();
   fleet::PlaceRequest MakePlaceRequest() const;
+  void CountNoUpstream(const fleet::PlaceResult& aPlace);
   void SendFirst(const fleet::PlaceResult& aPlace);
   void Send(const fleet::PlaceResult& aPlace);
   void LogPlace(const char* aEvent, const fleet::PlaceResult& aPlace);
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -26,6 +26,9 @@
   request.work = &m_request.work;
   request.service = m_service;
   request.workspace = fleet::WorkspaceIdOf(m_workspace);
+  const auto& regions = m_config->regionsOfWorkspace;
+  const auto bound = regions.find(m_workspace);
+  request.workspaceRegions = bound == regions.end() ? nullptr : &bound->second;
   request.key = base::HashName(m_request.id);
   request.fingerprint = m_fingerprint;
   request.waited = Waited();
@@ -57,11 +60,21 @@
       AnswerOwn(Refusal::Quarantined, Verdict::NotRun, place.retryAfter);
       return;
     case fleet::PlaceOutcome::NoUpstream:
-      AnswerOwn(Refusal::NoUpstream, Verdict::NotRun, kComeBackSoon);
+      CountNoUpstream(place);
+      AnswerOwn(Refusal::NoUpstream, Verdict::NotRun, place.retryAfter);
       return;
   }
 }
 
+void
+Exchange::CountNoUpstream(const fleet::PlaceResult& aPlace)
+{
+  m_parts.metrics.Count(
+    "requests_without_upstream_total{why=\"" +
+    std::string(fleet::kSuitabilityNames.NameOf(aPlace.suitability)) + "\"}");
+  LogPlace("no-upstream", aPlace);
+}
+
 //! Under a flood a connection waits to be accepted for longer than its caller
 //! does, and the request is the first thing seen of it. What is refused needs
 //! no such look, a system call: its answer is lost on nobody.
@@ -112,6 +125,9 @@
   if (place.outcome == fleet::PlaceOutcome::Quarantined) {
     LogPlace("withheld", place);
   }
+  if (place.outcome == fleet::PlaceOutcome::NoUpstream) {
+    CountNoUpstream(place);
+  }
   if (place.outcome != fleet::PlaceOutcome::Placed) {
     return false;
   }
@@ -149,6 +165,7 @@
     .Add("copy_from", aPlace.copyFrom.Text())
     .Add("running", aPlace.running)
     .Add("rank", aPlace.rank)
+    .Add("nearest", fleet::kSuitabilityNames.NameOf(aPlace.suitability))
     .Add("inside_share", aPlace.insideShare ? "yes" : "no")
     .Add("inside_promise", aPlace.insidePromise ? "yes" : "no")
     .Add("starved", aPlace.starved ? "yes" : "no")
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -228,7 +228,7 @@
 void
 Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
 {
-  m_fleet.FollowUpstreams();
+  m_fleet.FollowUpstreams(m_loop.Now());
   m_newsLog.SetUpstreams(m_fleet.Upstreams().Entries());
   for (const auto& notice : aNotices) {
     LogLine("upstream-entry")
@@ -296,6 +296,49 @@
   TakeNotices(m_fleet.Upstreams().Remove(aId, m_loop.Now()));
 }
 
+void
+Gateway::OnEvacuations(const std::vector<fleet::Evacuation>& aAll)
+{
+  TakeZones(m_fleet.Evacuated().Replace(aAll, m_loop.Now()));
+}
+
+void
+Gateway::OnEvacuated(const fleet::Evacuation& aEvacuation)
+{
+  TakeZones(m_fleet.Evacuated().Put(aEvacuation, m_loop.Now()));
+}
+
+void
+Gateway::OnRestored(const std::string& aZone)
+{
+  m_fleet.Evacuated().Remove(aZone);
+}
+
+void
+Gateway::TakeZones(const std::vector<fleet::ZoneNotice>& aNotices)
+{
+  if (aNotices.empty()) {
+    return;
+  }
+  m_fleet.FollowUpstreams(m_loop.Now());
+  m_newsLog.SetEvacuations(m_fleet.Evacuated().InForce());
+  const auto proofAge = m_loop.Now() - m_newsProvenAt;
+  for (const auto& notice : aNotices) {
+    const auto change = fleet::kZoneChangeNames.NameOf(notice.change);
+    m_metrics.Count("zone_evacuations_total{change=\"" + std::string(change) +
+                    "\"}");
+    LogLine("zone")
+      .Add("availability_zone", notice.evacuation.zone)
+      .Add("change", change)
+      .Add("revision", notice.evacuation.revision)
+      .Add("upstreams",
+           static_cast<std::uint64_t>(
+             m_fleet.UpstreamsOfZone(notice.evacuation.zone)))
+      .Add("proof_age_ms", proofAge.count())
+      .Info();
+  }
+}
+
 //! A store that came back from a copy may hold an older version than the one
 //! in force here or at another router, and proves nothing then.
 bool
@@ -315,6 +358,7 @@
   }
   m_fleet.ConfigFreshness().Proven(aAt);
   m_newsProvenAt = std::max(m_newsProvenAt, aAt);
+  TakeZones(m_fleet.Evacuated().Proven(aAt));
   if (m_sources.Current().kind == fleet::SourceKind::Store) {
     m_knownReader.Learn(m_settings.peerListen, aAt);
     m_sources.Answered(base::Duration{}, m_loop.Now());
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -23,6 +23,8 @@
       static_cast<double>(m_fleet.Quarantined().Suspects()));
   set("requests_quarantined",
       static_cast<double>(m_fleet.Quarantined().Held(aNow).size()));
+  set("zones_evacuated",
+      static_cast<double>(m_fleet.Evacuated().InForce().size()));
   set("config_version", static_cast<double>(m_fleet.ConfigVersion()));
   set("config_age_ms",
       static_cast<double>(m_fleet.ConfigFreshness().Age(aNow).count()));
@@ -45,18 +47,27 @@
     m_exchanges.size(),
     m_connections.Size());
   for (const auto& one : m_fleet.Status(now)) {
-    text += fmt::format("upstream={} service={} draining={} ejected={} "
+    text += fmt::format("upstream={} service={} draining={} evacuated={} "
+                        "cold_ms={} ejected={} "
                         "unread_tokens={:.0f} running={} read_rate={:.1f} "
                         "failure_part={:.2f}\n",
                         one.id,
                         one.service,
                         one.draining ? "yes" : "no",
+                        one.evacuated ? "yes" : "no",
+                        one.coldFor.count(),
                         one.ejected ? "yes" : "no",
                         one.unreadTokens,
                         one.running,
                         one.readRate,
                         one.failurePart);
   }
+  for (const auto& one : m_fleet.Evacuated().InForce()) {
+    text += fmt::format("evacuated_zone={} revision={} upstreams={}\n",
+                        one.zone,
+                        one.revision,
+                        m_fleet.UpstreamsOfZone(one.zone));
+  }
   for (const auto& one : m_fleet.Quarantined().Held(now)) {
     text += fmt::format("quarantined={} crashes={}\n",
                         quarantine::FingerprintText(one.request),
--- a/src/gateway/internal/newscodec.cpp
+++ b/src/gateway/internal/newscodec.cpp
@@ -40,6 +40,16 @@
       entry.usable,
       entry.startedAt ? *entry.startedAt + 1 : 0));
   }
+  flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::Evacuation>>>
+    evacuations;
+  if (aNews.evacuations) {
+    std::vector<flatbuffers::Offset<fb::Evacuation>> zones;
+    for (const auto& one : *aNews.evacuations) {
+      zones.push_back(
+        fb::CreateEvacuationDirect(aBuilder, one.zone.c_str(), one.revision));
+    }
+    evacuations = aBuilder.CreateVector(zones);
+  }
   const std::vector<std::uint8_t> config(aNews.config.begin(),
                                          aNews.config.end());
   const auto removed = aBuilder.CreateVectorOfStrings(aNews.removed);
@@ -51,7 +61,8 @@
                         aBuilder.CreateVector(config),
                         aBuilder.CreateVector(upstreams),
                         removed,
-                        Unsigned(aNews.waited))
+                        Unsigned(aNews.waited),
+                        evacuations)
     .Union();
 }
 
@@ -108,6 +119,12 @@
       news.removed.push_back(id->str());
     }
   }
+  if (aWire.evacuations() != nullptr) {
+    auto& all = news.evacuations.emplace();
+    for (const auto* one : *aWire.evacuations()) {
+      all.push_back({ one->zone()->str(), one->revision() });
+    }
+  }
   return news;
 }
 
--- a/src/gateway/internal/newsfollower.cpp
+++ b/src/gateway/internal/newsfollower.cpp
@@ -98,6 +98,9 @@
       m_events.OnRemoved(id);
     }
   }
+  if (aNews.evacuations) {
+    m_events.OnEvacuations(*aNews.evacuations);
+  }
   m_events.OnProven(provenAt);
   m_onAnswer(aNews.proofAge);
 }
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -78,6 +78,7 @@
     m_listBeganAt = m_calledAt;
     m_listRevision = 0;
     m_listed.clear();
+    m_listedEvacuations.clear();
     m_listedConfig.clear();
   }
   m_metrics.Count("store_calls_total");
@@ -210,6 +211,8 @@
     } else if (const auto* upstream = std::get_if<StoredUpstream>(&item)) {
       NoteUnusable(*upstream);
       m_listed.push_back(upstream->entry);
+    } else if (const auto* zone = std::get_if<EvacuatedZone>(&item)) {
+      m_listedEvacuations.push_back(zone->evacuation);
     } else {
       TakeItem(item);
     }
@@ -225,8 +228,10 @@
     m_events.OnStoredConfig(m_listedConfig);
   }
   m_events.OnListed(m_listed);
+  m_events.OnEvacuations(m_listedEvacuations);
   m_events.OnProven(m_listBeganAt);
   m_listed.clear();
+  m_listedEvacuations.clear();
   m_listedConfig.clear();
   return true;
 }
@@ -252,6 +257,10 @@
     m_events.OnUpstream(upstream->entry);
   } else if (const auto* removed = std::get_if<RemovedUpstream>(&aItem)) {
     m_events.OnRemoved(removed->id);
+  } else if (const auto* evacuated = std::get_if<EvacuatedZone>(&aItem)) {
+    m_events.OnEvacuated(evacuated->evacuation);
+  } else if (const auto* restored = std::get_if<RestoredZone>(&aItem)) {
+    m_events.OnRestored(restored->zone);
   } else if (const auto* ignored = std::get_if<IgnoredItem>(&aItem)) {
     m_metrics.Count("store_items_ignored_total");
     base::LogLine("store-item-ignored")
--- a/src/gateway/istoredialect.h
+++ b/src/gateway/istoredialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/evacuations.h"
 #include "fleet/fleettypes.h"
 #include "http/httptypes.h"
 
@@ -29,6 +30,16 @@
   std::string id;
 };
 
+struct EvacuatedZone
+{
+  fleet::Evacuation evacuation;
+};
+
+struct RestoredZone
+{
+  std::string zone;
+};
+
 //! Something of no use to a router, or that can't be read (why says so).
 struct IgnoredItem
 {
@@ -36,8 +47,12 @@
   std::string why;
 };
 
-using StoreItem =
-  std::variant<StoredConfig, StoredUpstream, RemovedUpstream, IgnoredItem>;
+using StoreItem = std::variant<StoredConfig,
+                               StoredUpstream,
+                               RemovedUpstream,
+                               EvacuatedZone,
+                               RestoredZone,
+                               IgnoredItem>;
 
 //! A page of a listing, or the events of a watch.
 struct StorePage
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -94,6 +94,7 @@
   std::string m_listAfter;
   std::uint64_t m_listRevision = 0;
   std::vector<fleet::UpstreamEntry> m_listed;
+  std::vector<fleet::Evacuation> m_listedEvacuations;
   std::string m_listedConfig;
   std::uint64_t m_revision = 0;
   base::TimePoint m_calledAt{};
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -243,6 +243,7 @@
   unusable.usable = false;
   news.upstreams = { entry, unusable };
   news.removed = { "i-2" };
+  news.evacuations = { { "z", 1ULL << 33 }, { "y", 0 } };
   const auto read = std::get<fleet::News>(DecodeNews(EncodeNews(news)));
   cr_assert(read.life == news.life && read.sequence == 9 && read.full);
   cr_assert(read.proofAge == news.proofAge);
@@ -251,6 +252,13 @@
   cr_assert(read.upstreams.at(0) == entry);
   cr_assert(read.upstreams.at(1) == unusable);
   cr_assert(read.removed == news.removed);
+  cr_assert(read.evacuations == news.evacuations);
+  news.evacuations.emplace();
+  cr_assert(std::get<fleet::News>(DecodeNews(EncodeNews(news)))
+              .evacuations.value()
+              .empty());
+  news.evacuations.reset();
+  cr_assert(!std::get<fleet::News>(DecodeNews(EncodeNews(news))).evacuations);
   const auto ask =
     std::get<fleet::NewsAsk>(DecodeNews(EncodeNews(fleet::NewsAsk{ 1, 2, 3 })));
   cr_assert(ask.life == 1 && ask.sequence == 2 && ask.configVersion == 3);
--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -109,7 +109,7 @@
                     { "slots", aEntry.slots },
                     { "state", aEntry.state },
                     { "sequence", 1 },
-                    { "coldRemainingMs", 0 } };
+                    { "coldRemainingMs", aEntry.coldFor.count() } };
   Put("servers/" + aId, entry.dump());
 }
 
@@ -119,6 +119,18 @@
   Remove("servers/" + aId);
 }
 
+void
+StoreStandin::Evacuate(const std::string& aZone)
+{
+  Put("op/evacuate/" + aZone, "{}");
+}
+
+void
+StoreStandin::EndEvacuation(const std::string& aZone)
+{
+  Remove("op/evacuate/" + aZone);
+}
+
 void
 StoreStandin::ForgetHistory()
 {
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -36,6 +36,7 @@
   std::string zone;
   std::uint32_t slots = 8;
   std::string state = "ready";
+  base::Duration coldFor{};
 };
 
 //! Stands in for the platform's store: keys, one revision counter, ranges
@@ -52,6 +53,8 @@
   void PutConfig(const std::string& aText);
   void PutUpstream(const std::string& aId, const StoredEntry& aEntry);
   void RemoveUpstream(const std::string& aId);
+  void Evacuate(const std::string& aZone);
+  void EndEvacuation(const std::string& aZone);
   //! Watches from before now get 410.
   void ForgetHistory();
   //! All that it holds is kept as a copy.
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -102,6 +102,10 @@
     });
   const auto deadline = ValueOr(headers, "Hemlockgauge-Deadline-Ms");
   run->deadlineMs = deadline.empty() ? -1 : std::stoll(deadline);
+  if (IsOverrun()) {
+    Crash();
+    return;
+  }
   const auto misbehaviour = m_judge(*run);
   if (misbehaviour == Misbehaviour::Shed ||
       m_works.size() >= 4 * std::size_t{ m_settings.slots }) {
@@ -178,6 +182,32 @@
   m_connections.AbortAll();
 }
 
+void
+WorkerStandin::TurnCold(base::Duration aFor)
+{
+  m_coldUntil = m_loop.Now() + aFor;
+}
+
+bool
+WorkerStandin::IsCold() const
+{
+  return m_loop.Now() < m_coldUntil;
+}
+
+bool
+WorkerStandin::IsOverrun()
+{
+  constexpr base::Duration kSecond(1000);
+  if (m_settings.coldLimit == 0 || !IsCold()) {
+    return false;
+  }
+  const auto now = m_loop.Now();
+  m_taken.push_back(now);
+  std::erase_if(m_taken,
+                [&](base::TimePoint aAt) { return now - aAt >= kSecond; });
+  return m_taken.size() > m_settings.coldLimit;
+}
+
 void
 WorkerStandin::Tick()
 {
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -8,6 +8,7 @@
 #include "http/serverconnection.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -72,6 +73,8 @@
   std::uint32_t slots = 8;
   bool isEngine = false;
   base::Duration workTime{ 5 }; //!< until the first byte, and per event
+  //! Requests in any second under which it crashes while it is cold; 0: none.
+  std::uint32_t coldLimit = 0;
 };
 
 //! Stands in for a model engine or a plain service of the platform.
@@ -98,6 +101,8 @@
     m_onCrash = std::move(aOnCrash);
   }
   bool HasCrashed() const { return m_crashed; }
+  void TurnCold(base::Duration aFor);
+  bool IsCold() const;
 
   //! The body of a plain answer, or the data of an event (from 1).
   static std::string AnswerText(const std::string& aRequestId, int aEvent);
@@ -126,6 +131,7 @@
   };
 
   void Tick();
+  bool IsOverrun();
   //! Returns true when the run is over.
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
@@ -148,6 +154,8 @@
   http::ConnectionSet m_connections;
   http::Listener m_listener;
   bool m_crashed = false;
+  base::TimePoint m_coldUntil{ base::TimePoint::min() };
+  std::deque<base::TimePoint> m_taken; //!< while cold, in the last second
 };
 
 }
