Many routers that start at once are serving soon

Cause: with 300 routers before 3,000 upstreams each change of a watch's answer made a router follow and copy its whole list (a lost zone: 750 times 3,000 entries), a listing began anew with each refused call, each follower got the list encoded for it alone, nobody waited for a seed that was about to know, and a router that changed its source got the list once more. Change: the list is followed once an answer; a listing goes on where it was for three seconds; the whole list is encoded once a change and sent to eight followers at a time; a source says that its news are on the way; an asker tells a digest of its list. Counters of bytes between routers by scope and to upstreams by zone. Ruled out: reads that may be stale for the listing: the page does not say whose revision they come with.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -108,6 +108,7 @@
   std::uint32_t running = 0;
   std::size_t crashes = 0; //!< upstreams that crashed under the request
   int rank = 0;
+  bool sameZone = false; //!< the upstream is in this router's zone
   bool insideShare = true;
   bool insidePromise = true;   //!< see AdmissionInput
   bool starved = false;        //!< see AdmissionInput
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -373,6 +373,7 @@
   const auto& entry = m_upstreams.at(id).entry;
   result.outcome = PlaceOutcome::Placed;
   result.upstream = id;
+  result.sameZone = candidate.sameZone;
   result.upstreamId = entry.id;
   result.address = entry.address;
   result.attempt = Begin(aRequest, id, candidate, aNow);
--- a/src/fleet/internal/newslog.cpp
+++ b/src/fleet/internal/newslog.cpp
@@ -1,6 +1,9 @@
 #include "fleet/newslog.h"
 
+#include "base/hash.h"
+
 #include <set>
+#include <string>
 
 namespace hemlockgauge::fleet {
 
@@ -29,6 +32,7 @@
 NewsLog::Note(const std::string& aId)
 {
   m_changes.push_back({ ++m_sequence, aId });
+  m_digest = 0;
   if (m_changes.size() > kChangesKept) {
     m_changes.pop_front();
   }
@@ -70,6 +74,34 @@
          aAsk.sequence + 1 >= oldest;
 }
 
+bool
+NewsLog::WantsAll(const NewsAsk& aAsk) const
+{
+  const bool sameList = aAsk.digest != 0 && aAsk.digest == Digest();
+  return !KnowsSince(aAsk) && !sameList;
+}
+
+std::uint64_t
+NewsLog::Digest() const
+{
+  if (m_digest == 0 && m_hasUpstreams) {
+    m_digest = 1;
+    for (const auto& [id, entry] : m_upstreams) {
+      m_digest = base::HashFields({ std::to_string(m_digest),
+                                    id,
+                                    std::to_string(entry.startedAt.value_or(0)),
+                                    entry.service,
+                                    entry.address.Text(),
+                                    entry.zone,
+                                    std::to_string(entry.slots),
+                                    entry.usable ? "usable" : "",
+                                    entry.draining ? "draining" : "",
+                                    std::to_string(entry.coldFor.count()) });
+    }
+  }
+  return m_digest;
+}
+
 bool
 NewsLog::HasNews(const NewsAsk& aAsk) const
 {
@@ -77,6 +109,20 @@
          aAsk.configVersion < m_configVersion;
 }
 
+News
+NewsLog::All() const
+{
+  News news;
+  news.state = NewsState::Unproven;
+  news.life = m_life;
+  news.sequence = m_sequence;
+  news.full = true;
+  for (const auto& [id, entry] : m_upstreams) {
+    news.upstreams.push_back(entry);
+  }
+  return news;
+}
+
 News
 NewsLog::Answer(const NewsAsk& aAsk, Duration aProofAge) const
 {
@@ -88,13 +134,16 @@
     news.config = m_config;
   }
   news.evacuations = m_evacuations;
-  news.full = !KnowsSince(aAsk);
+  news.full = WantsAll(aAsk);
   if (news.full) {
     for (const auto& [id, entry] : m_upstreams) {
       news.upstreams.push_back(entry);
     }
     return news;
   }
+  if (!KnowsSince(aAsk)) {
+    return news;
+  }
   std::set<std::string> changed;
   for (const auto& change : m_changes) {
     if (change.sequence > aAsk.sequence && !change.id.empty()) {
--- a/src/fleet/internal/sourcepolicy.cpp
+++ b/src/fleet/internal/sourcepolicy.cpp
@@ -42,9 +42,17 @@
   m_current = aSource;
   m_usedSince = aNow;
   m_answeredAt = aNow;
+  m_isPending = false;
   m_proofAge.reset();
 }
 
+void
+SourcePolicy::Pending(TimePoint aNow)
+{
+  m_answeredAt = aNow;
+  m_isPending = true;
+}
+
 void
 SourcePolicy::Use(std::size_t aIndex, TimePoint aNow)
 {
@@ -80,7 +88,7 @@
   if (m_current.kind == SourceKind::Store && IsPreferred()) {
     limit = kStoreSilentForAll;
   }
-  if (!m_proofAge && m_options.patience &&
+  if (!m_proofAge && !m_isPending && m_options.patience &&
       m_current.kind == SourceKind::Router) {
     limit = *m_options.patience;
   }
--- a/src/fleet/news.h
+++ b/src/fleet/news.h
@@ -16,11 +16,21 @@
   std::uint64_t life = 0;     //!< of the news that the asker has; 0: none
   std::uint64_t sequence = 0; //!< up to here
   std::uint64_t configVersion = 0;
+  //! Of the upstreams that the asker knows, see NewsLog; 0: not told.
+  std::uint64_t digest = 0;
+};
+
+enum class NewsState : std::uint8_t
+{
+  Proven,
+  Unproven, //!< the proof follows with the answer to the next question
+  Pending   //!< nothing yet: the router is reading the store
 };
 
 //! What has changed in the store, as the router asked knows it.
 struct News
 {
+  NewsState state = NewsState::Proven;
   std::uint64_t life = 0; //!< of the router that answers
   std::uint64_t sequence = 0;
   bool full = false;   //!< upstreams are all that there are
--- a/src/fleet/newslog.h
+++ b/src/fleet/newslog.h
@@ -26,6 +26,15 @@
   //! must not be taken for an empty store.
   bool IsKnown() const { return m_hasUpstreams; }
   bool HasNews(const NewsAsk& aAsk) const;
+  //! Whether the asker needs the whole list of upstreams. One that comes from
+  //! another source mostly has the same list already.
+  bool WantsAll(const NewsAsk& aAsk) const;
+  //! The same at all routers with the same list; 0: there is none yet.
+  std::uint64_t Digest() const;
+  //! Rises with each change.
+  std::uint64_t Sequence() const { return m_sequence; }
+  //! The whole list alone, the same for whoever asks.
+  News All() const;
   //! aProofAge: since the store proved what is told.
   News Answer(const NewsAsk& aAsk, Duration aProofAge) const;
 
@@ -47,6 +56,7 @@
   std::map<std::string, UpstreamEntry> m_upstreams;
   std::vector<Evacuation> m_evacuations;
   std::deque<Change> m_changes;
+  mutable std::uint64_t m_digest = 0; //!< 0: not worked out since a change
 };
 
 }
--- a/src/fleet/peerreport.h
+++ b/src/fleet/peerreport.h
@@ -72,6 +72,9 @@
   Zone    //!< the sum of the sender's availability zone
 };
 
+inline constexpr auto kReportScopeNames =
+  base::MakeEnumNames<ReportScope>("router", "group", "fleet", "zone");
+
 //! What routers tell each other, each kReportPeriod. It may get lost; the
 //! next one says it anew.
 struct PeerReport
--- a/src/fleet/sourcepolicy.h
+++ b/src/fleet/sourcepolicy.h
@@ -48,6 +48,8 @@
   void SetOptions(const SourceOptions& aOptions, TimePoint aNow);
   //! The source answered; what it told was proven aProofAge ago.
   void Answered(Duration aProofAge, TimePoint aNow);
+  //! The source is there, and its first answer is on the way.
+  void Pending(TimePoint aNow);
   //! Returns true if the source has changed.
   bool Tick(TimePoint aNow);
   const NewsSource& Current() const { return m_current; }
@@ -71,6 +73,7 @@
   TimePoint m_mayTakeOverAt{}; //!< not again at once where it failed
   TimePoint m_usedSince{};
   TimePoint m_answeredAt{};
+  bool m_isPending = false;           //!< has said so
   std::optional<Duration> m_proofAge; //!< nothing: has not answered yet
   Duration m_dwell;
 };
--- a/src/fleet/tests/newstests.cpp
+++ b/src/fleet/tests/newstests.cpp
@@ -47,6 +47,38 @@
   cr_assert(second.removed == std::vector<std::string>{ "a" });
 }
 
+//! After a change of its source a router has the list of the one before.
+Test(newslog, WhoHasTheSameListGetsNoneAgain)
+{
+  NewsLog one(7);
+  NewsLog other(8);
+  one.SetUpstreams(Entries({ "a", "b" }));
+  other.SetUpstreams(Entries({ "b" }));
+  other.SetUpstreams(Entries({ "a", "b" }));
+  const NewsAsk ask{ 0, 0, 0, one.Digest() };
+  cr_assert(one.Digest() != 0 && one.Digest() == other.Digest());
+  cr_assert(!other.WantsAll(ask));
+  const auto news = other.Answer(ask, 0ms);
+  cr_assert(!news.full && news.upstreams.empty() && news.removed.empty());
+  const auto next = AskAfter(news, 0);
+  cr_assert(!other.HasNews(next));
+  auto entries = Entries({ "a", "b" });
+  entries["a"].draining = true;
+  other.SetUpstreams(entries);
+  cr_assert(other.WantsAll(ask));
+  cr_assert(other.Answer(next, 0ms).upstreams.size() == 1);
+}
+
+Test(newslog, WhoKnowsNothingHasNoDigest)
+{
+  NewsLog empty(7);
+  NewsLog listed(8);
+  listed.SetUpstreams({});
+  cr_assert(empty.Digest() == 0);
+  cr_assert(listed.Digest() != 0);
+  cr_assert(listed.WantsAll({ 0, 0, 0, empty.Digest() }));
+}
+
 Test(newslog, AChangedEntryIsNews)
 {
   NewsLog log(7);
--- a/src/fleet/tests/sourcetests.cpp
+++ b/src/fleet/tests/sourcetests.cpp
@@ -409,3 +409,34 @@
   fleet.Run(2000ms);
   cr_assert(fleet.OldestProof() < kTakeoverAfter);
 }
+
+//! Three hundred routers that start at once would all list the store, where
+//! each page counts, while their seed is about to know it.
+Test(sources, ASourceWhoseNewsAreOnTheWayIsWaitedFor)
+{
+  SourceOptions options;
+  options.order = { kHubA, kStore };
+  options.patience = kStartPatience;
+  SourcePolicy policy;
+  policy.SetOptions(options, 0ms);
+  policy.Pending(20ms);
+  auto now = 20ms;
+  for (; now < 600ms; now += 200ms) {
+    policy.Pending(now);
+    policy.Tick(now);
+    cr_assert(policy.Current() == kHubA);
+  }
+  policy.Tick(now + kRouterSilent);
+  cr_assert(policy.Current() == kStore);
+}
+
+Test(sources, ASourceThatSaysNothingIsLeftSoonAtTheStart)
+{
+  SourceOptions options;
+  options.order = { kHubA, kStore };
+  options.patience = kStartPatience;
+  SourcePolicy policy;
+  policy.SetOptions(options, 0ms);
+  policy.Tick(kStartPatience + 20ms);
+  cr_assert(policy.Current() == kStore);
+}
--- a/src/framing/frameconnection.h
+++ b/src/framing/frameconnection.h
@@ -51,6 +51,7 @@
   //! Without a word to the owner.
   void Close();
   bool IsOpen() const { return m_open; }
+  bool HasUnsent() const { return m_sent < m_out.size(); }
 
   void OnIo(std::uint32_t aEvents) override;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -131,9 +131,12 @@
   ChooseSource(m_members.Plan(m_startedAt), m_startedAt);
   OpenSource();
   m_newsServer = std::make_unique<NewsServer>(
-    m_loop, m_settings.controlListen, m_newsLog, [this] {
-      return m_loop.Now() - m_newsProvenAt;
-    });
+    m_loop,
+    m_settings.controlListen,
+    m_newsLog,
+    [this] { return m_loop.Now() - m_newsProvenAt; },
+    [this] { return ReadsStore(); },
+    m_metrics);
   m_peers = std::make_unique<PeerLink>(
     m_loop,
     m_settings.peerListen,
@@ -414,6 +417,7 @@
   m_pool.Sweep(now);
   if (const auto gone = m_fleet.Upstreams().Tick(now); !gone.empty()) {
     TakeNotices(gone);
+    FollowList();
   }
   const bool ready = IsReady();
   if (ready != m_ready) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,11 +104,13 @@
   void CheckUpstreams(base::TimePoint aNow);
   void TakeCheck(base::UpstreamId aUpstream, quarantine::CheckResult aResult);
   void TakeNotices(const std::vector<fleet::EntryNotice>& aNotices);
+  void FollowList();
   void TakeZones(const std::vector<fleet::ZoneNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
   void ChooseSource(const fleet::ExchangePlan& aPlan, base::TimePoint aNow);
   void FollowSource(base::TimePoint aNow);
   void OpenSource();
+  bool ReadsStore() const;
   bool IsNewestStored() const;
   void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
   void TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow);
@@ -131,6 +133,9 @@
   http::ConnectionSet m_connections;
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   fleet::NewsLog m_newsLog;
+  //! When the store itself answered this router last.
+  base::TimePoint m_storeAnsweredAt{ base::TimePoint::min() / 2 };
+  bool m_listChanged = false; //!< since FollowList
   fleet::SourcePolicy m_sources;
   fleet::StoreEra m_storeEra;
   //! The configuration's version as the source of news told it last.
--- a/src/gateway/inewssource.h
+++ b/src/gateway/inewssource.h
@@ -26,7 +26,7 @@
   virtual void OnEvacuations(const std::vector<fleet::Evacuation>& aAll) = 0;
   virtual void OnEvacuated(const fleet::Evacuation& aEvacuation) = 0;
   virtual void OnRestored(const std::string& aZone) = 0;
-  //! All that the store held at aAt has been told.
+  //! All that the store held at aAt has been told. Ends each answer.
   virtual void OnProven(base::TimePoint aAt) = 0;
   virtual void OnStoreLost(const std::string& aWhy) = 0;
 };
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -99,6 +99,7 @@
 void
 Exchange::OnAnswerBody(http::ClientConnection&, std::string_view aBytes)
 {
+  m_bytesGot += aBytes.size();
   if (m_answer.notRun || m_answer.misdirected) {
     return;
   }
@@ -334,6 +335,7 @@
 {
   const auto now = m_parts.loop.Now();
   const auto first = m_firstAt == base::TimePoint{} ? now : m_firstAt;
+  CountBytes();
   LogEnd(aOutcome, aStatus, aWhy, first);
   m_parts.metrics.Count(std::string("requests_total{outcome=\"") + aOutcome +
                         "\"}");
@@ -345,6 +347,19 @@
   m_owner.OnOver(*this);
 }
 
+//! What crosses availability zones has its price.
+void
+Exchange::CountBytes()
+{
+  if (m_bytesSent > 0) {
+    m_parts.metrics.Count(m_sameZone ? "upstream_bytes_total{zone=\"same\"}"
+                                     : "upstream_bytes_total{zone=\"other\"}",
+                          m_bytesSent + m_bytesGot);
+  }
+  m_bytesSent = 0;
+  m_bytesGot = 0;
+}
+
 void
 Exchange::LogEnd(const char* aOutcome,
                  int aStatus,
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -112,6 +112,7 @@
                  base::Duration aRetryAfter = {});
   void Cut(const std::string& aWhy);
   void Finish(const char* aOutcome, int aStatus, const std::string& aWhy);
+  void CountBytes();
   void LogEnd(const char* aOutcome,
               int aStatus,
               const std::string& aWhy,
@@ -142,7 +143,10 @@
   std::vector<base::UpstreamId> m_tried;
   std::uint32_t m_attemptsRun = 0;
   std::uint32_t m_attemptsNotRun = 0;
-  bool m_everSent = false; //!< some upstream may have seen the request
+  bool m_sameZone = false;     //!< as the upstream of the attempt at hand
+  std::size_t m_bytesSent = 0; //!< to it
+  std::size_t m_bytesGot = 0;  //!< from it, of bodies
+  bool m_everSent = false;     //!< some upstream may have seen the request
 
   UpstreamAnswer m_answer;
   EventStreamFilter m_events;
--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -189,7 +189,9 @@
 Exchange::Send(const fleet::PlaceResult& aPlace)
 {
   m_attempt = aPlace.attempt;
+  CountBytes();
   m_upstreamId = aPlace.upstreamId;
+  m_sameZone = aPlace.sameZone;
   m_tried.push_back(aPlace.upstream);
   m_answer = UpstreamAnswer{};
   m_body.clear();
@@ -204,8 +206,9 @@
   context.lastEventId =
     m_events.LastId() ? m_events.LastId() : m_request.lastEventId;
   m_upstream = &m_parts.pool.Acquire(aPlace.upstream, aPlace.address, *this);
-  m_upstream->Send(m_parts.upstreams.Encode(m_request, context),
-                   m_request.method == "HEAD");
+  auto bytes = m_parts.upstreams.Encode(m_request, context);
+  m_bytesSent = bytes.size();
+  m_upstream->Send(std::move(bytes), m_request.method == "HEAD");
 }
 
 }
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -27,6 +27,10 @@
 constexpr base::Duration kStorePause = 400ms;
 constexpr base::Duration kStorePauseLastResort = 2000ms;
 
+//! After an answer the store is taken to be read for this long: some pages of a
+//! listing on a busy router.
+constexpr base::Duration kStoreReading = 500ms;
+
 bool
 EndsKeptConnections(fleet::EntryChange aChange)
 {
@@ -218,18 +222,36 @@
     m_loop,
     source.address,
     *this,
-    [this] { return m_fleet.ConfigVersion(); },
+    [this] {
+      return fleet::NewsAsk{
+        0, 0, m_fleet.ConfigVersion(), m_newsLog.Digest()
+      };
+    },
     [this](base::Duration aProofAge) {
       m_sources.Answered(aProofAge, m_loop.Now());
-    });
+    },
+    [this] { m_sources.Pending(m_loop.Now()); });
 }
 
-//! Called with what each change of the list brought.
+//! Each of these looks at the whole list, so they wait for the end of an answer
+//! that may hold hundreds of changes.
 void
-Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
+Gateway::FollowList()
 {
+  if (!m_listChanged) {
+    return;
+  }
+  m_listChanged = false;
+  m_metrics.Count("upstream_list_follows_total");
   m_fleet.FollowUpstreams(m_loop.Now());
   m_newsLog.SetUpstreams(m_fleet.Upstreams().Entries());
+}
+
+//! Called with what each change of the list brought.
+void
+Gateway::TakeNotices(const std::vector<fleet::EntryNotice>& aNotices)
+{
+  m_listChanged = true;
   for (const auto& notice : aNotices) {
     LogLine("upstream-entry")
       .Add("upstream", notice.id)
@@ -320,7 +342,7 @@
   if (aNotices.empty()) {
     return;
   }
-  m_fleet.FollowUpstreams(m_loop.Now());
+  m_listChanged = true;
   m_newsLog.SetEvacuations(m_fleet.Evacuated().InForce());
   const auto proofAge = m_loop.Now() - m_newsProvenAt;
   for (const auto& notice : aNotices) {
@@ -352,6 +374,7 @@
 void
 Gateway::OnProven(base::TimePoint aAt)
 {
+  FollowList();
   if (!IsNewestStored()) {
     m_metrics.Count("unproven_answers_total");
     return;
@@ -359,6 +382,7 @@
   m_fleet.ConfigFreshness().Proven(aAt);
   m_newsProvenAt = std::max(m_newsProvenAt, aAt);
   TakeZones(m_fleet.Evacuated().Proven(aAt));
+  FollowList();
   if (m_sources.Current().kind == fleet::SourceKind::Store) {
     m_knownReader.Learn(m_settings.peerListen, aAt);
     m_sources.Answered(base::Duration{}, m_loop.Now());
@@ -375,6 +399,15 @@
 Gateway::OnStoreReached(base::TimePoint aAt)
 {
   m_fleet.Upstreams().StoreReached(aAt);
+  if (m_sources.Current().kind == fleet::SourceKind::Store) {
+    m_storeAnsweredAt = aAt;
+  }
+}
+
+bool
+Gateway::ReadsStore() const
+{
+  return m_loop.Now() - m_storeAnsweredAt < kStoreReading;
 }
 
 }
--- a/src/gateway/internal/newscodec.cpp
+++ b/src/gateway/internal/newscodec.cpp
@@ -17,7 +17,8 @@
 flatbuffers::Offset<void>
 Put(Builder& aBuilder, const fleet::NewsAsk& aAsk)
 {
-  return fb::CreateAsk(aBuilder, aAsk.life, aAsk.sequence, aAsk.configVersion)
+  return fb::CreateAsk(
+           aBuilder, aAsk.life, aAsk.sequence, aAsk.configVersion, aAsk.digest)
     .Union();
 }
 
@@ -26,19 +27,22 @@
 {
   std::vector<flatbuffers::Offset<fb::Upstream>> upstreams;
   for (const auto& entry : aNews.upstreams) {
-    upstreams.push_back(fb::CreateUpstreamDirect(
-      aBuilder,
-      entry.id.c_str(),
-      entry.service.c_str(),
-      entry.address.ip.c_str(),
-      entry.address.port,
-      entry.zone.c_str(),
-      entry.slots,
-      entry.draining,
-      static_cast<std::uint32_t>(
-        std::max<std::int64_t>(entry.coldFor.count(), 0)),
-      entry.usable,
-      entry.startedAt ? *entry.startedAt + 1 : 0));
+    //! NOTE what many entries share goes over the wire once.
+    const auto service = aBuilder.CreateSharedString(entry.service);
+    const auto zone = aBuilder.CreateSharedString(entry.zone);
+    upstreams.push_back(
+      fb::CreateUpstream(aBuilder,
+                         aBuilder.CreateString(entry.id),
+                         service,
+                         aBuilder.CreateString(entry.address.ip),
+                         entry.address.port,
+                         zone,
+                         entry.slots,
+                         entry.draining,
+                         static_cast<std::uint32_t>(
+                           std::max<std::int64_t>(entry.coldFor.count(), 0)),
+                         entry.usable,
+                         entry.startedAt ? *entry.startedAt + 1 : 0));
   }
   flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::Evacuation>>>
     evacuations;
@@ -62,7 +66,8 @@
                         aBuilder.CreateVector(upstreams),
                         removed,
                         Unsigned(aNews.waited),
-                        evacuations)
+                        evacuations,
+                        static_cast<std::uint8_t>(aNews.state))
     .Union();
 }
 
@@ -101,6 +106,10 @@
 Read(const fb::News& aWire)
 {
   fleet::News news;
+  if (aWire.state() > static_cast<std::uint8_t>(fleet::NewsState::Pending)) {
+    throw base::Error(base::ErrorCode::BadFrame, "news of no known state");
+  }
+  news.state = static_cast<fleet::NewsState>(aWire.state());
   news.life = aWire.life();
   news.sequence = aWire.sequence();
   news.full = aWire.full();
@@ -151,9 +160,9 @@
   }
   const auto* message = fb::GetMessage(aBytes.data());
   if (const auto* ask = message->body_as_Ask()) {
-    return fleet::NewsAsk{ ask->life(),
-                           ask->sequence(),
-                           ask->config_version() };
+    return fleet::NewsAsk{
+      ask->life(), ask->sequence(), ask->config_version(), ask->digest()
+    };
   }
   if (const auto* news = message->body_as_News()) {
     return Read(*news);
--- a/src/gateway/internal/newsfollower.cpp
+++ b/src/gateway/internal/newsfollower.cpp
@@ -20,13 +20,15 @@
 NewsFollower::NewsFollower(eventloop::EventLoop& aLoop,
                            const base::Address& aRouter,
                            INewsEvents& aEvents,
-                           ConfigVersion aConfigVersion,
-                           OnAnswer aOnAnswer)
+                           Known aKnown,
+                           OnAnswer aOnAnswer,
+                           OnPending aOnPending)
   : m_loop(aLoop)
   , m_router(aRouter)
   , m_events(aEvents)
-  , m_configVersion(std::move(aConfigVersion))
+  , m_known(std::move(aKnown))
   , m_onAnswer(std::move(aOnAnswer))
+  , m_onPending(std::move(aOnPending))
 {
 }
 
@@ -59,8 +61,10 @@
 NewsFollower::Ask()
 {
   m_askedAt = m_loop.Now();
-  m_connection->Send(
-    EncodeNews(fleet::NewsAsk{ m_life, m_sequence, m_configVersion() }));
+  auto ask = m_known();
+  ask.life = m_life;
+  ask.sequence = m_sequence;
+  m_connection->Send(EncodeNews(ask));
 }
 
 void
@@ -72,6 +76,12 @@
   if (news == nullptr) {
     throw base::Error(base::ErrorCode::BadFrame, "a question from a source");
   }
+  if (news->state != fleet::NewsState::Proven) {
+    m_onPending();
+  }
+  if (news->state == fleet::NewsState::Pending) {
+    return; // the question stands
+  }
   Take(*news);
   Ask();
 }
@@ -81,6 +91,10 @@
 {
   m_life = aNews.life;
   m_sequence = aNews.sequence;
+  if (aNews.state == fleet::NewsState::Unproven) {
+    m_events.OnListed(aNews.upstreams);
+    return;
+  }
   //! NOTE the answer may have waited in a buffer, so its age is counted from
   //! the question: the router answered so much later at least.
   const auto provenAt = m_askedAt + aNews.waited - aNews.proofAge;
--- a/src/gateway/internal/newsserver.cpp
+++ b/src/gateway/internal/newsserver.cpp
@@ -5,6 +5,9 @@
 #include "eventloop/eventloop.h"
 #include "fleet/fleetconstants.h"
 #include "gateway/newscodec.h"
+#include "metrics/metrics.h"
+
+#include <algorithm>
 
 namespace hemlockgauge::gateway {
 
@@ -12,16 +15,25 @@
 
 //! Over a fleet's size: all that start at once may ask the same seed.
 constexpr std::size_t kMostFollowers = 512;
+//! Followers that get the whole list at the same time: each holds a copy until
+//! it has read it.
+constexpr std::size_t kMostGettingAll = 8;
+//! Between words to a follower that its news are on the way.
+constexpr base::Duration kPendingPeriod{ 200 };
 
 }
 
 NewsServer::NewsServer(eventloop::EventLoop& aLoop,
                        const base::Address& aListen,
                        const fleet::NewsLog& aLog,
-                       ProofAge aProofAge)
+                       ProofAge aProofAge,
+                       IsReading aIsReading,
+                       metrics::Metrics& aMetrics)
   : m_loop(aLoop)
   , m_log(aLog)
   , m_proofAge(std::move(aProofAge))
+  , m_isReading(std::move(aIsReading))
+  , m_metrics(aMetrics)
   , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
     Accept(aStream);
   })
@@ -60,17 +72,70 @@
   auto& follower = found->second;
   follower.ask = *ask;
   follower.askedAt = m_loop.Now();
+  follower.getsAll = false;
   if (IsDue(follower, follower.askedAt)) {
     Answer(follower);
+  } else {
+    TellPending(follower, follower.askedAt);
   }
 }
 
+bool
+NewsServer::HasRoomForAll() const
+{
+  const auto busy =
+    std::count_if(m_followers.begin(), m_followers.end(), [](const auto& aOne) {
+      return aOne.second.getsAll && aOne.second.connection->HasUnsent();
+    });
+  return static_cast<std::size_t>(busy) < kMostGettingAll;
+}
+
+//! A follower that has nothing yet would turn to the store with all the others.
+void
+NewsServer::TellPending(Follower& aFollower, base::TimePoint aNow)
+{
+  const bool comes = m_log.IsKnown() || m_isReading();
+  const bool waits = aFollower.ask && m_log.WantsAll(*aFollower.ask);
+  if (!waits || !comes || aNow - aFollower.pendingAt < kPendingPeriod) {
+    return;
+  }
+  aFollower.pendingAt = aNow;
+  fleet::News news;
+  news.state = fleet::NewsState::Pending;
+  Send(aFollower, EncodeNews(news), "news_bytes_sent_total{kind=\"pending\"}");
+}
+
+void
+NewsServer::Send(Follower& aFollower,
+                 const std::vector<std::uint8_t>& aFrame,
+                 const char* aCounter)
+{
+  m_metrics.Count(aCounter, aFrame.size());
+  aFollower.connection->Send(aFrame);
+}
+
+//! Encoded once for all that ask before the next change.
+void
+NewsServer::SendAll(Follower& aFollower)
+{
+  if (m_allSequence != m_log.Sequence()) {
+    m_all = EncodeNews(m_log.All());
+    m_allSequence = m_log.Sequence();
+  }
+  aFollower.getsAll = true;
+  aFollower.ask.reset();
+  Send(aFollower, m_all, "news_bytes_sent_total{kind=\"all\"}");
+}
+
 bool
 NewsServer::IsDue(const Follower& aFollower, base::TimePoint aNow) const
 {
   if (!aFollower.ask || !m_log.IsKnown()) {
     return false;
   }
+  if (m_log.WantsAll(*aFollower.ask)) {
+    return HasRoomForAll();
+  }
   return m_log.HasNews(*aFollower.ask) ||
          aNow - m_proofAge() >= aFollower.provenAt + fleet::kProofStep ||
          aNow - aFollower.askedAt >= fleet::kNewsWait;
@@ -79,26 +144,35 @@
 void
 NewsServer::Answer(Follower& aFollower)
 {
+  if (m_log.WantsAll(*aFollower.ask)) {
+    SendAll(aFollower);
+    return;
+  }
   auto news = m_log.Answer(*aFollower.ask, m_proofAge());
   news.waited = m_loop.Now() - aFollower.askedAt;
   aFollower.ask.reset();
   aFollower.provenAt = m_loop.Now() - news.proofAge;
-  aFollower.connection->Send(EncodeNews(news));
+  Send(aFollower, EncodeNews(news), "news_bytes_sent_total{kind=\"changes\"}");
 }
 
 void
 NewsServer::Tick(base::TimePoint aNow)
 {
-  std::vector<framing::FrameConnection*> due;
+  std::vector<framing::FrameConnection*> waiting;
   for (const auto& [key, follower] : m_followers) {
-    if (IsDue(follower, aNow)) {
-      due.push_back(key);
+    if (follower.ask) {
+      waiting.push_back(key);
     }
   }
-  for (auto* key : due) {
+  for (auto* key : waiting) {
     const auto found = m_followers.find(key);
-    if (found != m_followers.end()) {
+    if (found == m_followers.end()) {
+      continue;
+    }
+    if (IsDue(found->second, aNow)) {
       Answer(found->second);
+    } else {
+      TellPending(found->second, aNow);
     }
   }
 }
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -57,7 +57,10 @@
     lost += m_socket.send(bytes.data(), bytes.size(), to) == -1 ? 1 : 0;
   }
   m_metrics.Count("reports_sent_total", aTo.size());
-  m_metrics.Count("report_bytes_sent_total", aTo.size() * bytes.size());
+  const auto scope = fleet::kReportScopeNames.NameOf(aReport.scope);
+  m_metrics.Count("report_bytes_sent_total{scope=\"" + std::string(scope) +
+                    "\",relayed=\"" + (aReport.relayed ? "yes" : "no") + "\"}",
+                  aTo.size() * bytes.size());
   if (lost > 0) {
     m_metrics.Count("reports_unsent_total", lost);
   }
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -23,6 +23,8 @@
 //! After a change the next call waits a little, so that changes that come
 //! together are told together; a twentieth of the shortest bound.
 constexpr base::Duration kGather = 100ms;
+//! A listing that takes longer begins anew: its first page is too old.
+constexpr base::Duration kListingKept = 3000ms;
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 constexpr std::size_t kMostBody = 16U << 20;
@@ -310,7 +312,11 @@
 StoreFollower::Fail(const std::string& aWhy)
 {
   m_calling = false;
-  m_listAfter.clear();
+  //! NOTE a listing goes on where it was: one that begins anew with each
+  //! refused call never ends while many routers list.
+  if (m_loop.Now() - m_listBeganAt > kListingKept) {
+    m_listAfter.clear();
+  }
   DropConnection();
   m_pause = std::clamp(m_pause * 2, kFirstPause, m_mostPause);
   m_nextCallAt = m_loop.Now() + m_pause;
--- a/src/gateway/newsfollower.h
+++ b/src/gateway/newsfollower.h
@@ -23,13 +23,17 @@
 public:
   //! Told that the router answered, and how old its proof is.
   using OnAnswer = std::function<void(base::Duration aProofAge)>;
-  using ConfigVersion = std::function<std::uint64_t()>;
+  //! What this router knows already.
+  using Known = std::function<fleet::NewsAsk()>;
+  //! Told that the router is there and its news are on the way.
+  using OnPending = std::function<void()>;
 
   NewsFollower(eventloop::EventLoop& aLoop,
                const base::Address& aRouter,
                INewsEvents& aEvents,
-               ConfigVersion aConfigVersion,
-               OnAnswer aOnAnswer);
+               Known aKnown,
+               OnAnswer aOnAnswer,
+               OnPending aOnPending);
   ~NewsFollower() override;
 
   void Tick(base::TimePoint aNow) override;
@@ -46,8 +50,9 @@
   eventloop::EventLoop& m_loop;
   base::Address m_router;
   INewsEvents& m_events;
-  ConfigVersion m_configVersion;
+  Known m_known;
   OnAnswer m_onAnswer;
+  OnPending m_onPending;
   std::unique_ptr<framing::FrameConnection> m_connection;
   std::uint64_t m_life = 0;
   std::uint64_t m_sequence = 0;
--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -164,6 +164,10 @@
     Send(aConnection, faults.failStatus, "");
     return;
   }
+  if (faults.refuseOneIn != 0 && calls % faults.refuseOneIn == 0) {
+    Send(aConnection, 429, "");
+    return;
+  }
   const bool isWatch = aHead.target.starts_with("/api/kv-watch");
   const auto wait = isWatch ? base::Duration(static_cast<std::int64_t>(
                                 QueryNumber(aHead.target, "waitMs")))
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -22,10 +22,11 @@
 //! How the store misbehaves at the moment.
 struct StoreFaults
 {
-  bool mute = false;          //!< takes calls and never answers
-  int failStatus = 0;         //!< answers every call with this, if not 0
-  base::Duration delay{};     //!< before each answer
-  std::size_t pageItems = 50; //!< items in one page of a listing
+  bool mute = false;             //!< takes calls and never answers
+  int failStatus = 0;            //!< answers every call with this, if not 0
+  std::uint64_t refuseOneIn = 0; //!< so many calls with 429; 0: none
+  base::Duration delay{};        //!< before each answer
+  std::size_t pageItems = 50;    //!< items in one page of a listing
 };
 
 //! What an upstream writes about itself.
