A group's hubs take turns in telling the sum of all

Change: the hub whose turn it is by the time of day tells. Ruled out: one telling hub alone (a lost one would be a gap of three seconds).

--- a/src/fleet/exchangeplan.h
+++ b/src/fleet/exchangeplan.h
@@ -23,6 +23,7 @@
   std::uint64_t group = 0;
   //! All hubs of this router's group by rank, itself too if it is one.
   std::vector<base::Address> groupHubs;
+  std::size_t hubRank = 0; //!< this router's place among them, if it is one
   std::vector<base::Address> tell;      //!< get this router's own report
   std::vector<base::Address> hubs;      //!< of the zone's other groups: get the
                                         //!< group sum
@@ -46,6 +47,13 @@
   bool IsLarge() const { return !groupHubs.empty(); }
   //! Whether this router sums up for others; in a small fleet none does.
   bool SumsUp() const { return isHub && IsLarge(); }
+  //! Whether this hub tells its group the sum of all in that period: a group's
+  //! hubs take turns, so each router gets one sum a period, and one in two
+  //! where a hub was lost.
+  bool TellsFollowers(std::uint64_t aPeriod) const
+  {
+    return groupHubs.empty() || aPeriod % groupHubs.size() == hubRank;
+  }
   //! Whether it tells other zones with its report of that number: a zone's
   //! speakers take turns, so that one may be lost and half of the news remains.
   bool Speaks(std::uint64_t aSequence) const
--- a/src/fleet/internal/exchangeplan.cpp
+++ b/src/fleet/internal/exchangeplan.cpp
@@ -118,6 +118,7 @@
     const bool hub = i < kHubsOfGroup;
     if (member == &aSelf) {
       aPlan.isHub = hub;
+      aPlan.hubRank = i;
       continue;
     }
     if (hub) {
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -118,7 +118,10 @@
     if (plan.SumsUp()) {
       Send(aRouter, aRouter.view.GroupSum(own, now), plan.hubs);
       TellOtherZones(aRouter, plan, own);
-      Send(aRouter, aRouter.view.FleetSum(own, now), plan.followers);
+      if (plan.TellsFollowers(
+            static_cast<std::uint64_t>(now / kReportPeriod))) {
+        Send(aRouter, aRouter.view.FleetSum(own, now), plan.followers);
+      }
     }
     auto greeting = own;
     greeting.wantsMembers = true;
@@ -250,6 +253,23 @@
   }
 }
 
+//! Two hubs that each told all that the other told made half of all bytes.
+Test(exchange, AGroupsHubsTakeTurns)
+{
+  for (std::size_t hubs = 1; hubs <= kHubsOfGroup; ++hubs) {
+    for (std::uint64_t period = 0; period < 10; ++period) {
+      int told = 0;
+      for (std::size_t rank = 0; rank < hubs; ++rank) {
+        ExchangePlan plan;
+        plan.groupHubs.resize(hubs);
+        plan.hubRank = rank;
+        told += plan.TellsFollowers(period) ? 1 : 0;
+      }
+      cr_assert(told == 1);
+    }
+  }
+}
+
 //! All routers in one availability zone, and too few for a second group:
 //! there is no other group to tell, but there are followers.
 Test(exchange, OneGroupAloneSeesItsWholeFleet)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -371,8 +371,11 @@
   m_newsServer->Tick(now);
   FollowStop(now);
   FollowRoom();
-  for (const auto stage : m_exchangeClock.Due(TimeOfDay())) {
-    TellOthers(stage, now);
+  const auto timeOfDay = TimeOfDay();
+  const auto period =
+    static_cast<std::uint64_t>(timeOfDay / fleet::kReportPeriod);
+  for (const auto stage : m_exchangeClock.Due(timeOfDay)) {
+    TellOthers(stage, period, now);
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -113,7 +113,10 @@
   bool ReadsStore() const;
   bool IsNewestStored() const;
   void TakeReport(const fleet::PeerReport& aReport, const base::Address& aFrom);
-  void TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow);
+  //! aPeriod: by the time of day, the same at all routers.
+  void TellOthers(fleet::ExchangeStage aStage,
+                  std::uint64_t aPeriod,
+                  base::TimePoint aNow);
   void TellOwn(base::TimePoint aNow);
   void TellOtherZones(base::TimePoint aNow);
   void Relay(const fleet::PeerReport& aReport);
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -88,7 +88,9 @@
 }
 
 void
-Gateway::TellOthers(fleet::ExchangeStage aStage, base::TimePoint aNow)
+Gateway::TellOthers(fleet::ExchangeStage aStage,
+                    std::uint64_t aPeriod,
+                    base::TimePoint aNow)
 {
   if (aStage == fleet::ExchangeStage::Own) {
     m_fleet.Tick(aNow);
@@ -108,7 +110,9 @@
       TellOtherZones(aNow);
       return;
     case fleet::ExchangeStage::FleetSums:
-      m_peers->Send(m_fleet.TellFleet(m_ownReport, aNow), m_plan.followers);
+      if (m_plan.TellsFollowers(aPeriod)) {
+        m_peers->Send(m_fleet.TellFleet(m_ownReport, aNow), m_plan.followers);
+      }
       return;
   }
 }
