--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_uint32(upstreams, 5, "upstreams");
 DEFINE_uint32(callers, 12, "callers");
 DEFINE_uint32(restores, 0, "how often the store comes back from a copy");
+DEFINE_uint32(zone_faults, 0, "evacuations and upstreams that return cold");
 DEFINE_uint32(port, 26000, "first of a hundred free ports on loopback");
 DEFINE_string(router, "", "the gateway program");
 DEFINE_string(directory, "", "where settings, logs and reports are put");
@@ -37,6 +38,7 @@
       settings.upstreams = FLAGS_upstreams;
       settings.callers = FLAGS_callers;
       settings.restores = FLAGS_restores;
+      settings.zoneFaults = FLAGS_zone_faults;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
         FLAGS_directory + "/seed-" + std::to_string(settings.seed);
--- a/src/soak/promises.h
+++ b/src/soak/promises.h
@@ -14,16 +14,18 @@
 
 enum class Promise : std::uint8_t
 {
-  OwnWholeAnswer,    //!< a success is the whole answer to the own request
-  StreamInOrder,     //!< parts come once and in order, also of what is cut
-  NotRunIsTrue,      //!< told "not run", it never ran
-  AtMostOnce,        //!< what may run once ran at most once
-  OwnWorkspace,      //!< the upstream got the workspace and not the key
-  NothingToLeaving,  //!< after the bound a leaving upstream got no work
-  WithdrawnKeyStops, //!< after the bound a withdrawn key runs nothing
-  GracefulStopCuts,  //!< a planned stop on a calm fleet cut nothing
-  CrashingStops,     //!< a request that crashes upstreams is kept from others
-  Recovery           //!< when the faults are over, requests are served
+  OwnWholeAnswer,     //!< a success is the whole answer to the own request
+  StreamInOrder,      //!< parts come once and in order, also of what is cut
+  NotRunIsTrue,       //!< told "not run", it never ran
+  AtMostOnce,         //!< what may run once ran at most once
+  OwnWorkspace,       //!< the upstream got the workspace and not the key
+  NothingToLeaving,   //!< after the bound a leaving upstream got no work
+  WithdrawnKeyStops,  //!< after the bound a withdrawn key runs nothing
+  GracefulStopCuts,   //!< a planned stop on a calm fleet cut nothing
+  NothingToEvacuated, //!< after the bound an evacuated zone got no work
+  ColdIsSpared,       //!< a cold upstream got no more than it bears
+  CrashingStops,      //!< a request that crashes upstreams is kept from others
+  Recovery            //!< when the faults are over, requests are served
 };
 inline constexpr auto kPromiseNames =
   base::MakeEnumNames<Promise>("own-whole-answer",
@@ -34,6 +36,8 @@
                                "nothing-to-leaving",
                                "withdrawn-key-stops",
                                "graceful-stop-cuts-nothing",
+                               "nothing-to-evacuated",
+                               "cold-is-spared",
                                "crashing-request-stops",
                                "recovery");
 inline constexpr std::size_t kPromises =
--- a/src/soak/soakplan.cpp
+++ b/src/soak/soakplan.cpp
@@ -36,6 +36,41 @@
     });
 }
 
+constexpr std::uint64_t kZoneStream = 0x20e5;
+//! An evacuation that ends sooner shows nothing: its bound is seconds.
+constexpr std::uint32_t kEvacuationShortestMs = 4000;
+constexpr std::uint32_t kEvacuationSpreadMs = 9000;
+
+//! Half of them evacuations, half cold returns, in random order.
+void
+AddZoneFaults(const SoakSettings& aSettings, std::vector<Fault>& aPlan)
+{
+  std::mt19937_64 random(aSettings.seed ^ kZoneStream);
+  const auto below = [&](std::uint64_t aBound) {
+    return static_cast<std::uint32_t>(random() % aBound);
+  };
+  //! NOTE they end before the quiet time, in which requests must be served.
+  const auto half = static_cast<std::uint64_t>(aSettings.length.count()) / 2;
+  for (std::uint32_t i = 0; i < aSettings.zoneFaults; ++i) {
+    Fault fault;
+    fault.at = base::Duration(below(half));
+    fault.kind = i % 2 == 0 ? FaultKind::EvacuateZone : FaultKind::ColdReturn;
+    if (fault.kind == FaultKind::EvacuateZone) {
+      fault.target = below(kSoakZones);
+      fault.lasts = std::min(
+        base::Duration(kEvacuationShortestMs + below(kEvacuationSpreadMs)),
+        aSettings.length - fault.at);
+    } else {
+      fault.target = below(aSettings.upstreams);
+    }
+    aPlan.push_back(fault);
+  }
+  std::stable_sort(
+    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
+      return aFirst.at < aSecond.at;
+    });
+}
+
 bool
 HitsRouter(FaultKind aKind)
 {
@@ -64,6 +99,7 @@
     at += base::Duration(1 + below(2 * kMeanGapMs));
   }
   AddRestores(aSettings, plan);
+  AddZoneFaults(aSettings, plan);
   return plan;
 }
 
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -26,7 +26,9 @@
   ResetStore,
   ChangeConfig,
   WithdrawKey,
-  RestoreStore //!< it comes back from a copy; what was lost is written again
+  RestoreStore, //!< it comes back from a copy; what was lost is written again
+  EvacuateZone,
+  ColdReturn //!< an upstream is replaced by one that starts cold
 };
 inline constexpr auto kFaultKindNames =
   base::MakeEnumNames<FaultKind>("kill-router",
@@ -45,14 +47,18 @@
                                  "reset-store",
                                  "change-config",
                                  "withdraw-key",
-                                 "restore-store");
+                                 "restore-store",
+                                 "evacuate-zone",
+                                 "cold-return");
+
+inline constexpr std::uint32_t kSoakZones = 2;
 
 struct Fault
 {
   base::Duration at{};    //!< since the start of traffic
   base::Duration lasts{}; //!< 0: it is over at once
   FaultKind kind = FaultKind::KillRouter;
-  std::uint32_t target = 0; //!< router or upstream
+  std::uint32_t target = 0; //!< router, upstream or zone
 };
 
 struct SoakSettings
@@ -61,7 +67,10 @@
   std::uint32_t routers = 3;
   std::uint32_t upstreams = 5;
   std::uint32_t callers = 12;
-  std::uint32_t restores = 0;     //!< of the store, besides the other faults
+  std::uint32_t restores = 0; //!< of the store, besides the other faults
+  //! Evacuations and cold upstreams, besides the other faults. With any,
+  //! upstreams stand in kSoakZones zones.
+  std::uint32_t zoneFaults = 0;
   base::Duration length{ 20000 }; //!< of the faults; quiet time follows
 };
 
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -22,6 +22,9 @@
 //! From the store's return until what it lost is written again.
 constexpr base::Duration kRewriteDelay = 700ms;
 constexpr base::Duration kRestartAfter = 300ms;
+constexpr base::Duration kColdFor = 3000ms;
+//! What a cold upstream bears in a second, as the configuration says.
+constexpr int kColdPerSecond = 4;
 //! Bounds of the promises, with what a busy test machine adds.
 constexpr base::Duration kLeavingBound = 6000ms;
 constexpr base::Duration kRevocationBound = 5000ms;
@@ -168,7 +171,8 @@
   m_shared.key = fmt::format("key-{}", m_keyNumber);
   const auto text =
     fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[)"
-                R"({{"name":"plain"}},{{"name":"engine","engine":)"
+                R"({{"name":"plain","coldPerS":{}}},{{"name":"engine",)"
+                R"("coldPerS":{},"engine":)"
                 R"({{"slots":16,"kvCapacity":100000}}}}],)"
                 R"("limits":{{"tokensPerS":1000000}},"tenants":[)"
                 R"({{"name":"w-{}","apiKeys":["{}"]}}]}})",
@@ -178,16 +182,20 @@
                 route("stream", "streaming", "engine", 1, false),
                 route("resumable", "streaming", "engine", 3, true),
                 route("crash", "streaming", "engine", 3, true),
+                kColdPerSecond,
+                kColdPerSecond,
                 m_keyNumber,
                 m_shared.key);
   Write([this, text] { m_store.PutConfig(text); });
 }
 
 void
-SoakRun::AddUpstream(std::uint32_t aIndex)
+SoakRun::AddUpstream(std::uint32_t aIndex, base::Duration aColdFor)
 {
   auto upstream = std::make_unique<Upstream>();
   upstream->index = aIndex;
+  const auto zone = m_settings.zoneFaults > 0 ? aIndex / 2 % kSoakZones : 0;
+  upstream->zone = fmt::format("z{}", zone);
   upstream->id = fmt::format("i-{}-{}", aIndex, m_upstreams.size());
   standins::WorkerSettings settings;
   settings.id = upstream->id;
@@ -217,20 +225,25 @@
   kept.worker->SetOnCrash([&kept] { kept.proxy->Close(); });
   kept.worker->SetObserver(
     [this, &kept](const standins::WorkerRun& aRun) { OnRun(kept, aRun); });
-  List(kept, false);
+  if (aColdFor > 0ms) {
+    m_warmAt[kept.id] = m_loop.Now() + aColdFor;
+    m_zones.TurnedCold(kept.id, m_warmAt[kept.id]);
+  }
+  List(kept, false, aColdFor);
   m_upstreams.push_back(std::move(upstream));
 }
 
 void
-SoakRun::List(const Upstream& aUpstream, bool aDraining)
+SoakRun::List(const Upstream& aUpstream,
+              bool aDraining,
+              base::Duration aColdFor)
 {
   const bool engine = aUpstream.index % 2 == 0;
   const int slot = std::stoi(aUpstream.id.substr(aUpstream.id.rfind('-') + 1));
-  const standins::StoredEntry entry{ engine ? "engine" : "plain",
-                                     At(60 + slot),
-                                     "z0",
-                                     16,
-                                     aDraining ? "draining" : "ready" };
+  const standins::StoredEntry entry{
+    engine ? "engine" : "plain",      At(60 + slot), aUpstream.zone, 16,
+    aDraining ? "draining" : "ready", aColdFor
+  };
   Write([this, id = aUpstream.id, entry] { m_store.PutUpstream(id, entry); });
 }
 
@@ -252,6 +265,7 @@
                      !aRun.sawOwnField,
                    aRun.requestId + " came with foreign fields");
   const auto now = m_loop.Now();
+  m_zones.Ran(aUpstream.id, aUpstream.zone, aRun.requestId, now);
   if (aUpstream.leftAt > base::TimePoint{}) {
     m_promises.Check(Promise::NothingToLeaving,
                      now - aUpstream.leftAt < kLeavingBound,
@@ -420,9 +434,70 @@
   }
 }
 
+//! An upstream that is warm again says so in its entry.
+void
+SoakRun::FollowCold(base::TimePoint aNow)
+{
+  for (const auto& upstream : m_upstreams) {
+    const auto found = m_warmAt.find(upstream->id);
+    if (found == m_warmAt.end() || aNow < found->second) {
+      continue;
+    }
+    m_warmAt.erase(found);
+    if (upstream->leftAt == base::TimePoint{}) {
+      List(*upstream, false);
+    }
+  }
+}
+
+void
+SoakRun::SetEvacuated(std::uint32_t aZone, bool aEvacuated)
+{
+  auto& running = m_evacuations.at(aZone);
+  const bool before = running > 0;
+  running += aEvacuated ? 1 : -1;
+  const bool after = running > 0;
+  if (before == after) {
+    return;
+  }
+  const auto zone = fmt::format("z{}", aZone);
+  if (after) {
+    m_zones.Evacuated(zone, m_loop.Now());
+    Write([this, zone] { m_store.Evacuate(zone); });
+  } else {
+    m_zones.Restored(zone);
+    Write([this, zone] { m_store.EndEvacuation(zone); });
+  }
+}
+
+void
+SoakRun::BeginZoneFault(const Fault& aFault)
+{
+  if (aFault.kind == FaultKind::EvacuateZone) {
+    SetEvacuated(aFault.target, true);
+    return;
+  }
+  if (!HasRoom()) {
+    return;
+  }
+  for (const auto& one : m_upstreams) {
+    const bool leaves =
+      one->index == aFault.target && one->leftAt == base::TimePoint{};
+    if (leaves) {
+      one->leftAt = m_loop.Now();
+      Write([this, id = one->id] { m_store.RemoveUpstream(id); });
+    }
+  }
+  AddUpstream(aFault.target, kColdFor);
+}
+
 void
 SoakRun::Begin(const Fault& aFault)
 {
+  if (aFault.kind >= FaultKind::EvacuateZone) {
+    BeginZoneFault(aFault);
+    return;
+  }
   if (aFault.kind <= FaultKind::ReloadRouter) {
     BeginRouterFault(aFault);
   } else if (aFault.kind <= FaultKind::RemoveUpstream) {
@@ -450,6 +525,9 @@
         }
       }
       return;
+    case FaultKind::EvacuateZone:
+      SetEvacuated(aFault.target, false);
+      return;
     case FaultKind::RestoreStore:
     case FaultKind::StoreMute:
       m_store.faults.mute = false;
@@ -507,6 +585,7 @@
   FollowCopies(now);
   ReviveRouters(now);
   FollowCrashes(now);
+  FollowCold(now);
   m_crashingCaller.Tick(now);
   m_storeProxy->Tick(now);
   for (const auto& upstream : m_upstreams) {
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -7,9 +7,11 @@
 #include "soak/routerprocess.h"
 #include "soak/soakcaller.h"
 #include "soak/soakplan.h"
+#include "soak/zonewatch.h"
 #include "standins/storestandin.h"
 #include "standins/workerstandin.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +45,7 @@
   {
     std::string id;
     std::uint32_t index = 0;
+    std::string zone;
     std::unique_ptr<standins::WorkerStandin> worker;
     std::unique_ptr<ChaosProxy> proxy;
     base::TimePoint leftAt{};    //!< 0: listed
@@ -60,8 +63,13 @@
 
   base::Address At(int aOffset) const;
   void WriteSettings(std::uint32_t aRouter);
-  void AddUpstream(std::uint32_t aIndex);
-  void List(const Upstream& aUpstream, bool aDraining);
+  void AddUpstream(std::uint32_t aIndex, base::Duration aColdFor = {});
+  void List(const Upstream& aUpstream,
+            bool aDraining,
+            base::Duration aColdFor = {});
+  void FollowCold(base::TimePoint aNow);
+  void BeginZoneFault(const Fault& aFault);
+  void SetEvacuated(std::uint32_t aZone, bool aEvacuated);
   void Write(std::function<void()> aWrite);
   void FollowCopies(base::TimePoint aNow);
   void PutConfig();
@@ -104,6 +112,9 @@
   std::optional<base::TimePoint> m_rewriteAt;
   std::uint64_t m_configVersion = 0;
   std::uint32_t m_keyNumber = 0;
+  ZoneWatch m_zones{ m_promises };
+  std::array<int, kSoakZones> m_evacuations{};          //!< running, by zone
+  std::map<std::string, base::TimePoint> m_warmAt;      //!< by upstream
   std::map<std::string, base::TimePoint> m_withdrawnAt; //!< by key's workspace
 };
 
