--- a/src/soak/tests/flaweddialects.cpp
+++ b/src/soak/tests/flaweddialects.cpp
@@ -57,6 +57,18 @@
   if (m_flaw == Flaw::LosesTheStore && ++m_pages > kGoodPages) {
     throw base::Error(base::ErrorCode::BadSyntax, "a flaw on purpose");
   }
+  if (m_flaw == Flaw::MissesEvacuations) {
+    std::erase_if(aPage.items, [](const auto& aItem) {
+      return std::holds_alternative<gateway::EvacuatedZone>(aItem);
+    });
+  }
+  if (m_flaw == Flaw::TakesColdForWarm) {
+    for (auto& item : aPage.items) {
+      if (auto* upstream = std::get_if<gateway::StoredUpstream>(&item)) {
+        upstream->entry.coldFor = {};
+      }
+    }
+  }
   if (m_flaw != Flaw::KeepsLeaving) {
     return aPage;
   }
--- a/src/soak/tests/flaweddialects.h
+++ b/src/soak/tests/flaweddialects.h
@@ -13,15 +13,17 @@
 //! the soak watches; the soak must notice.
 enum class Flaw : std::uint8_t
 {
-  CrossedIds,    //!< now and then a request goes out as the one before it
-  FalseNotRun,   //!< what may have run is told not to have run
-  RepeatsAll,    //!< what may run once is tried again like the rest
-  WrongFields,   //!< upstreams are told another workspace
-  KeepsLeaving,  //!< upstreams that leave go on getting work
-  KeepsOldKeys,  //!< withdrawn keys stay
-  StopsAtOnce,   //!< a planned stop waits for nothing
-  LosesTheStore, //!< after a while answers of the store are not understood
-  TakesAllForNew //!< no request is recognised when it comes again
+  CrossedIds,        //!< now and then a request goes out as the one before it
+  FalseNotRun,       //!< what may have run is told not to have run
+  RepeatsAll,        //!< what may run once is tried again like the rest
+  WrongFields,       //!< upstreams are told another workspace
+  KeepsLeaving,      //!< upstreams that leave go on getting work
+  KeepsOldKeys,      //!< withdrawn keys stay
+  StopsAtOnce,       //!< a planned stop waits for nothing
+  LosesTheStore,     //!< after a while answers of the store are not understood
+  TakesAllForNew,    //!< no request is recognised when it comes again
+  MissesEvacuations, //!< evacuated zones go on getting work
+  TakesColdForWarm   //!< cold upstreams get as much as warm ones
 };
 inline constexpr auto kFlawNames =
   base::MakeEnumNames<Flaw>("crossed-ids",
@@ -32,7 +34,9 @@
                             "keeps-old-keys",
                             "stops-at-once",
                             "loses-the-store",
-                            "takes-all-for-new");
+                            "takes-all-for-new",
+                            "misses-evacuations",
+                            "takes-cold-for-warm");
 
 class FlawedCallers : public gateway::ICallerDialect
 {
