An upstream of a restored zone is taken for cold at first

Cause, by reading: an evacuation leaves its upstreams cold, which their entries say with the next heartbeat; until then they are idle and draw requests from every router. Change: for two heartbeats after the end of an evacuation they count as cold; the next entry that differs says more. The point in time for "never cold" no longer overflows when now is taken from it (the new test failed by that first; it would have stopped the sanitized tests of the status page). Ruled out: nothing sent for the whole coldStartS, which an upstream that stayed warm would lose.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -102,7 +102,13 @@
       upstream.coldUntil = aNow + entry.coldFor;
     }
     upstream.entry = entry;
-    upstream.evacuated = m_evacuations.Contains(entry.zone);
+    const bool evacuated = m_evacuations.Contains(entry.zone);
+    if (upstream.evacuated && !evacuated) {
+      //! NOTE it may be cold by now; its next heartbeats say so.
+      upstream.coldUntil =
+        std::max(upstream.coldUntil, aNow + m_settings.lapseAfter);
+    }
+    upstream.evacuated = evacuated;
   }
   FollowServices();
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -256,7 +256,7 @@
     bool isEngine = false;
     bool evacuated = false;
     double coldPerSecond = 0; //!< see Service
-    TimePoint coldUntil{ TimePoint::min() };
+    TimePoint coldUntil{ TimePoint::min() / 2 };
     ReadRate readRate;
     UpstreamTime time;
     UpstreamHealth health;
--- a/src/fleet/tests/warmuptests.cpp
+++ b/src/fleet/tests/warmuptests.cpp
@@ -233,6 +233,31 @@
   cr_assert(bench.Place(bench.Ask(1)).outcome == PlaceOutcome::Placed);
 }
 
+//! It is cold at the end of the evacuation, which its entry says a heartbeat
+//! later; idle, it would draw requests from all routers at once.
+Test(core, AnUpstreamOfARestoredZoneIsTakenForColdAtFirst)
+{
+  ColdBench bench;
+  bench.List(1);
+  auto entry = ColdEntry("restored", 0ms);
+  entry.zone = "zone-b";
+  bench.Put(entry);
+  bench.fleet.Evacuated().Put({ "zone-b", 3 }, bench.now);
+  bench.fleet.FollowUpstreams(bench.now);
+  bench.now += 5000ms;
+  bench.fleet.Evacuated().Remove("zone-b");
+  bench.fleet.Evacuated().Proven(bench.now);
+  bench.fleet.FollowUpstreams(bench.now);
+  for (std::uint64_t i = 0; i < 30; ++i) {
+    const auto place = bench.Place(bench.Ask(i));
+    cr_assert(place.upstreamId == "u0");
+    bench.fleet.Ended(place.attempt, AttemptEnd::Answered, bench.now);
+  }
+  const auto cold = bench.fleet.Status(bench.now).at(0).coldFor +
+                    bench.fleet.Status(bench.now).at(1).coldFor;
+  cr_assert(cold == 2400ms);
+}
+
 //! All of a service's upstreams are cold: the owner sends what they bear, the
 //! rest comes back.
 Test(core, WhereAllAreColdTheOwnerSendsWhatTheyBear)
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -154,7 +154,7 @@
   http::ConnectionSet m_connections;
   http::Listener m_listener;
   bool m_crashed = false;
-  base::TimePoint m_coldUntil{ base::TimePoint::min() };
+  base::TimePoint m_coldUntil{ base::TimePoint::min() / 2 };
   std::deque<base::TimePoint> m_taken; //!< while cold, in the last second
 };
 
