One list of upstreams in the news log; settings of cold upstreams and regions tested

By reading the change: All and Answer both walked the list; an evacuation told to a router that starts was logged with no upstreams, for the list was followed after it.

--- a/src/fleet/internal/newslog.cpp
+++ b/src/fleet/internal/newslog.cpp
@@ -109,6 +109,16 @@
          aAsk.configVersion < m_configVersion;
 }
 
+std::vector<UpstreamEntry>
+NewsLog::Listed() const
+{
+  std::vector<UpstreamEntry> all;
+  for (const auto& [id, entry] : m_upstreams) {
+    all.push_back(entry);
+  }
+  return all;
+}
+
 News
 NewsLog::All() const
 {
@@ -117,9 +127,7 @@
   news.life = m_life;
   news.sequence = m_sequence;
   news.full = true;
-  for (const auto& [id, entry] : m_upstreams) {
-    news.upstreams.push_back(entry);
-  }
+  news.upstreams = Listed();
   return news;
 }
 
@@ -136,10 +144,7 @@
   news.evacuations = m_evacuations;
   news.full = WantsAll(aAsk);
   if (news.full) {
-    for (const auto& [id, entry] : m_upstreams) {
-      news.upstreams.push_back(entry);
-    }
-    return news;
+    news.upstreams = Listed();
   }
   if (!KnowsSince(aAsk)) {
     return news;
--- a/src/fleet/newslog.h
+++ b/src/fleet/newslog.h
@@ -47,6 +47,7 @@
 
   bool KnowsSince(const NewsAsk& aAsk) const;
   void Note(const std::string& aId);
+  std::vector<UpstreamEntry> Listed() const;
 
   std::uint64_t m_life;
   std::uint64_t m_sequence = 1;
--- a/src/gateway/internal/gatewaynews.cpp
+++ b/src/gateway/internal/gatewaynews.cpp
@@ -347,6 +347,7 @@
     return;
   }
   m_listChanged = true;
+  FollowList();
   m_newsLog.SetEvacuations(m_fleet.Evacuated().InForce());
   const auto proofAge = m_loop.Now() - m_newsProvenAt;
   for (const auto& notice : aNotices) {
@@ -386,7 +387,6 @@
   m_fleet.ConfigFreshness().Proven(aAt);
   m_newsProvenAt = std::max(m_newsProvenAt, aAt);
   TakeZones(m_fleet.Evacuated().Proven(aAt));
-  FollowList();
   if (m_sources.Current().kind == fleet::SourceKind::Store) {
     m_knownReader.Learn(m_settings.peerListen, aAt);
     m_sources.Answered(base::Duration{}, m_loop.Now());
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -322,6 +322,24 @@
   cr_assert(settings.seedWait == base::Duration(900));
 }
 
+Test(settings, TheColdLimitAndRegionsAreRead)
+{
+  const auto settings =
+    ParseGatewaySettings("f.ini",
+                         kSettings + "[cold_upstreams]\noverrun = 1.5\n"
+                                     "slack = 5\n[regions]\n"
+                                     "zone = a:north\nzone = b:south\n");
+  cr_assert(settings.coldLimit.overrun == 1.5);
+  cr_assert(settings.coldLimit.slack == 5);
+  cr_assert(settings.regionOfZone.at("a") == "north");
+  cr_assert(settings.regionOfZone.at("b") == "south");
+  for (const std::string bad : { "a", ":north", "a:" }) {
+    cr_assert(WhyRefused(kSettings + "[regions]\nzone = " + bad + "\n")
+                .starts_with("f.ini:"));
+  }
+  cr_assert(!WhyRefused(kSettings + "[cold_upstreams]\nslack = -1\n").empty());
+}
+
 Test(settings, ABadFileIsRefusedWithFileLineAndKey)
 {
   cr_assert(WhyRefused(kSettings).empty());
