--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -345,6 +345,7 @@
   auto& router = m_routers[aFault.target];
   switch (aFault.kind) {
     case FaultKind::KillRouter:
+      router.calmStop = false; // a stop that it cuts short is none
       router.process->Signal(SIGKILL);
       return;
     case FaultKind::PauseRouter:
