--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -333,9 +333,11 @@
   cr_assert(settings.coldLimit.slack == 5);
   cr_assert(settings.regionOfZone.at("a") == "north");
   cr_assert(settings.regionOfZone.at("b") == "south");
-  for (const std::string bad : { "a", ":north", "a:" }) {
-    cr_assert(WhyRefused(kSettings + "[regions]\nzone = " + bad + "\n")
-                .starts_with("f.ini:"));
+  for (const std::string bad : { "a\n", ":north\n", "a:\n" }) {
+    auto text = kSettings;
+    text += "[regions]\nzone = ";
+    text += bad;
+    cr_assert(WhyRefused(text).starts_with("f.ini:"));
   }
   cr_assert(!WhyRefused(kSettings + "[cold_upstreams]\nslack = -1\n").empty());
 }
