--- a/src/gateway/internal/exchangeplacing.cpp
+++ b/src/gateway/internal/exchangeplacing.cpp
@@ -9,6 +9,8 @@
 #include "http/serverconnection.h"
 #include "metrics/metrics.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,6 +20,18 @@
 using base::LogLine;
 using base::Verdict;
 
+namespace {
+
+//! By what a generation is placed.
+std::string
+SharedPartText(const fleet::Work& aWork)
+{
+  const auto* part = aWork.LastShared();
+  return part == nullptr ? "" : fmt::format("{:x}", part->id);
+}
+
+}
+
 fleet::PlaceRequest
 Exchange::MakePlaceRequest() const
 {
@@ -152,12 +166,15 @@
     .Add("workspace", m_workspace)
     .Add("route", m_route->name)
     .Add("prompt_tokens", m_request.work.promptTokens)
+    .Add("own_tokens", m_request.work.OwnTokens())
+    .Add("shared_part", SharedPartText(m_request.work))
     .Add("most_output_tokens", m_request.work.outputTokens)
     .Add("waited_ms", Waited().count())
     .Add("busy_ms", m_parts.loop.BusyFor().count())
     .Add("router_busy", aPlace.routerBusy ? "yes" : "no")
     .Add("crashes", static_cast<std::uint64_t>(aPlace.crashes))
     .Add("upstream", aPlace.upstreamId)
+    .Add("address", aPlace.address.Text())
     .Add("foreseen_ms", aPlace.foreseenMs)
     .Add("unread_tokens", aPlace.unreadTokens)
     .Add("missing_tokens", aPlace.missingTokens)
