How long engines keep prompts follows from what runs and what fills their memory

Cause: three quarters of an engine's memory were taken to keep prompts, and only what is read was taken to fill it. So prefixes were believed to be held that were gone: the request that followed one read all of it again, later than foreseen.

Change: a router learns from what begins here how many tokens come into a memory for each that is read, and how many a running request has for itself (`MemoryUse`); both are applied to the fleet's sums, each period. The constant is gone. Engines that get no work (evacuated, draining, cold) no longer count in the mean.

Tests: the two new ones of `prefixcopy` fail on the code before.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -59,24 +59,21 @@
   }
   m_routes = std::make_unique<RouteTable>(std::move(aConfig));
   FollowServices();
-  SetKeptPrefixes();
+  FindLeastMemory();
   return true;
 }
 
-//! One age for all services, that of the smallest engines: a prefix that is
-//! taken for gone too early is copied or read once more; one that is gone and
-//! believed makes a request late.
 void
-Fleet::SetKeptPrefixes()
+Fleet::FindLeastMemory()
 {
-  double least = 0;
+  m_leastMemory = 0;
   for (const auto& [name, service] : m_routes->Config()->services) {
     if (service.IsEngine() && service.memoryTokens > 0) {
-      least = least > 0 ? std::min(least, service.memoryTokens)
+      m_leastMemory = m_leastMemory > 0
+                        ? std::min(m_leastMemory, service.memoryTokens)
                         : service.memoryTokens;
     }
   }
-  m_prefixes.SetKept(least > 0 ? kMemoryForPrompts * least : kPrefixKeptUnsaid);
 }
 
 std::uint64_t
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "fleet/forecasterror.h"
 #include "fleet/freshness.h"
 #include "fleet/membership.h"
+#include "fleet/memoryuse.h"
 #include "fleet/passlevel.h"
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
@@ -298,7 +299,7 @@
                     const std::vector<Candidate>& aCandidates,
                     TimePoint aNow) const;
   void SetCallLevels(TimePoint aNow);
-  void SetKeptPrefixes();
+  void FindLeastMemory();
   std::vector<Candidate> Candidates(const PlaceRequest& aRequest,
                                     std::vector<UpstreamId> aEligible,
                                     const std::vector<PrefixHolder>& aHolders,
@@ -313,6 +314,7 @@
   double Room(double aBegun, TimePoint aNow) const;
   void SetLevels(TimePoint aNow);
   void AgePrefixes(TimePoint aNow);
+  double KeptPrompts(double aRunning) const;
   void TakeProof(const PeerReport& aReport);
   void KeepUses(const PeerReport& aReport);
   PeerReport Renewed(const PeerReport& aOwn, TimePoint aNow) const;
@@ -344,6 +346,8 @@
   PeerView m_peers;
   PrefixMap m_prefixes;
   std::optional<TimePoint> m_agedAt; //!< m_prefixes
+  double m_leastMemory = 0;          //!< of any service's engines; 0: not said
+  MemoryUse m_memoryUse;
   DemandMeter m_demand;
   CallMeter m_calls;
   CallLevels m_callLevels;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -11,9 +11,9 @@
 
 // ---- what an upstream holds and how fast it reads
 
-//! The part of an engine's memory that is taken to keep prompts: what runs
-//! needs the rest.
-inline constexpr double kMemoryForPrompts = 0.75;
+//! The part of an engine's memory that keeps prompts at least, whatever runs:
+//! an engine without room for them makes requests wait instead.
+inline constexpr double kPromptsKeptLeast = 0.1;
 //! Tokens that an engine is taken to keep where its memory is not said: a
 //! small engine's, for to believe too much is dearer than to read again.
 inline constexpr double kPrefixKeptUnsaid = 170000;
--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -12,24 +12,43 @@
 
 }
 
+//! One age for all services, that of the smallest engines: a prefix that is
+//! taken for gone too early is copied or read once more; one that is gone and
+//! believed makes a request late.
 void
 Fleet::AgePrefixes(TimePoint aNow)
 {
-  const auto engines =
-    std::count_if(m_upstreams.begin(),
-                  m_upstreams.end(),
-                  [](const auto& aEntry) { return aEntry.second.isEngine; });
-  const auto since = m_agedAt.value_or(aNow);
-  const auto past = static_cast<double>((aNow - since).count());
+  const auto past = aNow - m_agedAt.value_or(aNow);
   m_agedAt = aNow;
-  const double reading = m_demand.Reading() + m_peers.Reading();
+  double engines = 0;
+  double running = 0;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.isEngine && TakesWork(upstream, aNow)) {
+      engines++;
+      running += upstream.running + m_peers.LoadOf(id).running;
+    }
+  }
   if (engines > 0) {
-    m_prefixes.Advance(reading * past /
-                       (kMillisPerSecond * static_cast<double>(engines)));
+    const double filled = (m_demand.Reading() + m_peers.Reading()) *
+                          m_memoryUse.FilledPerRead() *
+                          static_cast<double>(past.count()) / kMillisPerSecond;
+    m_prefixes.Advance(filled / engines);
+    m_prefixes.SetKept(KeptPrompts(running / engines));
   }
   m_prefixes.Forget();
 }
 
+//! aRunning: requests at an engine, in the mean.
+double
+Fleet::KeptPrompts(double aRunning) const
+{
+  if (m_leastMemory <= 0) {
+    return kPrefixKeptUnsaid;
+  }
+  return std::max(m_leastMemory - aRunning * m_memoryUse.TokensOfRunning(),
+                  kPromptsKeptLeast * m_leastMemory);
+}
+
 void
 Fleet::Tick(TimePoint aNow)
 {
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -410,6 +410,10 @@
       m_usesHere.push_back({ work.prompt[i].id, aUpstream });
     }
   }
+  if (work.IsGeneration()) {
+    m_memoryUse.Begun(
+      work, toRead, aCandidate.copy ? aCandidate.copy->tokens : 0.0);
+  }
   if (work.IsGeneration() && !aRequest.admitted) {
     m_demand.Begun(aRequest.workspace, work.Cost(), toRead, aNow);
     m_fleetRates[aRequest.workspace].begun +=
--- a/src/fleet/internal/prefixmap.cpp
+++ b/src/fleet/internal/prefixmap.cpp
@@ -24,9 +24,9 @@
   auto& holders = m_holders[aPart];
   const auto found = FindIn(holders, aUpstream);
   if (found == holders.end()) {
-    holders.push_back({ aUpstream, m_read });
+    holders.push_back({ aUpstream, m_filled });
   } else {
-    found->lastUse = m_read;
+    found->lastUse = m_filled;
   }
 }
 
--- a/src/fleet/prefixmap.h
+++ b/src/fleet/prefixmap.h
@@ -11,18 +11,20 @@
 
 //! Which parts of prompts the upstreams are taken to hold, from what was
 //! sent where, here and by other routers. An engine gives up what it has not
-//! used for longest when it reads something new; so age is counted in what a
-//! mean engine has read since, and nothing gets old while nothing is read.
+//! used for longest when something new needs the room; so age is counted in
+//! tokens that came into a mean engine's memory since, and nothing gets old
+//! while nothing is read.
 class PrefixMap
 {
 public:
   struct Holder
   {
     UpstreamId upstream{};
-    double lastUse = 0; //!< what a mean engine had read by then, in tokens
+    double lastUse = 0; //!< what had come into a mean engine's memory by then
   };
 
-  //! How much an engine reads until it has given up what it did not use.
+  //! How much comes into an engine's memory until it has given up what it did
+  //! not use.
   void SetKept(double aTokens) { m_kept = aTokens; }
   //! aPart was read, or found again, at aUpstream.
   void Used(std::uint64_t aPart, UpstreamId aUpstream);
@@ -30,19 +32,19 @@
   std::uint32_t Held(const Work& aWork, UpstreamId aUpstream) const;
   //! Those that are taken to hold aPart, in no order.
   std::vector<UpstreamId> HoldersOf(std::uint64_t aPart) const;
-  //! A mean engine has read aTokens more.
-  void Advance(double aTokens) { m_read += aTokens; }
+  //! aTokens more came into a mean engine's memory.
+  void Advance(double aTokens) { m_filled += aTokens; }
   void Forget();
   std::size_t Size() const;
 
 private:
   bool IsOld(const Holder& aHolder) const
   {
-    return m_read - aHolder.lastUse > m_kept;
+    return m_filled - aHolder.lastUse > m_kept;
   }
 
   double m_kept = kPrefixKeptUnsaid;
-  double m_read = 0; //!< tokens, by a mean engine
+  double m_filled = 0; //!< tokens, of a mean engine
   std::unordered_map<std::uint64_t, std::vector<Holder>> m_holders;
 };
 
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -40,6 +40,7 @@
   explicit LinkedFleet(int aEngines, const Service& aService = Linked())
     : fleet({ "r1", "z0", 1 })
   {
+    work.outputTokens = 50;
     auto config = std::make_shared<FleetConfig>();
     config->version = 1;
     config->services["engines"] = aService;
@@ -59,10 +60,24 @@
     fleet.FollowUpstreams(now);
   }
 
+  //! In a second by another router, which runs aRunning at the first engine.
+  void Read(double aTokens, std::uint32_t aRunning)
+  {
+    PeerReport report;
+    report.router = "r2";
+    report.life = 1;
+    report.sequence = ++reports;
+    report.reading = aTokens;
+    report.loads = { { UpstreamIdOf(entries.front()), 0, aRunning } };
+    fleet.Tick(now);
+    fleet.Take(report, now);
+    now += 1000ms;
+    fleet.Tick(now);
+  }
+
   PlaceResult Place(std::uint64_t aPrefix, std::vector<UpstreamId> aAvoid = {})
   {
     work.promptTokens = 6000;
-    work.outputTokens = 50;
     work.prompt = { { 1, 500 }, { aPrefix, 4500 }, { ++lastOwn, 1000 } };
     PlaceRequest request;
     request.route = &route;
@@ -76,12 +91,18 @@
     return fleet.Place(request, now);
   }
 
+  void Serve(std::uint64_t aPrefix)
+  {
+    fleet.Ended(Place(aPrefix).attempt, AttemptEnd::Answered, now);
+  }
+
   Fleet fleet;
   Route route;
   Work work;
   std::vector<UpstreamEntry> entries;
   TimePoint now{ 100000 };
   std::uint64_t lastOwn = 1000000;
+  std::uint64_t reports = 0;
 };
 
 }
@@ -182,19 +203,63 @@
     service.copyMbps = 0;
     LinkedFleet bench(1, service);
     bench.Place(7);
-    const auto read = [&] {
-      PeerReport report;
-      report.router = "r2";
-      report.life = 1;
-      report.sequence = 1;
-      report.reading = 300000;
-      bench.fleet.Tick(bench.now);
-      bench.fleet.Take(report, bench.now);
-      bench.now += 1000ms;
-      bench.fleet.Tick(bench.now);
-    };
-    read();
+    bench.Read(300000, 0);
     const bool held = bench.Place(7).missingTokens < 6000;
     cr_assert(held == (memory > 300000));
   }
 }
+
+//! Prefixes were believed to be kept for as long as if an engine's memory held
+//! nothing but what it had read; the request that followed one read it again.
+Test(prefixcopy, WhatIsGeneratedMakesPrefixesOld)
+{
+  for (const std::uint32_t output : { 0, 6000 }) {
+    auto service = Linked();
+    service.copyMbps = 0;
+    LinkedFleet bench(1, service);
+    bench.work.outputTokens = output;
+    for (int i = 0; i < 200; ++i) {
+      bench.Serve(100 + i);
+    }
+    bench.Serve(7);
+    bench.Read(400000, 0);
+    const bool held = bench.Place(7).missingTokens == 1000;
+    cr_assert(held == (output == 0), "%u", output);
+  }
+}
+
+//! What was copied to an engine and what it generated fills its memory too.
+Test(memoryuse, CopiedAndGeneratedTokensCountAsFilled)
+{
+  MemoryUse use;
+  cr_assert(use.FilledPerRead() == 1.0);
+  cr_assert(use.TokensOfRunning() == 0.0);
+  Work work;
+  work.promptTokens = 6000;
+  work.outputTokens = 200;
+  work.prompt = { { 1, 5000 }, { 2, 1000 } };
+  for (int i = 0; i < 3; ++i) {
+    use.Begun(work, 1000, 800);
+  }
+  cr_assert_float_eq(use.FilledPerRead(), 2.0, 0.01);
+  cr_assert_float_eq(use.TokensOfRunning(), 1100, 0.01);
+  for (int i = 0; i < 2000; ++i) {
+    use.Begun(work, 0, 6000);
+  }
+  cr_assert(use.FilledPerRead() <= 4.0);
+}
+
+//! A running request's own tokens are kept until it has ended.
+Test(prefixcopy, WhatRunsLeavesLessMemoryForPrompts)
+{
+  for (const std::uint32_t running : { 1, 500 }) {
+    LinkedFleet bench(1);
+    for (int i = 0; i < 200; ++i) {
+      bench.Place(100 + i);
+    }
+    bench.Place(7);
+    bench.Read(100000, running);
+    const bool held = bench.Place(7).missingTokens == 1000;
+    cr_assert(held == (running == 1), "%u", running);
+  }
+}
