Another holder goes with each prompt, also where its engine is taken to hold it

Change: a prompt's engine is told of another holder of as much wherever there is one, not only where it is known to lack something. It copies what it lacks; where it lacks nothing, nothing is moved.

Test: prefixcopy/AHolderIsToldOfAnotherOne fails on the code before.

--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -177,10 +177,11 @@
     static_cast<double>(aRequest.work->promptTokens) - held;
   candidate.readRate = upstream.readRate.TokensPerMs();
   if (!aHolders.empty()) {
-    candidate.copy = ChooseCopy(*FindService(aRequest.service),
-                                aHolders,
-                                { entry.zone, held, candidate.readRate },
-                                aRequest.key);
+    candidate.copy =
+      ChooseCopy(*FindService(aRequest.service),
+                 aHolders,
+                 { aUpstream, entry.zone, held, candidate.readRate },
+                 aRequest.key);
   }
   candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
   candidate.running = upstream.running + told.running;
--- a/src/fleet/internal/prefixcopy.cpp
+++ b/src/fleet/internal/prefixcopy.cpp
@@ -38,14 +38,20 @@
   };
   const PrefixHolder* best = nullptr;
   for (const auto& holder : aHolders) {
+    if (holder.upstream == aReader.upstream) {
+      continue;
+    }
     if (best == nullptr || preference(holder) > preference(*best)) {
       best = &holder;
     }
   }
-  if (best == nullptr || best->heldTokens <= aReader.heldTokens) {
+  if (best == nullptr || best->heldTokens < aReader.heldTokens) {
     return std::nullopt;
   }
   const double tokens = best->heldTokens - aReader.heldTokens;
+  if (tokens <= 0) {
+    return PrefixCopy{ best->upstream, 0, 0 };
+  }
   const double millis = CopyMillis(aService, tokens);
   if (millis > kCopyWorth * tokens / aReader.tokensPerMs) {
     return std::nullopt;
--- a/src/fleet/prefixcopy.h
+++ b/src/fleet/prefixcopy.h
@@ -19,6 +19,7 @@
 //! An engine that would read the rest of a prompt.
 struct PrefixReader
 {
+  UpstreamId upstream{};
   std::string_view zone;
   std::uint32_t heldTokens = 0;
   double tokensPerMs = 1;
@@ -28,7 +29,8 @@
 struct PrefixCopy
 {
   UpstreamId from{};
-  double tokens = 0; //!< that need not be read again
+  //! That need not be read again; 0: none, as far as is known.
+  double tokens = 0;
   double millis = 0; //!< until they are there
 };
 
@@ -44,7 +46,8 @@
 //! The holder with most is taken, one in the own zone before others, drawn by
 //! aKey among equals so that no holder gives to all. Nothing where engines
 //! have no links between them, or where reading is about as quick
-//! (kCopyWorth).
+//! (kCopyWorth). A reader that is taken to hold as much is told of another
+//! holder all the same: it may have given up what it held.
 std::optional<PrefixCopy>
 ChooseCopy(const Service& aService,
            const std::vector<PrefixHolder>& aHolders,
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -14,7 +14,7 @@
 
 constexpr double kTokensPerMs = 50;
 //! Holds nothing yet.
-constexpr PrefixReader kReader{ "z0", 0, kTokensPerMs };
+constexpr PrefixReader kReader{ UpstreamId(99), "z0", 0, kTokensPerMs };
 
 Service
 Linked()
@@ -113,8 +113,8 @@
   const std::vector<PrefixHolder> holders{ Holder(1, 500),
                                            Holder(2, 5000, "z1"),
                                            Holder(3, 5000) };
-  const auto copy =
-    ChooseCopy(service, holders, { "z0", 500, kTokensPerMs }, 9);
+  const auto copy = ChooseCopy(
+    service, holders, { UpstreamId(99), "z0", 500, kTokensPerMs }, 9);
   cr_assert(copy && copy->from == UpstreamId(3));
   cr_assert(copy->tokens == 4500);
   cr_assert(copy->millis < 4500 / kTokensPerMs);
@@ -249,6 +249,19 @@
   cr_assert(use.FilledPerRead() <= 4.0);
 }
 
+//! An engine that had given up a prefix read it again beside others that held
+//! it.
+Test(prefixcopy, AHolderIsToldOfAnotherOne)
+{
+  LinkedFleet bench(2);
+  const auto first = bench.Place(7);
+  const auto second = bench.Place(7, { first.upstream });
+  const auto third = bench.Place(7, { first.upstream });
+  cr_assert(third.upstream == second.upstream);
+  cr_assert(third.missingTokens == 1000 && third.copiedTokens == 0);
+  cr_assert(third.copyFrom == first.address);
+}
+
 //! A running request's own tokens are kept until it has ended.
 Test(prefixcopy, WhatRunsLeavesLessMemoryForPrompts)
 {
