A request that no engine can hold teaches nothing of what fills their memories

Cause: `MemoryUse` learned from every request that began, before an engine had refused it; the hundreds of requests that follow forget it slowly.

Change: what is larger than an engine's memory, which engines refuse, is not learned from. Ruled out: a bound on the sample alone, which would still count what never ran.

Test: prefixcopy/ARequestThatNoEngineCanHoldMakesNoPrefixOld fails without the check.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -315,6 +315,7 @@
   void SetLevels(TimePoint aNow);
   void AgePrefixes(TimePoint aNow);
   double KeptPrompts(double aRunning) const;
+  bool FitsMemory(const Work& aWork) const;
   void TakeProof(const PeerReport& aReport);
   void KeepUses(const PeerReport& aReport);
   PeerReport Renewed(const PeerReport& aOwn, TimePoint aNow) const;
--- a/src/fleet/internal/fleetlevels.cpp
+++ b/src/fleet/internal/fleetlevels.cpp
@@ -38,6 +38,15 @@
   m_prefixes.Forget();
 }
 
+//! Engines refuse what is larger than their memory, so what a caller says of
+//! such a request tells nothing of the others.
+bool
+Fleet::FitsMemory(const Work& aWork) const
+{
+  const double memory = m_leastMemory > 0 ? m_leastMemory : kPrefixKeptUnsaid;
+  return static_cast<double>(aWork.promptTokens) + aWork.outputTokens <= memory;
+}
+
 //! aRunning: requests at an engine, in the mean.
 double
 Fleet::KeptPrompts(double aRunning) const
--- a/src/fleet/internal/fleetplacing.cpp
+++ b/src/fleet/internal/fleetplacing.cpp
@@ -411,7 +411,7 @@
       m_usesHere.push_back({ work.prompt[i].id, aUpstream });
     }
   }
-  if (work.IsGeneration()) {
+  if (work.IsGeneration() && FitsMemory(work)) {
     m_memoryUse.Begun(
       work, toRead, aCandidate.copy ? aCandidate.copy->tokens : 0.0);
   }
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -276,3 +276,15 @@
     cr_assert(held == (running == 1), "%u", running);
   }
 }
+
+//! One caller's number of tokens made a router take all prefixes for gone.
+Test(prefixcopy, ARequestThatNoEngineCanHoldMakesNoPrefixOld)
+{
+  LinkedFleet bench(1);
+  bench.Serve(7);
+  bench.work.outputTokens = 4000000000;
+  bench.Serve(8);
+  bench.work.outputTokens = 50;
+  bench.Read(100000, 1);
+  cr_assert(bench.Place(7).missingTokens == 1000);
+}
