--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -60,7 +60,8 @@
     fleet.FollowUpstreams(now);
   }
 
-  //! In a second by another router, which runs aRunning at the first engine.
+  //! Another router reads aTokens in a second and runs aRunning requests at the
+  //! first engine.
   void Read(double aTokens, std::uint32_t aRunning)
   {
     PeerReport report;
