Property checks fail their tests

A property that failed printed its counterexample, and Criterion counted the test as passed.

Change: each result is asserted. Ruled out: a wrapper macro, as commas in a lambda split macro arguments.

--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -67,7 +67,7 @@
     routes.push_back(RouteOf("h", prefix));
   }
   const RouteTable table(ConfigWith(routes));
-  rc::check([&] {
+  const bool held = rc::check([&] {
     std::string path = "/";
     const auto parts = *rc::gen::container<std::vector<char>>(
       rc::gen::element('a', 'b', 'c', '/'));
@@ -82,6 +82,7 @@
     RC_ASSERT(found != nullptr);
     RC_ASSERT(found->prefix == best);
   });
+  cr_assert(held);
 }
 
 Test(routetable, ASplitFollowsItsWeights)
@@ -115,7 +116,7 @@
 
 Test(fairshare, MaxMinSharesUseExactlyTheCapacityOrTheDemand)
 {
-  rc::check([] {
+  const bool held = rc::check([] {
     WorkspaceRates rates;
     const auto asked = *rc::gen::container<std::vector<double>>(rc::gen::map(
       rc::gen::inRange(0, 10000), [](int aNumber) { return aNumber * 1.0; }));
@@ -133,6 +134,7 @@
     RC_ASSERT(given <= capacity + 1e-6);
     RC_ASSERT(given >= std::min(sum, capacity) - 1e-6);
   });
+  cr_assert(held);
 }
 
 Test(fairshare, DemandDecaysOverTime)
--- a/src/fleet/tests/retrytests.cpp
+++ b/src/fleet/tests/retrytests.cpp
@@ -111,7 +111,7 @@
 //! than the budget of the fleet allows.
 Test(retrypolicy, RetriesStayWithinTheBudgetOfTheFleet)
 {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto routers = *rc::gen::inRange(1, 8);
     const double slack = *rc::gen::inRange(10, 100);
     std::vector<RetryBudget> budgets(static_cast<std::size_t>(routers));
@@ -142,4 +142,5 @@
       RC_ASSERT(sum <= allowed);
     }
   });
+  cr_assert(held);
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -37,7 +37,7 @@
 
 Test(eventstream, EventsPassUnchangedForAnyReadSizes)
 {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto all = Events(1, *rc::gen::inRange(1, 12));
     EventStreamFilter filter;
     std::string out;
@@ -50,6 +50,7 @@
     RC_ASSERT(out == all);
     RC_ASSERT(!filter.HasPartialEvent());
   });
+  cr_assert(held);
 }
 
 Test(eventstream, PartialEventIsHeldBack)
@@ -65,7 +66,7 @@
 //! yields each event once and in order.
 Test(eventstream, ResumedStreamHasNoGapsOrDuplicates)
 {
-  rc::check([] {
+  const bool held = rc::check([] {
     const int last = *rc::gen::inRange(2, 12);
     const auto all = Events(1, last);
     const auto cut = *rc::gen::inRange<std::size_t>(0, all.size());
@@ -78,6 +79,7 @@
     RC_ASSERT(filter.Consume(Events(from, last), out));
     RC_ASSERT(out == all);
   });
+  cr_assert(held);
 }
 
 Test(eventstream, GapAfterResumeIsRejected)
@@ -196,16 +198,17 @@
 
 Test(reports, RandomBytesAreRejected)
 {
-  rc::check([](const std::vector<std::uint8_t>& aBytes) {
+  const bool held = rc::check([](const std::vector<std::uint8_t>& aBytes) {
     RC_ASSERT_THROWS_AS(DecodeReport(aBytes.data(), aBytes.size()),
                         base::Error);
   });
+  cr_assert(held);
 }
 
 Test(reports, DamagedReportIsDecodedOrRejected)
 {
   const auto bytes = EncodeReport(FullReport());
-  rc::check([&] {
+  const bool held = rc::check([&] {
     auto damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
     damaged[at] = *rc::gen::arbitrary<std::uint8_t>();
@@ -216,6 +219,7 @@
       // a rejected message is a valid outcome
     }
   });
+  cr_assert(held);
 }
 
 // ---- news
@@ -273,13 +277,14 @@
 
 Test(news, RandomAndDamagedBytesAreDecodedOrRejected)
 {
-  rc::check([](const std::vector<std::uint8_t>& aBytes) {
+  const bool held = rc::check([](const std::vector<std::uint8_t>& aBytes) {
     RC_ASSERT_THROWS_AS(DecodeStoreUpdate(aBytes), base::Error);
   });
+  cr_assert(held);
   fleet::StoreUpdate news;
   news.removed = { "i-2" };
   const auto bytes = EncodeStoreUpdate(news);
-  rc::check([&] {
+  const bool damagedHeld = rc::check([&] {
     auto damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
     damaged[at] = *rc::gen::arbitrary<std::uint8_t>();
@@ -289,6 +294,7 @@
       // a rejected message is a valid outcome
     }
   });
+  cr_assert(damagedHeld);
 }
 
 // ---- settings
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -147,7 +147,7 @@
 
 Test(messagereader, RandomBytesDoNotCrash)
 {
-  rc::check([](const std::string& aBytes, bool aRequests) {
+  const bool held = rc::check([](const std::string& aBytes, bool aRequests) {
     Recorder recorder;
     MessageReader reader(aRequests ? MessageReader::Side::Requests
                                    : MessageReader::Side::Responses,
@@ -155,6 +155,7 @@
     FeedAll(reader, aBytes, 7);
     reader.FeedEnd();
   });
+  cr_assert(held);
 }
 
 Test(httptypes, FindsWordsInLists)
--- a/src/quarantine/tests/quarantinetests.cpp
+++ b/src/quarantine/tests/quarantinetests.cpp
@@ -112,7 +112,7 @@
 //! and in any order, but have to lead to the same state.
 Test(quarantine, StateDoesNotDependOnTheOrderOfReports)
 {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto upstreams =
       *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(1U, 7U));
     std::vector<CrashUpdates> reports;
@@ -135,6 +135,7 @@
     RC_ASSERT(forward.RefusedFor(kCrashing, 0, 1002ms).has_value() ==
               backward.RefusedFor(kCrashing, 0, 1002ms).has_value());
   });
+  cr_assert(held);
 }
 
 Test(recentsuccesses, KeepsTheMostRecentSuccesses)
