--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -33,12 +33,12 @@
 Fleet::Status(TimePoint aNow) const
 {
   std::vector<UpstreamStatus> all;
-  for (const auto& [id, upstream] : m_upstreams) {
+  for (const auto& [id, upstream] : m_upstreams.All()) {
     const auto remote = m_peers.LoadOf(id);
     UpstreamStatus status;
-    status.id = upstream.entry.id;
-    status.service = upstream.entry.service;
-    status.draining = upstream.entry.draining;
+    status.id = upstream.entry->id;
+    status.service = upstream.entry->service;
+    status.draining = upstream.entry->draining;
     status.evacuated = upstream.evacuated;
     status.coldFor = std::max(upstream.coldUntil - aNow, Duration{});
     status.ejected = upstream.health.IsEjected(aNow);
@@ -59,7 +59,7 @@
     return false;
   }
   m_routes = std::make_unique<RouteTable>(std::move(aConfig));
-  UpdateServiceSettings();
+  m_upstreams.SetServices(m_routes->Config()->services);
   UpdateSmallestKvCache();
   return true;
 }
@@ -83,62 +83,37 @@
   return m_routes ? m_routes->Config()->version : 0;
 }
 
-void
+std::vector<EntryUpdate>
 Fleet::UpdateUpstreams(TimePoint aNow)
 {
-  std::erase_if(m_upstreams, [&](const auto& aEntry) {
-    const auto found = m_list.Entries().find(aEntry.second.entry.id);
-    return found == m_list.Entries().end() || !found->second.usable ||
-           UpstreamIdOf(found->second) != aEntry.first;
-  });
-  for (const auto& [id, entry] : m_list.Entries()) {
-    if (!entry.usable) {
-      continue;
-    }
-    auto& upstream = m_upstreams[UpstreamIdOf(entry)];
-    if (upstream.entry.coldFor != entry.coldFor) {
-      upstream.coldUntil = aNow + entry.coldFor;
+  auto updates = m_list.TakeUpdates();
+  for (const auto& [before, after] : updates) {
+    const bool stays = before && after && after->usable &&
+                       UpstreamIdOf(*before) == UpstreamIdOf(*after);
+    if (before && !stays) {
+      m_upstreams.Remove(UpstreamIdOf(*before));
     }
-    upstream.entry = entry;
-    const bool evacuated = m_evacuations.Contains(entry.zone);
-    if (upstream.evacuated && !evacuated) {
-      //! NOTE the upstream may have become cold without work; only its next
-      //! heartbeats report it, so it counts as cold until then.
-      upstream.coldUntil =
-        std::max(upstream.coldUntil, aNow + m_settings.entryTtl);
+    if (after && after->usable) {
+      m_upstreams.Put(after, m_evacuations, aNow);
     }
-    upstream.evacuated = evacuated;
   }
-  UpdateServiceSettings();
-}
-
-void
-Fleet::UpdateServiceSettings()
-{
-  for (auto& [id, upstream] : m_upstreams) {
-    const auto* service = FindService(upstream.entry.service);
-    upstream.isEngine = service != nullptr && service->IsEngine();
-    upstream.coldRequestsPerSecond =
-      service != nullptr ? service->coldRequestsPerSecond : 0;
+  if (auto inForce = m_evacuations.InForce(); inForce != m_appliedEvacuations) {
+    m_appliedEvacuations = std::move(inForce);
+    m_upstreams.SetEvacuations(m_evacuations, m_settings.entryTtl, aNow);
   }
+  return updates;
 }
 
 std::size_t
 Fleet::CountUpstreamsInZone(const std::string& aZone) const
 {
-  return static_cast<std::size_t>(std::count_if(
-    m_upstreams.begin(), m_upstreams.end(), [&](const auto& aEntry) {
-      return aEntry.second.entry.zone == aZone;
+  const auto& all = m_upstreams.All();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aEntry) {
+      return aEntry.second.entry->zone == aZone;
     }));
 }
 
-Fleet::Upstream*
-Fleet::FindUpstream(UpstreamId aUpstream)
-{
-  const auto found = m_upstreams.find(aUpstream);
-  return found == m_upstreams.end() ? nullptr : &found->second;
-}
-
 void
 Fleet::EndPrefill(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt)
 {
@@ -159,37 +134,20 @@
     return;
   }
   auto& attempt = found->second;
-  auto* upstream = FindUpstream(attempt.upstream);
-  if (upstream != nullptr && upstream->isEngine) {
+  auto* upstream = m_upstreams.Find(attempt.upstream);
+  if (upstream != nullptr && upstream->IsEngine()) {
     const auto elapsedMs = static_cast<double>((aNow - attempt.sentAt).count());
-    upstream->prefillRate.Learn(attempt.tokensAhead, elapsedMs);
+    m_upstreams.LearnPrefill(*upstream, attempt.tokensAhead, elapsedMs);
     m_forecastError.Learn(attempt.predictedMs, elapsedMs);
   }
   EndPrefill(upstream, aAttempt, attempt);
 }
 
-bool
-Fleet::MayEject(const Upstream& aUpstream, TimePoint aNow) const
-{
-  std::size_t total = 0;
-  std::size_t ejected = 1;
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.entry.service != aUpstream.entry.service ||
-        upstream.evacuated) {
-      continue;
-    }
-    total++;
-    ejected += upstream.health.IsEjected(aNow) ? 1 : 0;
-  }
-  return static_cast<double>(ejected) <=
-         kMaxEjectedRatio * static_cast<double>(total);
-}
-
 void
 Fleet::CountAnswer(const Upstream& aUpstream, TimePoint aNow)
 {
-  if (!aUpstream.isEngine) {
-    m_callMeter.AddAnswer(ServiceIdOf(aUpstream.entry.service), aNow);
+  if (!aUpstream.IsEngine()) {
+    m_callMeter.AddAnswer(ServiceIdOf(aUpstream.entry->service), aNow);
   }
 }
 
@@ -202,7 +160,7 @@
   }
   auto attempt = found->second;
   m_attempts.erase(found);
-  auto* upstream = FindUpstream(attempt.upstream);
+  auto* upstream = m_upstreams.Find(attempt.upstream);
   EndPrefill(upstream, aAttempt, attempt);
   const bool hasFingerprint = attempt.fingerprint != RequestFingerprint{};
   if (hasFingerprint && aEnd == AttemptOutcome::Answered) {
@@ -211,7 +169,7 @@
   if (upstream == nullptr) {
     return false;
   }
-  upstream->running -= std::min(upstream->running, 1U);
+  m_upstreams.EndRequest(attempt.upstream);
   switch (aEnd) {
     case AttemptOutcome::Answered: {
       upstream->health.Succeeded(aNow);
@@ -220,7 +178,7 @@
       CountAnswer(*upstream, aNow);
       const double serviceMs = elapsedMs / attempt.rounds;
       upstream->serviceTime.Learn(serviceMs);
-      m_serviceTimes[upstream->entry.service].Learn(serviceMs);
+      m_serviceTimes[upstream->entry->service].Learn(serviceMs);
       return false;
     }
     case AttemptOutcome::AnsweredFailure:
@@ -229,14 +187,14 @@
       return false;
     case AttemptOutcome::Broken:
       //! NOTE a draining upstream closes its connections without a crash.
-      if (hasFingerprint && !upstream->entry.draining) {
+      if (hasFingerprint && !upstream->entry->draining) {
         m_crashChecks.RecordBrokenConnection(
           attempt.upstream, attempt.fingerprint, aNow);
       }
-      return upstream->health.Failed(aNow, MayEject(*upstream, aNow));
+      return m_upstreams.RecordFailure(attempt.upstream, aNow);
     case AttemptOutcome::Refused:
     case AttemptOutcome::Unreachable:
-      return upstream->health.Failed(aNow, MayEject(*upstream, aNow));
+      return m_upstreams.RecordFailure(attempt.upstream, aNow);
     case AttemptOutcome::CallerGone:
       return false;
   }
@@ -248,8 +206,8 @@
 {
   std::vector<UpstreamToCheck> due;
   for (const auto id : m_crashChecks.StartDueChecks(aNow)) {
-    if (const auto* upstream = FindUpstream(id)) {
-      due.push_back({ id, upstream->entry.address });
+    if (const auto* upstream = m_upstreams.Find(id)) {
+      due.push_back({ id, upstream->entry->address });
     } else {
       m_crashChecks.EndCheck(id); // the upstream is no longer listed
     }
@@ -268,8 +226,8 @@
       m_quarantine.RecordCrash(request, aUpstream, aNow);
     }
   }
-  const auto* upstream = FindUpstream(aUpstream);
-  return { upstream != nullptr ? upstream->entry.id : "",
+  const auto* upstream = m_upstreams.Find(aUpstream);
+  return { upstream != nullptr ? upstream->entry->id : "",
            aResult,
            broken.size() };
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,15 +12,13 @@
 #include "fleet/membership.h"
 #include "fleet/peerview.h"
 #include "fleet/placement.h"
-#include "fleet/prefillqueue.h"
-#include "fleet/prefillrate.h"
 #include "fleet/prefixmap.h"
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
 #include "fleet/suitability.h"
-#include "fleet/upstreamhealth.h"
 #include "fleet/upstreamlist.h"
+#include "fleet/upstreamtable.h"
 #include "fleet/warmup.h"
 #include "fleet/workspacethrottle.h"
 #include "quarantine/crashchecks.h"
@@ -201,12 +199,14 @@
   }
   UpstreamList& Upstreams() { return m_list; }
   const UpstreamList& Upstreams() const { return m_list; }
-  //! Updates the known upstreams. Must be called after each change of
-  //! Upstreams() or Evacuated().
-  void UpdateUpstreams(TimePoint aNow);
+  //! Applies what changed in Upstreams() and Evacuated(); must be called after
+  //! each change. Returns the changed entries.
+  std::vector<EntryUpdate> UpdateUpstreams(TimePoint aNow);
   Evacuations& Evacuated() { return m_evacuations; }
   const Evacuations& Evacuated() const { return m_evacuations; }
   std::size_t CountUpstreamsInZone(const std::string& aZone) const;
+  //! See UpstreamTable::Examined.
+  std::uint64_t UpstreamsExamined() const { return m_upstreams.Examined(); }
   Freshness& ConfigFreshness() { return m_freshness; }
   const Freshness& ConfigFreshness() const { return m_freshness; }
 
@@ -282,20 +282,6 @@
   std::vector<UpstreamStatus> Status(TimePoint aNow) const;
 
 private:
-  struct Upstream
-  {
-    UpstreamEntry entry;
-    bool isEngine = false;
-    bool evacuated = false;
-    double coldRequestsPerSecond = 0; //!< see Service
-    TimePoint coldUntil{ TimePoint::min() / 2 };
-    PrefillRate prefillRate;
-    UpstreamServiceTime serviceTime;
-    UpstreamHealth health;
-    PrefillQueue prefills;     //!< of requests from this router
-    std::uint32_t running = 0; //!< requests from this router
-  };
-
   struct Attempt
   {
     UpstreamId upstream{};
@@ -313,15 +299,12 @@
                             UpstreamId aId,
                             const Upstream& aUpstream,
                             TimePoint aNow) const;
-  //! Whether the upstream may get any new requests.
-  bool AcceptsWork(const Upstream& aUpstream, TimePoint aNow) const;
-  bool IsCold(const Upstream& aUpstream, TimePoint aNow) const;
   Duration TimeUntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const;
   std::vector<UpstreamId> EligibleUpstreams(const PlaceRequest& aRequest,
+                                            const PlacementPolicy& aPolicy,
+                                            std::uint64_t aKey,
                                             PlaceResult& aResult,
                                             TimePoint aNow) const;
-  //! Copies settings of the services to their upstreams.
-  void UpdateServiceSettings();
   const Service* FindService(const std::string& aName) const;
   std::vector<PrefixHolder> FindPrefixHolders(const PlaceRequest& aRequest,
                                               TimePoint aNow) const;
@@ -332,22 +315,25 @@
   UnseenLoad EstimateUnreportedLoad(const PlaceRequest& aRequest,
                                     const std::vector<Candidate>& aCandidates,
                                     TimePoint aNow) const;
+  template<typename Visit>
+  void VisitBusyUpstreams(Visit aVisit) const;
+  std::map<ServiceId, ServiceSlots> CountPlainSlots(TimePoint aNow) const;
   void UpdateCallThrottle(TimePoint aNow);
   void UpdateSmallestKvCache();
   std::vector<Candidate> MakeCandidates(
     const PlaceRequest& aRequest,
-    std::vector<UpstreamId> aEligible,
     const std::vector<PrefixHolder>& aHolders,
     const PlacementPolicy& aPolicy,
     std::uint64_t aKey,
+    PlaceResult& aResult,
     TimePoint aNow) const;
   bool IsQuarantined(const PlaceRequest& aRequest,
                      PlaceResult& aResult,
                      TimePoint aNow) const;
   PlaceResult EvaluateEntitlement(const PlaceRequest& aRequest, TimePoint aNow);
-  double PrefillCapacity(TimePoint aNow) const;
-  double AdmissionCapacity(double aAdmittedRate, TimePoint aNow) const;
-  void UpdateFairShares(TimePoint aNow);
+  double PrefillCapacity() const;
+  double AdmissionCapacity(double aAdmittedRate) const;
+  void UpdateFairShares();
   void AgePrefixCache(TimePoint aNow);
   double PromptCacheTokens(double aRunning) const;
   bool FitsKvCache(const Work& aWork) const;
@@ -365,9 +351,6 @@
                          const Candidate& aCandidate,
                          TimePoint aNow);
   void CountAnswer(const Upstream& aUpstream, TimePoint aNow);
-  //! Whether its service can spare one more upstream.
-  bool MayEject(const Upstream& aUpstream, TimePoint aNow) const;
-  Upstream* FindUpstream(UpstreamId aUpstream);
   void EndPrefill(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt);
 
   FleetSettings m_settings;
@@ -409,7 +392,8 @@
   std::vector<PrefixUse> m_groupUses; //!< since the last group sum
   std::vector<PrefixUse> m_zoneUses;  //!< since the last zone sum
   std::vector<PrefixUse> m_fleetUses; //!< since the last fleet sum
-  std::map<UpstreamId, Upstream> m_upstreams;
+  UpstreamTable m_upstreams;
+  std::vector<Evacuation> m_appliedEvacuations; //!< to m_upstreams
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
   AttemptId m_nextAttempt = 1;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -67,6 +67,9 @@
 //! Number of sampled engines for a request that none of the engines of its
 //! prefix can serve in time.
 inline constexpr std::size_t kSampledCandidates = 8;
+//! Number of a plain service's upstreams that are considered for a request.
+//! Calls have no prefix, so these are drawn anew for each.
+inline constexpr std::size_t kPlainCandidates = 64;
 //! Penalty per rank for a plain service, as a ratio of its mean service time:
 //! an error of this size in the learned time does not draw all requests to one
 //! upstream.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -127,6 +127,9 @@
   bool operator==(const UpstreamEntry&) const = default;
 };
 
+//! An entry that all parts of a router share; replaced when it changes.
+using UpstreamEntryPtr = std::shared_ptr<const UpstreamEntry>;
+
 //! One part of a prompt. Parts with the same id have the same tokens.
 struct PromptPart
 {
--- a/src/fleet/internal/fleetlimits.cpp
+++ b/src/fleet/internal/fleetlimits.cpp
@@ -13,6 +13,25 @@
 
 }
 
+//! Calls aVisit with each upstream that runs requests of any router, and with
+//! the number of these requests.
+template<typename Visit>
+void
+Fleet::VisitBusyUpstreams(Visit aVisit) const
+{
+  for (const auto& [id, load] : m_peers.Loads()) {
+    if (const auto* upstream = m_upstreams.Find(id)) {
+      aVisit(*upstream, upstream->running + load.running);
+    }
+  }
+  for (const auto id : m_upstreams.Busy()) {
+    const auto& upstream = *m_upstreams.Find(id);
+    if (!m_peers.Loads().contains(id)) {
+      aVisit(upstream, upstream.running);
+    }
+  }
+}
+
 //! Ages the cached prefixes by the tokens that entered a mean engine's KV
 //! cache. All services use the lifetime of the smallest engines: a prefix that
 //! is considered evicted too early costs one more copy or prefill, but one that
@@ -23,13 +42,15 @@
   const auto elapsed = aNow - m_prefixesAgedAt.value_or(aNow);
   m_prefixesAgedAt = aNow;
   double engines = 0;
-  double running = 0;
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine && AcceptsWork(upstream, aNow)) {
-      engines++;
-      running += upstream.running + m_peers.LoadOf(id).running;
-    }
+  for (const auto& [name, service] : m_upstreams.ByService()) {
+    engines +=
+      service.isEngine ? static_cast<double>(service.capacity.upstreams) : 0.0;
   }
+  double running = 0;
+  VisitBusyUpstreams([&](const Upstream& aUpstream, std::uint32_t aRunning) {
+    running +=
+      aUpstream.IsEngine() && aUpstream.AcceptsWork(aNow) ? aRunning : 0;
+  });
   if (engines > 0) {
     const double newTokens =
       (m_demandMeter.PrefillDemand() + m_peers.PrefillDemand()) *
@@ -70,6 +91,7 @@
 {
   m_peers.Forget(aNow);
   m_quarantine.Tick(aNow);
+  m_upstreams.Tick(aNow);
   AgePrefixCache(aNow);
   m_retries.SetRouters(m_peers.RouterCount() + 1);
   m_fleetRates = m_demandMeter.Rates(aNow);
@@ -79,42 +101,50 @@
     sum.admitted += rate.admitted;
   }
   m_warmUp.Forget(aNow);
-  UpdateFairShares(aNow);
+  UpdateFairShares();
   UpdateCallThrottle(aNow);
 }
 
-//! Updates the throttle of calls to plain services.
-void
-Fleet::UpdateCallThrottle(TimePoint aNow)
+//! Counts the used and all slots of each plain service.
+std::map<ServiceId, ServiceSlots>
+Fleet::CountPlainSlots(TimePoint aNow) const
 {
   std::map<ServiceId, ServiceSlots> services;
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine || !AcceptsWork(upstream, aNow)) {
-      continue;
+  for (const auto& [name, service] : m_upstreams.ByService()) {
+    if (!service.isEngine && service.capacity.upstreams > 0) {
+      services[ServiceIdOf(name)].total =
+        static_cast<std::uint32_t>(service.capacity.slots);
     }
-    const auto running = upstream.running + m_peers.LoadOf(id).running;
-    auto& places = services[ServiceIdOf(upstream.entry.service)];
-    places.used += std::min(running, upstream.entry.slots);
-    places.total += upstream.entry.slots;
   }
+  VisitBusyUpstreams([&](const Upstream& aUpstream, std::uint32_t aRunning) {
+    if (!aUpstream.IsEngine() && aUpstream.AcceptsWork(aNow)) {
+      services[ServiceIdOf(aUpstream.entry->service)].used +=
+        std::min(aRunning, aUpstream.entry->slots);
+    }
+  });
+  return services;
+}
+
+//! Updates the throttle of calls to plain services.
+void
+Fleet::UpdateCallThrottle(TimePoint aNow)
+{
   auto rates = m_callMeter.Rates(aNow);
   for (const auto& [service, rate] : m_peers.Calls()) {
     auto& sum = rates[service];
     sum.demand += rate.demand;
     sum.answered += rate.answered;
   }
-  m_callThrottle.Update(services, rates);
+  m_callThrottle.Update(CountPlainSlots(aNow), rates);
 }
 
 //! Prefill speed of all engines together, in tokens per second.
 double
-Fleet::PrefillCapacity(TimePoint aNow) const
+Fleet::PrefillCapacity() const
 {
   double perMs = 0;
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.isEngine && AcceptsWork(upstream, aNow)) {
-      perMs += upstream.prefillRate.TokensPerMs();
-    }
+  for (const auto& [name, service] : m_upstreams.ByService()) {
+    perMs += service.capacity.prefillTokensPerMs;
   }
   return perMs * kMillisPerSecond;
 }
@@ -125,7 +155,7 @@
 //! all workspaces would be within their shares and all would wait, the smallest
 //! ones too.
 void
-Fleet::UpdateFairShares(TimePoint aNow)
+Fleet::UpdateFairShares()
 {
   m_fairShare = std::numeric_limits<double>::infinity();
   m_nominalFairShare = std::numeric_limits<double>::infinity();
@@ -143,7 +173,7 @@
     admitted += rate.admitted;
     m_maxAdmittedRate = std::max(m_maxAdmittedRate, rate.admitted);
   }
-  const double capacity = AdmissionCapacity(admitted, aNow);
+  const double capacity = AdmissionCapacity(admitted);
   const double usable = std::min(nominal, std::max(admitted, capacity));
   m_nominalFairShare = MaxMinShare(m_fleetRates, nominal);
   m_fairShare = MaxMinShare(m_fleetRates, usable);
@@ -166,13 +196,13 @@
 //! prefill, scaled up since cached tokens need no prefill. aAdmittedRate: rate
 //! that is admitted now.
 double
-Fleet::AdmissionCapacity(double aAdmittedRate, TimePoint aNow) const
+Fleet::AdmissionCapacity(double aAdmittedRate) const
 {
   const double prefillDemand =
     m_demandMeter.PrefillDemand() + m_peers.PrefillDemand();
   const double admittedPerPrefill =
     prefillDemand > 0 ? std::max(aAdmittedRate / prefillDemand, 1.0) : 1.0;
-  return m_forecastError.OvercommitRatio() * PrefillCapacity(aNow) *
+  return m_forecastError.OvercommitRatio() * PrefillCapacity() *
          admittedPerPrefill;
 }
 
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -1,5 +1,8 @@
 #include "fleet/fleet.h"
 
+#include "fleet/fleetconstants.h"
+#include "fleet/rankedupstreams.h"
+
 #include <algorithm>
 
 //! Admission and placement of a request.
@@ -45,26 +48,13 @@
            kStarvedRatio * std::min(rate.demand, m_maxAdmittedRate);
 }
 
-bool
-Fleet::IsCold(const Upstream& aUpstream, TimePoint aNow) const
-{
-  return aUpstream.coldRequestsPerSecond > 0 && aNow < aUpstream.coldUntil;
-}
-
-bool
-Fleet::AcceptsWork(const Upstream& aUpstream, TimePoint aNow) const
-{
-  return !aUpstream.entry.draining && !aUpstream.evacuated &&
-         !IsCold(aUpstream, aNow);
-}
-
 Suitability
 Fleet::SuitabilityOf(const PlaceRequest& aRequest,
                      UpstreamId aId,
                      const Upstream& aUpstream,
                      TimePoint aNow) const
 {
-  const auto& entry = aUpstream.entry;
+  const auto& entry = *aUpstream.entry;
   if (entry.service != aRequest.service) {
     return Suitability::Unlisted;
   }
@@ -83,28 +73,47 @@
     return Suitability::Tried;
   }
   const bool isBlocked =
-    IsCold(aUpstream, aNow) &&
-    !m_warmUp.MaySend(aId, aUpstream.coldRequestsPerSecond, aNow);
+    aUpstream.IsCold(aNow) &&
+    !m_warmUp.MaySend(aId, aUpstream.service->coldRequestsPerSecond, aNow);
   return isBlocked ? Suitability::Cold : Suitability::Fits;
 }
 
-//! Upstreams of the request's service that may get it. Returns ejected ones
-//! only if there are no others. Sets aResult.suitability.
+//! The upstreams of the request's service that aPolicy considers, out of those
+//! that may get the request. Contains ejected ones only if there are no others.
+//! Sets aResult.suitability. Few upstreams are examined unless most of the
+//! service's upstreams are excluded.
 std::vector<UpstreamId>
 Fleet::EligibleUpstreams(const PlaceRequest& aRequest,
+                         const PlacementPolicy& aPolicy,
+                         std::uint64_t aKey,
                          PlaceResult& aResult,
                          TimePoint aNow) const
 {
+  const auto* service = m_upstreams.FindService(aRequest.service);
+  if (service == nullptr) {
+    return {};
+  }
+  const auto count =
+    service->isEngine ? MaxCandidates(aPolicy) : kPlainCandidates;
   std::vector<UpstreamId> healthy;
   std::vector<UpstreamId> ejected;
-  for (const auto& [id, upstream] : m_upstreams) {
-    const auto suitability = SuitabilityOf(aRequest, id, upstream, aNow);
+  RankedUpstreams ranked(service->ids, aKey);
+  while (healthy.size() < count) {
+    const auto id = ranked.Next();
+    if (!id) {
+      break;
+    }
+    const auto& upstream = *m_upstreams.Find(*id);
+    const auto suitability = SuitabilityOf(aRequest, *id, upstream, aNow);
     aResult.suitability = std::max(aResult.suitability, suitability);
     if (suitability == Suitability::Fits) {
-      (upstream.health.IsEjected(aNow) ? ejected : healthy).push_back(id);
+      (upstream.health.IsEjected(aNow) ? ejected : healthy).push_back(*id);
     }
   }
-  return healthy.empty() ? ejected : healthy;
+  auto& eligible = healthy.empty() ? ejected : healthy;
+  eligible.resize(std::min(eligible.size(), count));
+  std::sort(eligible.begin(), eligible.end());
+  return eligible;
 }
 
 //! Time until the first cold upstream of the request's service is warm;
@@ -113,7 +122,12 @@
 Fleet::TimeUntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const
 {
   auto least = Duration::max();
-  for (const auto& [id, upstream] : m_upstreams) {
+  const auto* service = m_upstreams.FindService(aRequest.service);
+  if (service == nullptr) {
+    return least;
+  }
+  for (const auto id : service->ids) {
+    const auto& upstream = *m_upstreams.Find(id);
     if (SuitabilityOf(aRequest, id, upstream, aNow) == Suitability::Cold) {
       least = std::min(least, upstream.coldUntil - aNow);
     }
@@ -146,15 +160,15 @@
   const auto& prompt = aRequest.work->prompt;
   for (std::size_t i = prompt.size(); i > 1 && holders.empty(); --i) {
     for (const auto id : m_prefixes.HoldersOf(prompt[i - 2].id)) {
-      const auto found = m_upstreams.find(id);
+      const auto* upstream = m_upstreams.Find(id);
       const bool isUsable =
-        found != m_upstreams.end() &&
-        CanProvideCopies(SuitabilityOf(aRequest, id, found->second, aNow)) &&
-        !found->second.health.IsEjected(aNow);
+        upstream != nullptr &&
+        CanProvideCopies(SuitabilityOf(aRequest, id, *upstream, aNow)) &&
+        !upstream->health.IsEjected(aNow);
       if (isUsable) {
         holders.push_back({ id,
                             m_prefixes.HeldTokens(*aRequest.work, id),
-                            found->second.entry.zone });
+                            upstream->entry->zone });
       }
     }
   }
@@ -167,15 +181,15 @@
                      const std::vector<PrefixHolder>& aHolders,
                      TimePoint aNow) const
 {
-  const auto& upstream = m_upstreams.at(aUpstream);
-  const auto& entry = upstream.entry;
+  const auto& upstream = *m_upstreams.Find(aUpstream);
+  const auto& entry = *upstream.entry;
   const auto remote = m_peers.LoadOf(aUpstream);
   const auto found = m_serviceTimes.find(aRequest.service);
   const auto meanTime =
     found == m_serviceTimes.end() ? ServiceTime{} : found->second;
   Candidate candidate;
   candidate.upstream = aUpstream;
-  candidate.isEngine = upstream.isEngine;
+  candidate.isEngine = upstream.IsEngine();
   candidate.unreadTokens =
     upstream.prefills.UnreadTokens(aNow) + remote.unreadTokens;
   const auto cachedTokens = m_prefixes.HeldTokens(*aRequest.work, aUpstream);
@@ -200,23 +214,18 @@
 
 //! Makes candidates of those upstreams that aPolicy considers: a router on an
 //! eighth of a core has no time to evaluate a hundred engines for each request
-//! under overload.
+//! under overload. Sets aResult.suitability.
 std::vector<Candidate>
 Fleet::MakeCandidates(const PlaceRequest& aRequest,
-                      std::vector<UpstreamId> aEligible,
                       const std::vector<PrefixHolder>& aHolders,
                       const PlacementPolicy& aPolicy,
                       std::uint64_t aKey,
+                      PlaceResult& aResult,
                       TimePoint aNow) const
 {
-  const bool isEngine =
-    !aEligible.empty() && m_upstreams.at(aEligible.front()).isEngine;
-  if (isEngine) {
-    KeepTopRanked(aEligible, aKey, MaxCandidates(aPolicy));
-  }
   std::vector<Candidate> candidates;
-  candidates.reserve(aEligible.size());
-  for (const auto id : aEligible) {
+  for (const auto id :
+       EligibleUpstreams(aRequest, aPolicy, aKey, aResult, aNow)) {
     candidates.push_back(MakeCandidate(aRequest, id, aHolders, aNow));
   }
   return candidates;
@@ -348,10 +357,9 @@
   const bool isIsolated = result.crashes > 0;
   const auto policy = isIsolated ? OverflowPolicy() : m_policy;
   const auto key = shared != nullptr && !isIsolated ? shared->id : aRequest.key;
-  const auto eligible = EligibleUpstreams(aRequest, result, aNow);
   const auto holders = FindPrefixHolders(aRequest, aNow);
   auto candidates =
-    MakeCandidates(aRequest, eligible, holders, policy, key, aNow);
+    MakeCandidates(aRequest, holders, policy, key, result, aNow);
   const auto unseen = EstimateUnreportedLoad(aRequest, candidates, aNow);
   auto placed = fleet::Place(policy, candidates, key, unseen);
   if (!placed) {
@@ -367,7 +375,7 @@
     //! time at an engine that has to prefill the whole prompt. Without an
     //! entitlement that prefill would be a waste.
     candidates = MakeCandidates(
-      aRequest, eligible, holders, OverflowPolicy(), aRequest.key, aNow);
+      aRequest, holders, OverflowPolicy(), aRequest.key, result, aNow);
     placed = fleet::Place(OverflowPolicy(), candidates, aRequest.key, unseen);
     admission =
       DecideAdmission(aRequest, candidates[placed->candidate], unseen, result);
@@ -379,7 +387,7 @@
   result.missingTokens = candidate.missingTokens;
   result.running = candidate.running;
   if (candidate.copy) {
-    result.copyFrom = m_upstreams.at(candidate.copy->from).entry.address;
+    result.copyFrom = m_upstreams.Find(candidate.copy->from)->entry->address;
     result.copiedTokens = candidate.copy->tokens;
   }
   if (!admission.admitted && !aRequest.admitted) {
@@ -388,7 +396,7 @@
     return result;
   }
   const auto id = candidate.upstream;
-  const auto& entry = m_upstreams.at(id).entry;
+  const auto& entry = *m_upstreams.Find(id)->entry;
   result.outcome = PlaceOutcome::Placed;
   result.upstream = id;
   result.sameZone = candidate.sameZone;
@@ -405,7 +413,7 @@
                     const Candidate& aCandidate,
                     TimePoint aNow)
 {
-  auto& upstream = m_upstreams.at(aUpstream);
+  auto& upstream = *m_upstreams.Find(aUpstream);
   const auto& work = *aRequest.work;
   Attempt attempt;
   attempt.upstream = aUpstream;
@@ -415,8 +423,8 @@
   attempt.predictedMs = aCandidate.PredictedMs();
   attempt.rounds = aCandidate.Rounds();
   attempt.sentAt = aNow;
-  upstream.running++;
-  if (IsCold(upstream, aNow)) {
+  m_upstreams.BeginRequest(aUpstream);
+  if (upstream.IsCold(aNow)) {
     m_warmUp.RecordRequest(aUpstream, aNow);
   }
   const auto id = m_nextAttempt++;
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -122,12 +122,11 @@
   report.heard = m_peers.Heard();
   report.configVersion = ConfigVersion();
   report.configAge = m_freshness.Age(aNow);
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.running > 0) {
-      const auto unread = upstream.prefills.UnreadTokens(aNow);
-      report.loads.push_back(
-        { id, static_cast<std::uint32_t>(unread), upstream.running });
-    }
+  for (const auto id : m_upstreams.Busy()) {
+    const auto& upstream = *m_upstreams.Find(id);
+    const auto unread = upstream.prefills.UnreadTokens(aNow);
+    report.loads.push_back(
+      { id, static_cast<std::uint32_t>(unread), upstream.running });
   }
   for (const auto& [workspace, rate] : m_demandMeter.Rates(aNow)) {
     report.rates.push_back({ workspace, rate });
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -1,6 +1,7 @@
 #include "fleet/placement.h"
 
 #include "fleet/fleetconstants.h"
+#include "fleet/rankedupstreams.h"
 
 #include <algorithm>
 #include <limits>
@@ -10,15 +11,6 @@
 
 namespace {
 
-//! Folds aKey to 32 bits and hashes it together with the upstream.
-std::uint64_t
-RankHash(std::uint64_t aKey, UpstreamId aUpstream)
-{
-  const auto low = static_cast<std::uint32_t>(aKey);
-  const auto high = static_cast<std::uint32_t>(aKey >> 32);
-  return base::HashPair(low ^ (high * 0x85ebca6bU), base::Raw(aUpstream));
-}
-
 //! The rank of each candidate by rendezvous hashing of aKey, from 0.
 std::vector<int>
 RanksOf(const std::vector<Candidate>& aCandidates, std::uint64_t aKey)
@@ -159,28 +151,6 @@
   return std::visit(CandidateLimit{}, aPolicy);
 }
 
-void
-KeepTopRanked(std::vector<UpstreamId>& aUpstreams,
-              std::uint64_t aKey,
-              std::size_t aCount)
-{
-  if (aUpstreams.size() <= aCount) {
-    return;
-  }
-  std::vector<std::pair<std::uint64_t, UpstreamId>> order;
-  order.reserve(aUpstreams.size());
-  for (const auto id : aUpstreams) {
-    order.emplace_back(RankHash(aKey, id), id);
-  }
-  std::nth_element(order.begin(),
-                   order.begin() + static_cast<std::ptrdiff_t>(aCount),
-                   order.end());
-  aUpstreams.clear();
-  for (std::size_t i = 0; i < aCount; ++i) {
-    aUpstreams.push_back(order[i].second);
-  }
-}
-
 std::optional<Placed>
 Place(const PlacementPolicy& aPolicy,
       const std::vector<Candidate>& aCandidates,
--- a/src/fleet/internal/storechangelog.cpp
+++ b/src/fleet/internal/storechangelog.cpp
@@ -1,21 +1,23 @@
 #include "fleet/storechangelog.h"
 
-#include "base/hash.h"
-
-#include <set>
-#include <string>
+#include <algorithm>
 
 namespace hemlockgauge::fleet {
 
 namespace {
 
-//! Maximum number of logged changes: some minutes at the usual rate of changes.
-constexpr std::size_t kMaxChanges = 1024;
+//! Least number of logged changes: some minutes at the usual rate of changes.
+//! With more upstreams the log holds as many changes as there are upstreams:
+//! for a requester that missed more, the whole list is no longer than the
+//! changes.
+constexpr std::size_t kMinLoggedChanges = 1024;
 
 }
 
-StoreChangeLog::StoreChangeLog(std::uint64_t aLife)
-  : m_life(aLife)
+StoreChangeLog::StoreChangeLog(std::uint64_t aIncarnation,
+                               const UpstreamList& aUpstreams)
+  : m_incarnation(aIncarnation)
+  , m_upstreams(aUpstreams)
 {
 }
 
@@ -32,28 +34,18 @@
 StoreChangeLog::LogChange(const std::string& aId)
 {
   m_changes.push_back({ ++m_sequence, aId });
-  m_digest = 0;
-  if (m_changes.size() > kMaxChanges) {
+  const auto limit = std::max(kMinLoggedChanges, m_upstreams.Entries().size());
+  while (m_changes.size() > limit) {
     m_changes.pop_front();
   }
 }
 
 void
-StoreChangeLog::SetUpstreams(
-  const std::map<std::string, UpstreamEntry>& aEntries)
+StoreChangeLog::LogUpstreams(const std::vector<EntryUpdate>& aUpdates)
 {
-  for (const auto& [id, entry] : aEntries) {
-    const auto known = m_upstreams.find(id);
-    if (known == m_upstreams.end() || !(known->second == entry)) {
-      LogChange(id);
-    }
-  }
-  for (const auto& [id, entry] : m_upstreams) {
-    if (!aEntries.contains(id)) {
-      LogChange(id);
-    }
+  for (const auto& update : aUpdates) {
+    LogChange(update.Id());
   }
-  m_upstreams = aEntries;
   m_hasUpstreams = true;
 }
 
@@ -71,7 +63,7 @@
 {
   const auto oldest =
     m_changes.empty() ? m_sequence + 1 : m_changes.front().sequence;
-  return aAsk.incarnation == m_life && aAsk.sequence <= m_sequence &&
+  return aAsk.incarnation == m_incarnation && aAsk.sequence <= m_sequence &&
          aAsk.sequence + 1 >= oldest;
 }
 
@@ -85,22 +77,7 @@
 std::uint64_t
 StoreChangeLog::Digest() const
 {
-  if (m_digest == 0 && m_hasUpstreams) {
-    m_digest = 1;
-    for (const auto& [id, entry] : m_upstreams) {
-      m_digest = base::HashFields({ std::to_string(m_digest),
-                                    id,
-                                    std::to_string(entry.startedAt.value_or(0)),
-                                    entry.service,
-                                    entry.address.Text(),
-                                    entry.zone,
-                                    std::to_string(entry.slots),
-                                    entry.usable ? "usable" : "",
-                                    entry.draining ? "draining" : "",
-                                    std::to_string(entry.coldFor.count()) });
-    }
-  }
-  return m_digest;
+  return m_hasUpstreams ? m_upstreams.Digest() : 0;
 }
 
 bool
@@ -114,8 +91,9 @@
 StoreChangeLog::AllEntries() const
 {
   std::vector<UpstreamEntry> all;
-  for (const auto& [id, entry] : m_upstreams) {
-    all.push_back(entry);
+  all.reserve(m_upstreams.Entries().size());
+  for (const auto& [id, entry] : m_upstreams.Entries()) {
+    all.push_back(*entry);
   }
   return all;
 }
@@ -125,18 +103,34 @@
 {
   StoreUpdate news;
   news.state = StoreUpdateState::Unproven;
-  news.incarnation = m_life;
+  news.incarnation = m_incarnation;
   news.sequence = m_sequence;
   news.isFullList = true;
   news.upstreams = AllEntries();
   return news;
 }
 
+std::vector<std::string>
+StoreChangeLog::ChangedSince(std::uint64_t aSequence) const
+{
+  std::vector<std::string> changed;
+  const auto first = m_changes.empty() ? 0 : m_changes.front().sequence;
+  const auto skipped = aSequence >= first ? aSequence - first + 1 : 0;
+  for (std::size_t i = skipped; i < m_changes.size(); ++i) {
+    if (!m_changes[i].id.empty()) {
+      changed.push_back(m_changes[i].id);
+    }
+  }
+  std::sort(changed.begin(), changed.end());
+  changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+  return changed;
+}
+
 StoreUpdate
 StoreChangeLog::Answer(const StoreUpdateRequest& aAsk, Duration aProofAge) const
 {
   StoreUpdate news;
-  news.incarnation = m_life;
+  news.incarnation = m_incarnation;
   news.sequence = m_sequence;
   news.proofAge = aProofAge;
   if (aAsk.configVersion < m_configVersion) {
@@ -150,18 +144,13 @@
   if (!CoversSince(aAsk)) {
     return news;
   }
-  std::set<std::string> changed;
-  for (const auto& change : m_changes) {
-    if (change.sequence > aAsk.sequence && !change.id.empty()) {
-      changed.insert(change.id);
-    }
-  }
-  for (const auto& id : changed) {
-    const auto found = m_upstreams.find(id);
-    if (found == m_upstreams.end()) {
+  const auto& entries = m_upstreams.Entries();
+  for (const auto& id : ChangedSince(aAsk.sequence)) {
+    const auto found = entries.find(id);
+    if (found == entries.end()) {
       news.removed.push_back(id);
     } else {
-      news.upstreams.push_back(found->second);
+      news.upstreams.push_back(*found->second);
     }
   }
   return news;
--- a/src/fleet/loadsum.h
+++ b/src/fleet/loadsum.h
@@ -24,6 +24,7 @@
   void Clear();
 
   UpstreamLoad LoadOf(UpstreamId aUpstream) const;
+  const std::map<UpstreamId, UpstreamLoad>& Loads() const { return m_loads; }
   const WorkspaceRates& Rates() const { return m_rates; }
   const CallRates& Calls() const { return m_calls; }
   std::uint32_t RouterCount() const { return m_routers; }
--- a/src/fleet/peerview.h
+++ b/src/fleet/peerview.h
@@ -32,6 +32,11 @@
   {
     return m_sum.LoadOf(aUpstream);
   }
+  //! Loads of all upstreams that run requests of other routers.
+  const std::map<UpstreamId, UpstreamLoad>& Loads() const
+  {
+    return m_sum.Loads();
+  }
   const WorkspaceRates& Rates() const { return m_sum.Rates(); }
   //! Call rates of plain services.
   const CallRates& Calls() const { return m_sum.Calls(); }
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -79,12 +79,6 @@
 std::size_t
 MaxCandidates(const PlacementPolicy& aPolicy);
 
-//! Keeps the aCount highest ranked upstreams for aKey, in unspecified order.
-void
-KeepTopRanked(std::vector<UpstreamId>& aUpstreams,
-              std::uint64_t aKey,
-              std::size_t aCount);
-
 //! The chosen upstream.
 struct Placed
 {
--- a/src/fleet/storechangelog.h
+++ b/src/fleet/storechangelog.h
@@ -1,31 +1,32 @@
 #pragma once
 
 #include "fleet/storeupdate.h"
+#include "fleet/upstreamlist.h"
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <string>
+#include <vector>
 
 namespace hemlockgauge::fleet {
 
-//! This router's copy of the store's contents and a log of its changes, from
-//! which other routers are kept up to date. Each change has a sequence number.
-//! A requester that missed more changes than the log holds gets the whole list.
+//! A log of the changes of the store's contents, from which other routers are
+//! kept up to date. Each change has a sequence number. A requester that missed
+//! more changes than the log holds gets the whole list.
 class StoreChangeLog
 {
 public:
-  //! aLife is the incarnation of this router.
-  explicit StoreChangeLog(std::uint64_t aLife);
+  //! aIncarnation: of this router. aUpstreams must outlive the log.
+  StoreChangeLog(std::uint64_t aIncarnation, const UpstreamList& aUpstreams);
 
   //! Stores the configuration if aVersion is newer than the stored one.
   void SetConfig(std::uint64_t aVersion, const std::string& aBytes);
-  //! Replaces the list and logs each entry that differs from the last call.
-  void SetUpstreams(const std::map<std::string, UpstreamEntry>& aEntries);
+  //! Logs the changes of the upstream list since the previous call.
+  void LogUpstreams(const std::vector<EntryUpdate>& aUpdates);
   //! Replaces the evacuations; aAll holds all that are in force.
   void SetEvacuations(const std::vector<Evacuation>& aAll);
 
-  //! Whether the upstream list was set. Distinguishes a router that has just
+  //! Whether LogUpstreams was called. Distinguishes a router that has just
   //! started and knows nothing yet from an empty store.
   bool IsKnown() const { return m_hasUpstreams; }
   //! Whether there is anything that the requester doesn't have.
@@ -55,17 +56,18 @@
 
   bool CoversSince(const StoreUpdateRequest& aAsk) const;
   void LogChange(const std::string& aId);
+  //! Ids of the upstreams that changed after aSequence, each once.
+  std::vector<std::string> ChangedSince(std::uint64_t aSequence) const;
   std::vector<UpstreamEntry> AllEntries() const;
 
-  std::uint64_t m_life;
+  std::uint64_t m_incarnation;
+  const UpstreamList& m_upstreams;
   std::uint64_t m_sequence = 1;
   std::uint64_t m_configVersion = 0;
   std::string m_config;
   bool m_hasUpstreams = false;
-  std::map<std::string, UpstreamEntry> m_upstreams;
   std::vector<Evacuation> m_evacuations;
-  std::deque<Change> m_changes;
-  mutable std::uint64_t m_digest = 0; //!< cached; 0: to be computed
+  std::deque<Change> m_changes; //!< with consecutive sequence numbers
 };
 
 }
--- a/src/fleet/tests/evacuationtests.cpp
+++ b/src/fleet/tests/evacuationtests.cpp
@@ -47,7 +47,7 @@
 std::string
 ZoneOf(const FleetFixture& aFixture, const std::string& aUpstream)
 {
-  return aFixture.fleet.Upstreams().Entries().at(aUpstream).zone;
+  return aFixture.fleet.Upstreams().Entries().at(aUpstream)->zone;
 }
 
 PlaceRequest
@@ -110,8 +110,9 @@
 
 Test(storechangelog, EvacuationsAreSentToKnownAndNewFollowers)
 {
-  StoreChangeLog log(7);
-  log.SetUpstreams({});
+  UpstreamList list;
+  StoreChangeLog log(7, list);
+  log.LogUpstreams({});
   const auto first = log.Answer({}, 0ms);
   cr_assert(first.evacuations && first.evacuations->empty());
   log.SetEvacuations({ { "zone-a", 5 } });
--- a/src/fleet/tests/placementtests.cpp
+++ b/src/fleet/tests/placementtests.cpp
@@ -2,9 +2,11 @@
 #include "fleet/placement.h"
 #include "fleet/prefillrate.h"
 #include "fleet/prefixmap.h"
+#include "fleet/rankedupstreams.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace hemlockgauge;
@@ -35,6 +37,23 @@
   return ids;
 }
 
+std::vector<UpstreamId>
+FirstRanked(const std::vector<UpstreamId>& aUpstreams,
+            std::uint64_t aKey,
+            std::size_t aCount)
+{
+  RankedUpstreams ranked(aUpstreams, aKey);
+  std::vector<UpstreamId> first;
+  while (first.size() < aCount) {
+    const auto id = ranked.Next();
+    if (!id) {
+      break;
+    }
+    first.push_back(*id);
+  }
+  return first;
+}
+
 }
 
 Test(placement, ManyRoutersPlaceAPrefixAtTheSameUpstream)
@@ -112,21 +131,29 @@
 Test(placement, TheNearestStayTheSameWhenAnUpstreamLeaves)
 {
   const auto prefix = Ids(40);
-  auto nearest = prefix;
-  KeepTopRanked(nearest, 7, 5);
+  const auto nearest = FirstRanked(prefix, 7, 5);
   cr_assert(nearest.size() == 5);
   auto without = prefix;
   std::erase(without, nearest.front());
-  auto next = without;
-  KeepTopRanked(next, 7, 5);
+  const auto next = FirstRanked(without, 7, 5);
   int kept = 0;
   for (const auto id : next) {
     kept += std::count(nearest.begin(), nearest.end(), id) > 0 ? 1 : 0;
   }
   cr_assert(kept == 4, "one that leaves is replaced, the others stay");
-  auto few = Ids(3);
-  KeepTopRanked(few, 7, 5);
-  cr_assert(few.size() == 3);
+  cr_assert(FirstRanked(Ids(3), 7, 5).size() == 3);
+}
+
+Test(placement, RankedUpstreamsComeInTheOrderOfTheirHashes)
+{
+  for (const std::uint32_t size : { 0, 1, 12, 13, 300 }) {
+    const auto ranked = FirstRanked(Ids(size), 7, size + 1);
+    cr_assert(ranked.size() == size);
+    cr_assert(std::is_sorted(
+      ranked.begin(), ranked.end(), [](UpstreamId aFirst, UpstreamId aOther) {
+        return RankHash(7, aFirst) < RankHash(7, aOther);
+      }));
+  }
 }
 
 Test(placement, WithoutCandidatesThereIsNoPlacement)
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -173,7 +173,7 @@
   for (const char* how : { "draining", "gone", "restarted" }) {
     LinkedFleet fixture(6);
     const auto first = fixture.Place(7);
-    auto entry = fixture.fleet.Upstreams().Entries().at(first.upstreamId);
+    auto entry = *fixture.fleet.Upstreams().Entries().at(first.upstreamId);
     entry.draining = how == std::string("draining");
     entry.startedAt = 5;
     if (how == std::string("gone")) {
--- a/src/fleet/tests/upstreamlisttests.cpp
+++ b/src/fleet/tests/upstreamlisttests.cpp
@@ -150,7 +150,7 @@
   stale.draining = true;
   cr_assert(list.Put(stale).at(0).change == EntryChange::Outdated);
   cr_assert(list.MayGetWork("a"));
-  cr_assert(list.Entries().at("a").startedAt == 2000);
+  cr_assert(list.Entries().at("a")->startedAt == 2000);
 }
 
 Test(upstreamlist, AnEntryMustKeepItsStartTime)
--- /dev/null
+++ b/src/fleet/upstream.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+#include "fleet/prefillqueue.h"
+#include "fleet/prefillrate.h"
+#include "fleet/servicetime.h"
+#include "fleet/upstreamhealth.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace hemlockgauge::fleet {
+
+//! What the upstreams that accept new requests can do together.
+struct UpstreamCapacity
+{
+  std::size_t upstreams = 0;
+  std::uint64_t slots = 0;
+  double prefillTokensPerMs = 0; //!< learned speeds; 0 for plain services
+};
+
+//! A service's upstreams, which are all engines or all plain.
+struct ServiceUpstreams
+{
+  bool isEngine = false;
+  //! Requests per second that one of them tolerates while it is cold, from all
+  //! routers together; 0: they don't become cold.
+  double coldRequestsPerSecond = 0;
+  std::vector<UpstreamId> ids; //!< sorted
+  std::size_t evacuated = 0;   //!< of them, those in evacuated zones
+  UpstreamCapacity capacity;
+  //! The settings changed since the capacity was counted.
+  bool isCapacityStale = false;
+};
+
+//! One incarnation of an upstream: its entry and what this router has learned
+//! about it.
+struct Upstream
+{
+  UpstreamEntryPtr entry;
+  ServiceUpstreams* service = nullptr;
+  bool evacuated = false; //!< its availability zone is evacuated
+  TimePoint coldUntil{ TimePoint::min() / 2 };
+  PrefillRate prefillRate;
+  UpstreamServiceTime serviceTime;
+  UpstreamHealth health;
+  PrefillQueue prefills;     //!< of requests from this router
+  std::uint32_t running = 0; //!< requests from this router
+  //! Its part of its service's capacity; empty if it accepts no requests.
+  UpstreamCapacity counted;
+
+  bool IsEngine() const { return service->isEngine; }
+  bool IsCold(TimePoint aNow) const
+  {
+    return service->coldRequestsPerSecond > 0 && aNow < coldUntil;
+  }
+  //! Whether it may get any new requests.
+  bool AcceptsWork(TimePoint aNow) const
+  {
+    return !entry->draining && !evacuated && !IsCold(aNow);
+  }
+};
+
+}
--- a/src/fleet/upstreamlist.h
+++ b/src/fleet/upstreamlist.h
@@ -29,6 +29,17 @@
                                    "outdated",
                                    "unusable");
 
+//! Entry of one upstream before and after one or several changes.
+struct EntryUpdate
+{
+  UpstreamEntryPtr before; //!< null: the upstream was not listed
+  UpstreamEntryPtr after;  //!< null: the upstream is no longer listed
+
+  const std::string& Id() const { return before ? before->id : after->id; }
+};
+
+using UpstreamEntries = std::map<std::string, UpstreamEntryPtr>;
+
 //! Reports one change of an entry.
 struct EntryNotice
 {
@@ -66,10 +77,12 @@
   std::vector<EntryNotice> Tick(TimePoint aNow);
 
   //! All known entries, including unusable and draining ones.
-  const std::map<std::string, UpstreamEntry>& Entries() const
-  {
-    return m_entries;
-  }
+  const UpstreamEntries& Entries() const { return m_entries; }
+  //! Returns the entries that differ from those at the previous call, by id.
+  //! Heartbeats that leave an entry as it is are no changes.
+  std::vector<EntryUpdate> TakeUpdates();
+  //! Digest of all entries, equal at all routers that have the same list.
+  std::uint64_t Digest() const;
   //! Whether the upstream may get new requests.
   bool MayGetWork(const std::string& aId) const;
   //! Whether the whole list was received at least once.
@@ -78,8 +91,13 @@
 private:
   bool MayHaveExpired(TimePoint aNow) const { return aNow < m_expiryWindowEnd; }
   std::vector<EntryNotice> Add(const UpstreamEntry& aEntry);
-  std::vector<EntryNotice> Update(UpstreamEntry& aKnown,
+  std::vector<EntryNotice> Update(const UpstreamEntry& aKnown,
                                   const UpstreamEntry& aEntry);
+  //! Stores an entry unless an equal one is stored.
+  void Store(const UpstreamEntry& aEntry);
+  void Erase(UpstreamEntries::iterator aEntry);
+  //! Records the entry that an update replaces, unless one is recorded already.
+  void RecordBefore(const std::string& aId, const UpstreamEntryPtr& aBefore);
 
   Duration m_entryTtl{ 2400 };
   bool m_known = false;
@@ -87,7 +105,11 @@
   //! Until then, a missing entry may have expired during an outage.
   TimePoint m_expiryWindowEnd{ TimePoint::min() };
   TimePoint m_gracePeriodEnd{ TimePoint::min() };
-  std::map<std::string, UpstreamEntry> m_entries;
+  UpstreamEntries m_entries;
+  //! Entries as of the last TakeUpdates, of upstreams that changed since.
+  UpstreamEntries m_before;
+  //! Sum of the entries' hashes, so that a change costs one hash.
+  std::uint64_t m_entryHashSum = 0;
   //! Expired entries, by id, with the end of their grace period.
   std::map<std::string, TimePoint> m_expired;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,7 +117,7 @@
         HandleCheckResult(aUpstream, aResult);
       })
   , m_connections(aLoop, m_limits, *this)
-  , m_storeChangeLog(aIncarnation)
+  , m_storeChangeLog(aIncarnation, m_fleet.Upstreams())
   , m_membership(aSettings.peerListen,
                  base::HashName(aSettings.zone),
                  SeedPeerAddresses(aSettings))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -113,6 +113,7 @@
   void HandleCheckResult(base::UpstreamId aUpstream,
                          quarantine::CheckResult aResult);
   void HandleEntryNotices(const std::vector<fleet::EntryNotice>& aNotices);
+  void LogEntryCounts(const std::vector<fleet::EntryNotice>& aNotices);
   void ApplyUpstreamList();
   void HandleZoneNotices(const std::vector<fleet::ZoneNotice>& aNotices);
   bool SetConfig(fleet::ConfigPtr aConfig);
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -18,6 +18,9 @@
   set("callers", static_cast<double>(m_connections.Size()));
   set("upstream_connections", static_cast<double>(m_pool.OpenCount()));
   set("upstream_connections_opened", static_cast<double>(m_pool.TotalOpened()));
+  set("upstreams_listed",
+      static_cast<double>(m_fleet.Upstreams().Entries().size()));
+  set("upstreams_examined", static_cast<double>(m_fleet.UpstreamsExamined()));
   set("routers_heard", static_cast<double>(m_fleet.Peers().RouterCount()));
   set("requests_suspected",
       static_cast<double>(m_fleet.Quarantined().SuspectCount()));
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -32,6 +32,10 @@
 //! time of a few pages of a listing on a busy router.
 constexpr base::Duration kStoreReadingTimeout = 500ms;
 
+//! Maximum number of entries whose changes are logged one by one. More of them
+//! change at once only when a whole list is received.
+constexpr std::size_t kMaxEntryLines = 64;
+
 //! Whether the change makes idle connections to the upstream useless.
 bool
 MakesIdleConnectionsUseless(fleet::EntryChange aChange)
@@ -246,8 +250,7 @@
 }
 
 //! Applies changes of the upstream list to the fleet and to the log for other
-//! routers. Each of these reads the whole list, so this is done once at the end
-//! of a response, which may hold hundreds of changes.
+//! routers, once at the end of a response, which may hold hundreds of changes.
 void
 Gateway::ApplyUpstreamList()
 {
@@ -256,8 +259,9 @@
   }
   m_upstreamListChanged = false;
   m_metrics.Count("upstream_list_follows_total");
-  m_fleet.UpdateUpstreams(m_loop.Now());
-  m_storeChangeLog.SetUpstreams(m_fleet.Upstreams().Entries());
+  const auto updates = m_fleet.UpdateUpstreams(m_loop.Now());
+  m_metrics.Count("upstream_entries_changed_total", updates.size());
+  m_storeChangeLog.LogUpstreams(updates);
 }
 
 //! Logs the changes of upstream entries and closes idle connections that they
@@ -266,17 +270,39 @@
 Gateway::HandleEntryNotices(const std::vector<fleet::EntryNotice>& aNotices)
 {
   m_upstreamListChanged = true;
+  for (const auto& notice : aNotices) {
+    if (MakesIdleConnectionsUseless(notice.change)) {
+      m_pool.CloseIdle(notice.upstream);
+    }
+  }
+  if (aNotices.size() > kMaxEntryLines) {
+    LogEntryCounts(aNotices);
+    return;
+  }
   for (const auto& notice : aNotices) {
     LogLine("upstream-entry")
       .Add("upstream", notice.id)
       .Add("change", fleet::kEntryChangeNames.NameOf(notice.change))
       .Info();
-    if (MakesIdleConnectionsUseless(notice.change)) {
-      m_pool.CloseIdle(notice.upstream);
-    }
   }
 }
 
+//! Logs the number of entries by change: at a start or after an outage of the
+//! store, thousands may change at once.
+void
+Gateway::LogEntryCounts(const std::vector<fleet::EntryNotice>& aNotices)
+{
+  std::map<fleet::EntryChange, std::uint64_t> counts;
+  for (const auto& notice : aNotices) {
+    counts[notice.change]++;
+  }
+  LogLine line("upstream-entries");
+  for (const auto& [change, count] : counts) {
+    line.Add(fleet::kEntryChangeNames.NameOf(change), count);
+  }
+  line.Info();
+}
+
 void
 Gateway::OnConfigStored(const std::string& aBytes)
 {
