Member lists and plans follow changes of the fleet

Cause: each router sent the list of all members to its hubs once a second, and each hub passed its own list on with its group sum to all other hubs of the zone. A hub of 584 routers merged some 24 x 584 + 14 x 584 entries a second, each with a formatted address and a tree lookup; it grows with the square of the fleet. Besides, every router computed the exchange plan of the whole fleet ten times a second, and counted all members for each report it received.

Change: a router that is no hub lists members only within two seconds of learning a new one; a group sum lists its own group alone; the plan is computed when the set of alive routers has changed; IsAlone stops at the first alive member. Ruled out: digests of member lists, as hubs already get each member directly, by group sum or by zone sum.

Before: the new test counts 38 x size entries at a hub in two seconds at 600 routers by the arithmetic above (not run on the old code, which lacks the counter). After: under 12 x size at 300, 600 and 1,200 routers in virtual time, no plan computed in a settled fleet. All exchange tests pass (loss of hubs and speakers, starts with 10% loss, lists that must not keep lost routers alive).

--- a/src/fleet/exchangeplan.h
+++ b/src/fleet/exchangeplan.h
@@ -14,6 +14,8 @@
   base::Address address;
   std::uint32_t zone = 0; //!< hash of its availability zone's name
   std::uint32_t hash = 0; //!< hash of the address; all routers sort by it
+
+  bool operator==(const FleetMember&) const = default;
 };
 
 //! The routers that this router exchanges reports with, its role in this
--- a/src/fleet/internal/membership.cpp
+++ b/src/fleet/internal/membership.cpp
@@ -33,7 +33,7 @@
 }
 
 bool
-Membership::IsAlive(const Member& aMember, TimePoint aNow) const
+Membership::IsAlive(const Member& aMember, TimePoint aNow)
 {
   return aNow - aMember.aliveAt < kMemberAliveTimeout;
 }
@@ -92,8 +92,17 @@
                }));
 }
 
-ExchangePlan
-Membership::Plan(TimePoint aNow) const
+bool
+Membership::IsAlone(TimePoint aNow) const
+{
+  return std::none_of(
+    m_members.begin(), m_members.end(), [&](const auto& aEntry) {
+      return IsAlive(aEntry.second, aNow);
+    });
+}
+
+const ExchangePlan&
+Membership::Plan(TimePoint aNow)
 {
   std::vector<FleetMember> alive;
   alive.reserve(m_members.size());
@@ -102,9 +111,13 @@
       alive.push_back(member);
     }
   }
-  auto plan = MakeExchangePlan(m_self, alive);
-  plan.routers = Routers(aNow);
-  return plan;
+  if (alive != m_plannedFor || m_plansMade == 0) {
+    m_plan = MakeExchangePlan(m_self, alive);
+    m_plannedFor = std::move(alive);
+    m_plansMade++;
+  }
+  m_plan.routers = Routers(aNow);
+  return m_plan;
 }
 
 //! The set includes members that are not alive, so that a router which is cut
@@ -155,6 +168,32 @@
   return known;
 }
 
+std::vector<MemberListEntry>
+Membership::MembersToReport(std::uint64_t aSequence, TimePoint aNow) const
+{
+  const bool isDue = aSequence % kReportsPerMemberList == 0;
+  const bool learnedNew = aNow - m_newMemberAt < kMembershipSettleTime;
+  return isDue && (m_plan.isHub || learnedNew) ? Members(aNow)
+                                               : std::vector<MemberListEntry>{};
+}
+
+std::vector<MemberListEntry>
+Membership::MembersOfGroup(std::uint64_t aSequence, TimePoint aNow) const
+{
+  std::vector<MemberListEntry> known;
+  if (aSequence % kReportsPerMemberList != 0) {
+    return known;
+  }
+  for (const auto& address : m_plan.followers) {
+    const auto found = m_members.find(address.Text());
+    if (found != m_members.end()) {
+      const auto& member = found->second;
+      known.push_back({ member.address, member.zone, aNow - member.aliveAt });
+    }
+  }
+  return known;
+}
+
 std::vector<MemberListEntry>
 Membership::MembersOfZone(std::uint32_t aZone, TimePoint aNow) const
 {
--- a/src/fleet/tests/exchangetests.cpp
+++ b/src/fleet/tests/exchangetests.cpp
@@ -47,6 +47,7 @@
   std::vector<base::Address> relays;
   int sentDatagrams = 0;
   int receivedDatagrams = 0;
+  std::size_t receivedMembers = 0; //!< entries of member lists
 };
 
 //! Routers that exchange reports through a network that loses some of them.
@@ -96,7 +97,7 @@
   {
     aRouter.members.Forget(now);
     aRouter.view.Forget(now);
-    const auto plan = aRouter.members.Plan(now);
+    const auto& plan = aRouter.members.Plan(now);
     aRouter.view.SetRole(plan.isHub, plan.group);
     PeerReport own;
     own.router = aRouter.name;
@@ -107,9 +108,7 @@
     own.group = plan.group;
     own.heard = aRouter.view.Heard();
     own.loads = { { UpstreamId(1), 10, 1 } };
-    if (own.sequence % kReportsPerMemberList == 0) {
-      own.members = aRouter.members.Members(now);
-    }
+    own.members = aRouter.members.MembersToReport(own.sequence, now);
     own.crashUpdates = aRouter.quarantine.TakeUnreportedCrashes(now);
     if (own.sequence % kReportsPerQuarantineList == 0) {
       own.crashUpdates = aRouter.quarantine.NextCrashRefresh(now);
@@ -117,7 +116,9 @@
     aRouter.view.RecordSent(own);
     Send(aRouter, own, plan.reportTargets);
     if (plan.AggregatesReports()) {
-      Send(aRouter, aRouter.view.GroupSum(own, now), plan.otherGroupHubs);
+      auto groupSum = aRouter.view.GroupSum(own, now);
+      groupSum.members = aRouter.members.MembersOfGroup(own.sequence, now);
+      Send(aRouter, groupSum, plan.otherGroupHubs);
       SendZoneSum(aRouter, plan, own);
       if (plan.SendsFleetSum(
             static_cast<std::uint64_t>(now / kReportInterval))) {
@@ -170,6 +171,7 @@
       aTo.members.RecordReport(aFrom.address, aReport.zone, now);
     }
     aTo.members.MergeMembers(aReport.members, now);
+    aTo.receivedMembers += aReport.members.size();
     aTo.quarantine.Take(aReport.crashUpdates, now);
     const bool taken = aTo.view.Take(aReport, now);
     if (taken && aReport.scope == ReportScope::Zone && !aReport.relayed) {
@@ -471,3 +473,30 @@
       lateRouter.quarantine.RefusedFor(kCrashing, 0, net.now).has_value());
   }
 }
+
+//! In a settled fleet, a hub must not get the list of all members from each
+//! router of its group, and no router computes its plan anew.
+Test(exchange, MemberListsAndPlansCostLittleInASettledFleet)
+{
+  for (const int size : { 300, 600, 1200 }) {
+    SimulatedNetwork net(size, 6);
+    net.Steps(80);
+    std::map<std::string, std::uint64_t> plansBefore;
+    for (auto& router : net.routers) {
+      router->receivedMembers = 0;
+      plansBefore[router->name] = router->members.PlansMade();
+    }
+    net.Steps(20);
+    for (const auto& router : net.routers) {
+      cr_assert(router->members.Alive(net.now) ==
+                static_cast<std::size_t>(size));
+      cr_assert(router->members.PlansMade() == plansBefore[router->name]);
+      // In two seconds: two lists of each of the group's hubs, also in the
+      // sums, and two of each other zone, relayed by each of its two receivers.
+      cr_assert(router->receivedMembers <= static_cast<std::size_t>(size) * 12,
+                "%zu entries at one of %d routers",
+                router->receivedMembers,
+                size);
+    }
+  }
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -131,6 +131,7 @@
                    std::uint64_t aPeriod,
                    base::TimePoint aNow);
   void SendOwnReport(base::TimePoint aNow);
+  void SendGroupSum(base::TimePoint aNow);
   void SendZoneSum(base::TimePoint aNow);
   void RelayZoneReport(const fleet::PeerReport& aReport);
   void PublishGauges(base::TimePoint aNow);
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -111,8 +111,7 @@
     case fleet::ExchangeStage::Own:
       return;
     case fleet::ExchangeStage::GroupSums:
-      m_peerLink->Send(m_fleet.MakeGroupReport(m_ownReport, aNow),
-                       m_plan.otherGroupHubs);
+      SendGroupSum(aNow);
       return;
     case fleet::ExchangeStage::ZoneSums:
       SendZoneSum(aNow);
@@ -126,6 +125,14 @@
   }
 }
 
+void
+Gateway::SendGroupSum(base::TimePoint aNow)
+{
+  auto sum = m_fleet.MakeGroupReport(m_ownReport, aNow);
+  sum.members = m_membership.MembersOfGroup(m_ownReport.sequence, aNow);
+  m_peerLink->Send(sum, m_plan.otherGroupHubs);
+}
+
 void
 Gateway::SendZoneSum(base::TimePoint aNow)
 {
@@ -162,9 +169,7 @@
     report.reader = *reader;
     report.readerAge = m_freshestReader.ProofAge(aNow);
   }
-  if (report.sequence % fleet::kReportsPerMemberList == 0) {
-    report.members = m_membership.Members(aNow);
-  }
+  report.members = m_membership.MembersToReport(report.sequence, aNow);
   m_peerLink->Send(report, m_plan.reportTargets);
   const auto seeds = m_membership.SeedsToContact(aNow);
   if (!seeds.empty()) {
