Hubs leave quiet engines out of the fleet sums

Cause: each fleet sum lists every upstream that runs a request anywhere, ten times a second to every router. With more engines than work most of these are engines with one or two streams and nothing to prefill, which no decision depends on; their number grows with the fleet's requests, at each router.

Change: a hub leaves an engine out of the sums for its group if it prefills nothing and uses at most a sixteenth of its slots. Group and zone sums still list it, as the parts may add up to more. Prefix uses that both hubs of a group collected are sent once. Ruled out: the same for group and zone sums (few datagrams, and 64 routers with one request each would hide a full engine); leaving out plain upstreams, whose choice depends on each running call.

Before: the new test gets 5 loads of 5; after: 4, without the quiet engine.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -339,6 +339,7 @@
   bool FitsKvCache(const Work& aWork) const;
   void ApplyConfigProof(const PeerReport& aReport);
   void CollectUses(const PeerReport& aReport);
+  bool IsQuiet(const UpstreamLoad& aLoad) const;
   PeerReport WithCurrentAges(const PeerReport& aOwn, TimePoint aNow) const;
   Admission DecideAdmission(const PlaceRequest& aRequest,
                             const Candidate& aCandidate,
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -223,6 +223,9 @@
 //! Every so many reports repeat the quarantined requests: routers that start or
 //! were cut off learn of them within about a second.
 inline constexpr std::uint64_t kReportsPerQuarantineList = 10;
+//! An engine that prefills nothing and uses at most this ratio of its slots is
+//! left out of the fleet sums.
+inline constexpr double kQuietSlotsRatio = 1.0 / 16;
 //! Interval between reports to the seeds, which lets partitions heal.
 inline constexpr base::Duration kSeedInterval = 1000ms;
 //! Greatest number of routers that report directly to each other (full mesh).
--- a/src/fleet/internal/fleetreports.cpp
+++ b/src/fleet/internal/fleetreports.cpp
@@ -185,12 +185,29 @@
   return sum;
 }
 
+//! Whether decisions are the same without the load: the engine has no prompt to
+//! prefill and nearly all slots are free. In a fleet with more engines than
+//! work, most of the engines that run requests are in this state.
+bool
+Fleet::IsQuiet(const UpstreamLoad& aLoad) const
+{
+  if (aLoad.unreadTokens > 0) {
+    return false;
+  }
+  const auto* upstream = m_upstreams.Find(aLoad.upstream);
+  return upstream != nullptr && upstream->IsEngine() &&
+         aLoad.running <= kQuietSlotsRatio * upstream->entry->slots;
+}
+
 PeerReport
 Fleet::MakeFleetReport(const PeerReport& aOwn, TimePoint aNow)
 {
   auto sum = m_peers.FleetSum(WithCurrentAges(aOwn, aNow), aNow);
+  std::erase_if(sum.loads,
+                [&](const UpstreamLoad& aLoad) { return IsQuiet(aLoad); });
   sum.prefixUses = std::move(m_fleetUses);
   m_fleetUses.clear();
+  Deduplicate(sum.prefixUses);
   return sum;
 }
 
--- a/src/fleet/tests/upstreamtabletests.cpp
+++ b/src/fleet/tests/upstreamtabletests.cpp
@@ -168,3 +168,34 @@
               engines);
   }
 }
+
+//! In a fleet with more engines than work, most of the loads that a hub adds up
+//! change no decision. They made up most of the bytes that each router got.
+Test(core, AHubLeavesQuietEnginesOutOfTheFleetSum)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(4, 1);
+  ExchangePlan plan;
+  plan.group = 7;
+  plan.groupHubs = { { "10.0.0.1", 1 } };
+  fixture.fleet.SetPlan(plan);
+  PeerReport report;
+  report.router = "r2";
+  report.incarnation = 1;
+  report.sequence = 1;
+  report.group = 7;
+  report.loads = { { UpstreamIdOf("u0"), 0, 4 },
+                   { UpstreamIdOf("u1"), 16, 1 },
+                   { UpstreamIdOf("u2"), 0, 5 },
+                   { UpstreamIdOf("u4"), 0, 1 },
+                   { UpstreamIdOf("unlisted"), 0, 1 } };
+  cr_assert(fixture.fleet.ApplyReport(report, fixture.now));
+  const auto own = fixture.fleet.MakeReport(0ms, fixture.now);
+  std::set<UpstreamId> sent;
+  for (const auto& load :
+       fixture.fleet.MakeFleetReport(own, fixture.now).loads) {
+    sent.insert(load.upstream);
+  }
+  cr_assert(sent.size() == 4);
+  cr_assert(!sent.contains(UpstreamIdOf("u0")));
+}
