A router that only follows others wakes up for its reports and time limits

Cause: every gateway woke up 50 times a second for steps of the exchange that only hubs take part in, for signals, and for time limits of requests that were seconds away: at rest some 30,000 wake-ups a second in a fleet of 584, of which 5,800 send anything.

Change: EventLoop runs a self-timed task, which returns the time of its next call. The gateway asks for every step of 20 ms only while it adds up reports, serves followers, checks upstreams, starts, stops or has paused its listener; otherwise for its next own report, which now falls on the period's boundary, the next deadline or connect timeout of a request, and the next call of its source. Ruled out: longer periods of the exchange, as loads would become older on fleets whose engines are short.

--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -102,7 +102,7 @@
 EventLoop::SchedulePeriodic(base::Duration aPeriod,
                             std::function<void()> aCallback)
 {
-  auto& timer = m_timers.emplace_back(
+  const auto& timer = m_timers.emplace_back(
     std::make_unique<timer::PeriodicHandler>(std::move(aCallback)));
   const auto first = ToAce(base::MonotonicNow() + aPeriod);
   if (m_timerQueue.schedule(timer.get(), nullptr, first, ToAce(aPeriod)) ==
@@ -111,6 +111,27 @@
   }
 }
 
+void
+EventLoop::ScheduleOnce(ACE_Event_Handler& aTimer, base::TimePoint aAt)
+{
+  if (m_timerQueue.schedule(&aTimer, nullptr, ToAce(aAt)) == -1) {
+    throw Error(ErrorCode::Internal, "failed to schedule a timer");
+  }
+}
+
+void
+EventLoop::ScheduleSelfTimed(base::TimePoint aFirst,
+                             std::function<base::TimePoint()> aCallback)
+{
+  auto timer = std::make_unique<timer::PeriodicHandler>([] {});
+  auto& handler = *timer;
+  m_timers.push_back(std::move(timer));
+  handler.SetCallback([this, &handler, callback = std::move(aCallback)] {
+    ScheduleOnce(handler, callback());
+  });
+  ScheduleOnce(handler, aFirst);
+}
+
 void
 EventLoop::Defer(std::function<void()> aTask)
 {
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -13,10 +13,6 @@
 #include <memory>
 #include <vector>
 
-namespace hemlockgauge::timer {
-class PeriodicHandler;
-}
-
 namespace hemlockgauge::eventloop {
 
 class IIoHandler;
@@ -45,6 +41,11 @@
 
   void SchedulePeriodic(base::Duration aPeriod,
                         std::function<void()> aCallback) override;
+  //! Calls aCallback at aFirst, and then each time at the time point that the
+  //! previous call returned. A task without work to do for a while thus does
+  //! not wake the process up.
+  void ScheduleSelfTimed(base::TimePoint aFirst,
+                         std::function<base::TimePoint()> aCallback);
   //! The time is read after each poll and stays the same until the next one.
   base::TimePoint Now() const override { return m_now; }
 
@@ -82,6 +83,7 @@
     std::uint32_t generation = 0;
   };
 
+  void ScheduleOnce(ACE_Event_Handler& aTimer, base::TimePoint aAt);
   int PollTimeoutMs() const;
   void RunDeferred();
 
@@ -93,7 +95,7 @@
   std::uint32_t m_nextGeneration = 1;
   std::vector<Registration> m_registrations;
   std::vector<std::function<void()>> m_deferred;
-  std::vector<std::unique_ptr<timer::PeriodicHandler>> m_timers;
+  std::vector<std::unique_ptr<ACE_Event_Handler>> m_timers;
   ACE_Timer_Heap m_timerQueue;
 };
 
--- a/src/fleet/tests/storechangelogtests.cpp
+++ b/src/fleet/tests/storechangelogtests.cpp
@@ -33,6 +33,7 @@
   void Set(const std::map<std::string, UpstreamEntry>& aEntries)
   {
     std::vector<UpstreamEntry> entries;
+    entries.reserve(aEntries.size());
     for (const auto& [id, entry] : aEntries) {
       entries.push_back(entry);
     }
@@ -192,6 +193,7 @@
   LoggedList logList(7);
   auto& log = logList.log;
   std::vector<std::string> ids;
+  ids.reserve(kListed);
   for (int i = 0; i < kListed; ++i) {
     ids.push_back("old" + std::to_string(i));
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,8 +27,8 @@
 
 using namespace std::chrono_literals;
 
-//! Resolution of the time limits of requests and of the stages in which routers
-//! exchange reports.
+//! Interval of ticks of a router that takes part in all stages of the exchange,
+//! serves followers or is starting or stopping.
 constexpr base::Duration kFastTickInterval = fleet::kExchangeStep;
 //! Resolution of the time limits of connections; also how often the readiness
 //! and the upstreams' leases are checked.
@@ -157,7 +158,10 @@
     m_settings.callersListen,
     [this](const ACE_SOCK_Stream& aStream) { Accept(aStream); },
     fleet::AcceptQueueLimit(m_settings.processorShare));
-  m_loop.SchedulePeriodic(kFastTickInterval, [this] { TickFast(); });
+  m_loop.ScheduleSelfTimed(m_startedAt + kFastTickInterval, [this] {
+    TickFast();
+    return NextTickAt(m_loop.Now(), TimeOfDay());
+  });
   m_loop.SchedulePeriodic(kSlowTickInterval, [this] { TickSlow(); });
 }
 
@@ -387,6 +391,30 @@
   }
 }
 
+bool
+Gateway::NeedsEveryStep() const
+{
+  return m_stopBeganAt.has_value() || !IsReady() ||
+         m_plan.AggregatesReports() || m_storeUpdateServer->HasFollowers() ||
+         m_checks.IsChecking() || m_listener->IsPaused();
+}
+
+base::TimePoint
+Gateway::NextTickAt(base::TimePoint aNow, base::Duration aTimeOfDay) const
+{
+  const auto soonest = aNow + kFastTickInterval;
+  if (NeedsEveryStep()) {
+    return soonest;
+  }
+  auto next =
+    aNow + fleet::kReportInterval - aTimeOfDay % fleet::kReportInterval;
+  next = std::min(next, std::max(soonest, m_storeUpdateSource->NextTickAt()));
+  for (const auto& [key, exchange] : m_exchanges) {
+    next = std::min(next, std::max(soonest, exchange->NextTickAt()));
+  }
+  return next;
+}
+
 //! Logs once per second, on a busy router, how many connections and requests
 //! arrived and how many were refused.
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,7 +106,16 @@
   void Accept(const ACE_SOCK_Stream& aStream);
   void UpdateListenerPause();
   void LogIntake(base::TimePoint aNow);
+  //! Does what is due now, see NextTickAt.
   void TickFast();
+  //! Whether something is in progress that takes part in every step of the
+  //! exchange or answers other routers.
+  bool NeedsEveryStep() const;
+  //! Returns when TickFast must be called next. A router that only follows
+  //! others and has no requests at their time limits wakes up for its own
+  //! reports alone.
+  base::TimePoint NextTickAt(base::TimePoint aNow,
+                             base::Duration aTimeOfDay) const;
   void TickSlow();
   void ContinueStop(base::TimePoint aNow);
   void CheckUpstreams(base::TimePoint aNow);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -442,14 +442,24 @@
                    mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun);
     return;
   }
-  const bool connectTimedOut = m_upstream != nullptr &&
-                               m_upstream->IsConnecting() &&
-                               aNow - m_sentAt > kConnectTimeout;
-  if (connectTimedOut) {
+  if (IsConnecting() && aNow - m_sentAt >= kConnectTimeout) {
     EndAttempt(AttemptOutcome::Unreachable);
     DiscardUpstream();
     AttemptFailed(Verdict::NotRun, "connect timeout");
   }
 }
 
+bool
+Exchange::IsConnecting() const
+{
+  return m_upstream != nullptr && m_upstream->IsConnecting();
+}
+
+base::TimePoint
+Exchange::NextTickAt() const
+{
+  return IsConnecting() ? std::min(m_deadlineAt, m_sentAt + kConnectTimeout)
+                        : m_deadlineAt;
+}
+
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -79,6 +79,8 @@
   void OnCallerDrained();
   //! Enforces the request's deadline and the connect timeout.
   void Tick(base::TimePoint aNow);
+  //! Time at which Tick has something to do; it may be called earlier.
+  base::TimePoint NextTickAt() const;
   //! Whether an upstream has been chosen at least once.
   bool WasPlaced() const { return !m_triedUpstreams.empty(); }
 
@@ -126,6 +128,7 @@
               const std::string& aWhy,
               base::TimePoint aFirstByteAt);
   void DiscardUpstream();
+  bool IsConnecting() const;
   base::Duration TimeLeft(base::TimePoint aNow) const;
   base::Duration TimeSinceArrival() const;
 
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -66,12 +66,24 @@
     }
     return;
   }
-  const auto wait = m_step == Step::Watch ? kWatchTimeout : 0ms;
-  if (aNow - m_calledAt > wait + kCallTimeout) {
+  if (aNow >= ResponseDueAt()) {
     Fail("response timeout");
   }
 }
 
+base::TimePoint
+StoreFollower::ResponseDueAt() const
+{
+  const auto wait = m_step == Step::Watch ? kWatchTimeout : 0ms;
+  return m_calledAt + wait + kCallTimeout;
+}
+
+base::TimePoint
+StoreFollower::NextTickAt() const
+{
+  return m_callPending ? ResponseDueAt() : m_nextCallAt;
+}
+
 void
 StoreFollower::StartCall()
 {
--- a/src/gateway/internal/storeupdatefollower.cpp
+++ b/src/gateway/internal/storeupdatefollower.cpp
@@ -48,6 +48,12 @@
   }
 }
 
+base::TimePoint
+StoreUpdateFollower::NextTickAt() const
+{
+  return m_connection ? base::TimePoint::max() : m_nextConnectAt;
+}
+
 void
 StoreUpdateFollower::Connect()
 {
--- a/src/gateway/istoreupdatesource.h
+++ b/src/gateway/istoreupdatesource.h
@@ -42,8 +42,10 @@
 public:
   virtual ~IStoreUpdateSource() = default;
 
-  //! To be called many times per second.
+  //! To be called at NextTickAt(), or earlier.
   virtual void Tick(base::TimePoint aNow) = 0;
+  //! Time of the next call, response timeout or connection attempt.
+  virtual base::TimePoint NextTickAt() const = 0;
 };
 
 }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -44,6 +44,7 @@
   //! Starts calls that are due and fails calls that time out. To be called many
   //! times per second.
   void Tick(base::TimePoint aNow) override;
+  base::TimePoint NextTickAt() const override;
 
   HeadAction OnAnswerHead(http::ClientConnection& aConnection,
                           http::ResponseHead&& aHead) override;
@@ -76,6 +77,7 @@
   bool HandleWatchPage(const StorePage& aPage);
   void HandleItem(const StoreItem& aItem);
   void LogUnusable(const StoredUpstream& aUpstream);
+  base::TimePoint ResponseDueAt() const;
   void Fail(const std::string& aWhy);
   void DropConnection();
 
--- a/src/gateway/storeupdatefollower.h
+++ b/src/gateway/storeupdatefollower.h
@@ -38,6 +38,7 @@
   ~StoreUpdateFollower() override;
 
   void Tick(base::TimePoint aNow) override;
+  base::TimePoint NextTickAt() const override;
 
   void OnFrame(framing::FrameConnection& aConnection,
                const std::vector<std::uint8_t>& aFrame) override;
--- a/src/gateway/storeupdateserver.h
+++ b/src/gateway/storeupdateserver.h
@@ -45,6 +45,7 @@
 
   //! Answers the waiting requests that have become due.
   void Tick(base::TimePoint aNow);
+  bool HasFollowers() const { return !m_followers.empty(); }
 
   void OnFrame(framing::FrameConnection& aConnection,
                const std::vector<std::uint8_t>& aFrame) override;
--- a/src/gateway/upstreamchecks.h
+++ b/src/gateway/upstreamchecks.h
@@ -27,6 +27,7 @@
   void Begin(base::UpstreamId aUpstream,
              const base::Address& aAddress,
              base::TimePoint aNow);
+  bool IsChecking() const { return !m_checks.empty(); }
   //! Reports finished checks. To be called several times per second.
   void Tick(base::TimePoint aNow);
 
--- a/src/timer/periodichandler.h
+++ b/src/timer/periodichandler.h
@@ -16,6 +16,12 @@
   {
   }
 
+  //! Must not be called from the callback.
+  void SetCallback(std::function<void()> aCallback)
+  {
+    m_callback = std::move(aCallback);
+  }
+
   int handle_timeout(const ACE_Time_Value&, const void*) override
   {
     m_callback();
