All routers start at once: hubs spread the list, the seeds alone read the store

Cause: a starting router asked one seed, and 40 ms later the store. If all routers start together most seeds do not listen yet, so most routers list the whole store, 30 pages each at 6,000 upstreams; those that wait get the list from three seeds, 200 transfers each; two seconds after the start all of them drop what they are receiving and turn to hubs and readers that have no list either. It grows with the square of the fleet.

Change: a starting router tries all seeds for 0.4 s before the store; once it knows the fleet it asks the hubs of its group, which get the list from the seeds; it keeps to these sources until it has the list (10 s at most), and never drops a list that is arriving. A router that waits for its own source tells its followers to wait. A page of a listing counts as a sign of the store. Ruled out: a longer wait for one seed (a seed may be lost); redirecting followers by a new message, as the plan already names the next source.

Next limit: three seeds serve all hubs, some 100 at 1,200 routers; a list that is twice as long costs each of them twice as much.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -258,6 +258,10 @@
 //! A router that serves the store's state answers a follower's poll after this
 //! time at the latest.
 inline constexpr base::Duration kNewsPollTimeout = 700ms;
+//! Interval of the messages by which a source tells a follower to keep waiting,
+//! and how long such a message counts.
+inline constexpr base::Duration kPendingInterval = 200ms;
+inline constexpr base::Duration kPendingTimeout = 3 * kPendingInterval;
 //! Timeout for answers of a router that is followed.
 inline constexpr base::Duration kRouterTimeout = kNewsPollTimeout + 600ms;
 //! Timeout for answers of the store: a watch of one second and its answer.
@@ -296,13 +300,19 @@
 inline constexpr base::Duration kTakeoverStagger = 150ms;
 //! Backoff of a router that turned to the store in vain.
 inline constexpr base::Duration kTakeoverBackoff = 2000ms;
-//! Default time that a starting router waits for a seed before it turns to the
-//! store: some round trips between zones. It is short because callers may be
-//! waiting, and after a power loss the seeds start no sooner than this router.
+//! Default time that a starting router waits for a sign of a source before it
+//! tries the next one: some round trips between zones. It is short because
+//! callers may be waiting, and a router that was lost gives no sign.
 inline constexpr base::Duration kDefaultSeedWait = 40ms;
 //! Time after its start by which a router knows the fleet in any case: the
 //! seeds have told it the members, and its hubs have heard of it.
 inline constexpr base::Duration kSourceSettleTime = 2000ms;
+//! Time within which routers that start together, as after a power loss, are
+//! all listening.
+inline constexpr base::Duration kStartSpread = 400ms;
+//! A router that has no list after this time looks for a source like one that
+//! runs: the seeds may be cut off from the store.
+inline constexpr base::Duration kMaxStartTime = 10000ms;
 //! A follower is sent a proof that is newer by this without waiting for its
 //! poll to time out: otherwise a proof would age by kNewsPollTimeout on each
 //! hop.
--- a/src/fleet/internal/sourceoptions.cpp
+++ b/src/fleet/internal/sourceoptions.cpp
@@ -61,11 +61,25 @@
   }
 }
 
+//! The seeds may start a little later than this router, so all sources are
+//! tried several times before the store. A router of a large fleet that is no
+//! hub prefers the hubs of its group, which get the list from the seeds.
 SourceOptions
-OptionsAtStart(const SourceContext& aView)
+OptionsAtStart(const SourceContext& aView, const ExchangePlan& aPlan)
 {
   auto options = EmptyOptions();
-  AddRouters(options, aView.seeds, 1, aView);
+  if (aPlan.IsLarge() && !aPlan.isHub) {
+    AddRouters(options, aPlan.groupHubs, aPlan.groupHubs.size(), aView);
+  }
+  AddRouters(options, aView.seeds, aView.seeds.size(), aView);
+  const auto routers = options.order;
+  const auto waitForAll =
+    aView.seedWait * static_cast<std::int64_t>(routers.size());
+  const auto rounds =
+    waitForAll > Duration{} ? 1 + kStartSpread / waitForAll : 1;
+  for (std::int64_t round = 1; round < rounds; ++round) {
+    options.order.insert(options.order.end(), routers.begin(), routers.end());
+  }
   options.order.emplace_back();
   options.firstAnswerTimeout = aView.seedWait;
   return options;
@@ -123,12 +137,12 @@
 SourceOptions
 MakeSourceOptions(const SourceContext& aView, const ExchangePlan& aPlan)
 {
-  const bool hasLearnedFleet =
-    aPlan.IsLarge() && aView.proofAge < aView.sinceStart;
-  const bool isStarting =
-    aView.sinceStart < kSourceSettleTime && !hasLearnedFleet;
+  const bool hasProof = aView.proofAge < aView.sinceStart;
+  const bool hasLearnedFleet = aPlan.IsLarge() && hasProof;
+  const auto startEnd = hasProof ? kSourceSettleTime : kMaxStartTime;
+  const bool isStarting = aView.sinceStart < startEnd && !hasLearnedFleet;
   if (isStarting && !aView.isSeed && !aView.seeds.empty()) {
-    return OptionsAtStart(aView);
+    return OptionsAtStart(aView, aPlan);
   }
   if (isStarting || !aPlan.IsLarge()) {
     return OptionsWithStoreFirst(aView, aPlan);
--- a/src/fleet/internal/sourceselector.cpp
+++ b/src/fleet/internal/sourceselector.cpp
@@ -26,7 +26,8 @@
   }
   const auto& order = m_options.order;
   const auto found = std::find(order.begin(), order.end(), m_current);
-  if (IsPreferred() || found == order.end()) {
+  const bool waitsAtStart = m_options.firstAnswerTimeout && !m_proofAge;
+  if (IsPreferred() || found == order.end() || waitsAtStart) {
     if (!(order[0] == m_current)) {
       SelectSource(0, aNow);
     }
@@ -53,6 +54,12 @@
   m_isPending = true;
 }
 
+bool
+SourceSelector::IsPending(TimePoint aNow) const
+{
+  return m_isPending && !m_proofAge && aNow - m_answeredAt < kPendingTimeout;
+}
+
 void
 SourceSelector::SelectSource(std::size_t aIndex, TimePoint aNow)
 {
--- a/src/fleet/sourceoptions.h
+++ b/src/fleet/sourceoptions.h
@@ -17,7 +17,8 @@
   std::vector<base::Address> seeds; //!< without this router
   bool isSeed = false;
   Duration sinceStart{}; //!< time since this router started
-  //! How long a starting router waits for a seed before it reads the store.
+  //! How long a starting router waits for the first sign of a source before it
+  //! tries the next one.
   Duration seedWait = Duration(0);
   //! Time since the store last confirmed this router's data.
   Duration proofAge{};
@@ -53,9 +54,15 @@
 //!
 //! Each call to the store has a cost. In a small fleet, every router reads the
 //! store. In a large one, kStoreReaders routers do; hubs get their data from
-//! these, and all other routers from the hubs of their group. A starting router
-//! knows only the seeds and asks one of them, so that the store isn't listed
-//! once per router when the whole fleet starts. If all readers are cut off from
+//! these, and all other routers from the hubs of their group.
+//!
+//! If all routers start at once, the seeds list the store, hubs get the list
+//! from the seeds, and all others from their hubs once they know them:
+//! otherwise the store would be listed once per router, or three seeds would
+//! send the list to the whole fleet. A router keeps to these sources until it
+//! has the list.
+//!
+//! If all readers are cut off from
 //! the store, the other routers turn to it one after another, by their rank and
 //! the age of their proof. This needs no messages between them.
 SourceOptions
--- a/src/fleet/sourceselector.h
+++ b/src/fleet/sourceselector.h
@@ -59,6 +59,9 @@
   //! Records that the current source is reachable and its first answer is still
   //! to come.
   void Pending(TimePoint aNow);
+  //! Whether the current source said lately that an answer is to come, so that
+  //! this router's followers can wait, too.
+  bool IsPending(TimePoint aNow) const;
   //! Checks timeouts and proof ages. Returns true if the source has changed.
   bool Tick(TimePoint aNow);
   const StoreSource& Current() const { return m_current; }
--- a/src/framing/framebuffer.h
+++ b/src/framing/framebuffer.h
@@ -21,6 +21,8 @@
   //! Moves the next complete frame to aFrame; false if there is none yet.
   //! Throws Error(BadFrame) if the length is 0 or above the maximum.
   bool Next(std::vector<std::uint8_t>& aFrame);
+  //! Whether bytes of an incomplete frame are stored.
+  bool HasPartialFrame() const { return !m_bytes.empty(); }
 
 private:
   std::size_t m_maxFrameBytes;
--- a/src/framing/frameconnection.h
+++ b/src/framing/frameconnection.h
@@ -54,6 +54,8 @@
   void Close();
   bool IsOpen() const { return m_open; }
   bool HasUnsentBytes() const { return m_sentBytes < m_sendBuffer.size(); }
+  //! Whether a frame was received in part.
+  bool HasPartialFrame() const { return m_buffer.HasPartialFrame(); }
 
   void OnIo(std::uint32_t aEvents) override;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,7 +140,7 @@
     m_settings.controlListen,
     m_storeChangeLog,
     [this] { return m_loop.Now() - m_storeProvenAt; },
-    [this] { return IsReadingStore(); },
+    [this] { return ExpectsList(); },
     m_metrics);
   m_peerLink = std::make_unique<PeerLink>(
     m_loop,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -101,6 +101,7 @@
   void OnProven(base::TimePoint aAt) override;
   void OnStoreLost(const std::string& aWhy) override;
   void OnStoreReached(base::TimePoint aAt) override;
+  void OnListProgress() override;
 
 private:
   void Accept(const ACE_SOCK_Stream& aStream);
@@ -130,7 +131,7 @@
                            base::TimePoint aNow);
   void TickSource(base::TimePoint aNow);
   void OpenSource();
-  bool IsReadingStore() const;
+  bool ExpectsList() const;
   bool IsStoredConfigCurrent() const;
   void HandleReport(const fleet::PeerReport& aReport,
                     const base::Address& aFrom);
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -183,6 +183,9 @@
 Gateway::UpdateSourceOptions(const fleet::ExchangePlan& aPlan,
                              base::TimePoint aNow)
 {
+  if (m_storeUpdateSource && m_storeUpdateSource->IsReceivingList()) {
+    return; // another source would have to send the list from its beginning
+  }
   fleet::SourceContext context;
   context.self = m_settings.peerListen;
   context.hash = base::HashName(m_settings.peerListen.Text());
@@ -450,10 +453,20 @@
   }
 }
 
+//! A listing of thousands of upstreams takes longer than a source may stay
+//! silent.
+void
+Gateway::OnListProgress()
+{
+  m_sourceSelector.Pending(m_loop.Now());
+}
+
 bool
-Gateway::IsReadingStore() const
+Gateway::ExpectsList() const
 {
-  return m_loop.Now() - m_storeAnsweredAt < kStoreReadingTimeout;
+  const auto now = m_loop.Now();
+  return now - m_storeAnsweredAt < kStoreReadingTimeout ||
+         m_sourceSelector.IsPending(now);
 }
 
 }
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -242,6 +242,7 @@
   }
   if (aPage.hasMore && !aPage.lastKey.empty()) {
     m_listAfterKey = aPage.lastKey;
+    m_events.OnListProgress();
     return true;
   }
   m_listAfterKey.clear();
--- a/src/gateway/internal/storeupdatefollower.cpp
+++ b/src/gateway/internal/storeupdatefollower.cpp
@@ -54,6 +54,12 @@
   return m_connection ? base::TimePoint::max() : m_nextConnectAt;
 }
 
+bool
+StoreUpdateFollower::IsReceivingList() const
+{
+  return m_connection && m_connection->HasPartialFrame();
+}
+
 void
 StoreUpdateFollower::Connect()
 {
--- a/src/gateway/internal/storeupdateserver.cpp
+++ b/src/gateway/internal/storeupdateserver.cpp
@@ -19,8 +19,6 @@
 //! Maximum number of followers that receive the full list at the same time.
 //! Each uses memory for a copy until it has read it.
 constexpr std::size_t kMaxFullListTransfers = 8;
-//! Interval of the messages that tell a follower to keep waiting.
-constexpr base::Duration kPendingInterval{ 200 };
 
 }
 
@@ -28,12 +26,12 @@
                                      const base::Address& aListen,
                                      const fleet::StoreChangeLog& aLog,
                                      ProofAge aProofAge,
-                                     IsReading aIsReading,
+                                     ExpectsList aExpectsList,
                                      metrics::Metrics& aMetrics)
   : m_loop(aLoop)
   , m_log(aLog)
   , m_proofAge(std::move(aProofAge))
-  , m_isReading(std::move(aIsReading))
+  , m_expectsList(std::move(aExpectsList))
   , m_metrics(aMetrics)
   , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
     Accept(aStream);
@@ -99,11 +97,11 @@
 void
 StoreUpdateServer::SendPending(Follower& aFollower, base::TimePoint aNow)
 {
-  const bool isExpected = m_log.IsKnown() || m_isReading();
+  const bool isExpected = m_log.IsKnown() || m_expectsList();
   const bool waitsForFullList =
     aFollower.request && m_log.NeedsFullList(*aFollower.request);
   if (!waitsForFullList || !isExpected ||
-      aNow - aFollower.pendingSentAt < kPendingInterval) {
+      aNow - aFollower.pendingSentAt < fleet::kPendingInterval) {
     return;
   }
   aFollower.pendingSentAt = aNow;
--- a/src/gateway/istoreupdatesource.h
+++ b/src/gateway/istoreupdatesource.h
@@ -18,6 +18,8 @@
 
   //! The store was reachable at aAt. Called before the content as of aAt.
   virtual void OnStoreReached(base::TimePoint aAt) = 0;
+  //! One page of a listing arrived, and more are to come.
+  virtual void OnListProgress() {}
   virtual void OnConfigStored(const std::string& aBytes) = 0;
   //! All upstreams that are listed now; replaces earlier ones.
   virtual void OnUpstreamsListed(
@@ -46,6 +48,8 @@
   virtual void Tick(base::TimePoint aNow) = 0;
   //! Time of the next call, response timeout or connection attempt.
   virtual base::TimePoint NextTickAt() const = 0;
+  //! Whether part of an answer has arrived.
+  virtual bool IsReceivingList() const { return false; }
 };
 
 }
--- a/src/gateway/storeupdateserver.h
+++ b/src/gateway/storeupdateserver.h
@@ -30,16 +30,16 @@
 public:
   //! Time since the store was last known to hold the content of the log.
   using ProofAge = std::function<base::Duration()>;
-  //! Whether this router is reading the store successfully, and will therefore
-  //! soon know what followers ask for.
-  using IsReading = std::function<bool()>;
+  //! Whether this router reads the store successfully or waits for the list of
+  //! its own source, and will therefore soon know what followers ask for.
+  using ExpectsList = std::function<bool()>;
 
   //! Throws Error(Unreachable) if it can't listen on the address.
   StoreUpdateServer(eventloop::EventLoop& aLoop,
                     const base::Address& aListen,
                     const fleet::StoreChangeLog& aLog,
                     ProofAge aProofAge,
-                    IsReading aIsReading,
+                    ExpectsList aExpectsList,
                     metrics::Metrics& aMetrics);
   ~StoreUpdateServer() override;
 
@@ -77,7 +77,7 @@
   eventloop::EventLoop& m_loop;
   const fleet::StoreChangeLog& m_log;
   ProofAge m_proofAge;
-  IsReading m_isReading;
+  ExpectsList m_expectsList;
   metrics::Metrics& m_metrics;
   //! The encoded full list, the same for all followers, and the sequence number
   //! of the log at which it was encoded.
