--- a/src/framing/framebuffer.cpp
+++ b/src/framing/framebuffer.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+//! An empty buffer of more bytes than this is freed: a router receives the whole
+//! list of upstreams once and small frames afterwards.
+constexpr std::size_t kMaxKeptBytes = 65536;
 
 }
 
@@ -37,6 +40,9 @@
   const auto end = start + static_cast<std::ptrdiff_t>(length);
   aFrame.assign(start, end);
   m_bytes.erase(m_bytes.begin(), end);
+  if (m_bytes.empty() && m_bytes.capacity() > kMaxKeptBytes) {
+    std::vector<std::uint8_t>().swap(m_bytes);
+  }
   return true;
 }
 
