A large fleet uses its retry budget

Cause: the slack of the budget was divided among the routers, and a bucket that holds its part never holds one retry if there are more routers than half of the slack: at 584 routers and a slack of 640 it held 0.55, and what requests added was capped at it, too.

Change: a router counts in windows of its own and may use half of its share in each; fractions are rounded by rank, so that the sum over all routers stays (Hermite's identity: exact for equal shares). Ruled out: a bucket of at least one retry (904 at once where 640 are allowed); a draw for each failure, which tends to one retry for each router; rotation of the rounding by time, as clocks differ.

Before: at 600 routers no retry by the arithmetic above. After: the new test has 314 to 320 retries of 320 at 6, 300, 600 and 1,200 routers, and the property that no sliding window exceeds the fleet's budget holds for up to 40 routers (was 8). Fleet 200 tests pass.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -192,8 +192,8 @@
 
 // ---- retries
 
-//! Ratio of its part of the fleet's retry budget that a router uses: routers
-//! may see different numbers of routers.
+//! Ratio of its part of the fleet's retry budget that a router uses in each of
+//! its windows: a sliding window covers parts of two of them.
 inline constexpr double kRetryBudgetRatio = 0.5;
 //! A retry is not started if it would have less time left than this.
 inline constexpr base::Duration kMinRetryTime = 60ms;
--- a/src/fleet/internal/retrypolicy.cpp
+++ b/src/fleet/internal/retrypolicy.cpp
@@ -1,8 +1,10 @@
 #include "fleet/retrypolicy.h"
 
+#include "base/hash.h"
 #include "fleet/fleetconstants.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockgauge::fleet {
 
@@ -66,49 +68,51 @@
   m_routers = std::max<std::size_t>(aRouters, 1);
 }
 
-double
-RetryBudget::LocalSlack() const
+void
+RetryBudget::SetRank(std::size_t aRank, std::size_t aRouters)
 {
-  return m_slack * kRetryBudgetRatio / static_cast<double>(m_routers);
+  m_rank = aRank;
+  m_rankedRouters = std::max<std::size_t>(aRouters, 1);
 }
 
-//! The slack is refilled over one window, so a window of that length admits at
-//! most twice the bucket size. LocalSlack includes kRetryBudgetRatio, a half,
-//! so twice the bucket size is this router's full share.
-RetryBudget::Bucket&
-RetryBudget::Refill(const std::string& aService, TimePoint aNow)
+RetryBudget::Usage&
+RetryBudget::CurrentUsage(const std::string& aService, TimePoint aNow)
 {
-  auto& bucket = m_buckets[aService];
-  const double slack = LocalSlack();
-  if (!bucket.initialized) {
-    bucket.initialized = true;
-    bucket.tokens = slack;
-  } else {
-    const auto elapsed =
-      static_cast<double>((aNow - bucket.refilledAt).count());
-    bucket.tokens += slack * elapsed / static_cast<double>(m_window.count());
+  auto& usage = m_usage[aService];
+  const std::int64_t window = aNow / m_window;
+  if (usage.window != window) {
+    usage = { window };
   }
-  bucket.refilledAt = aNow;
-  bucket.tokens = std::min(bucket.tokens, slack);
-  return bucket;
+  return usage;
+}
+
+double
+RetryBudget::RoundingOffset(const std::string& aService) const
+{
+  const auto shifted = (m_rank + base::HashName(aService)) % m_rankedRouters;
+  return static_cast<double>(shifted) / static_cast<double>(m_rankedRouters);
 }
 
 void
 RetryBudget::CountRequest(const std::string& aService, TimePoint aNow)
 {
-  Refill(aService, aNow).tokens += m_ratio * kRetryBudgetRatio;
+  CurrentUsage(aService, aNow).requests++;
 }
 
 bool
 RetryBudget::Allows(const std::string& aService, TimePoint aNow)
 {
-  return Refill(aService, aNow).tokens >= 1.0;
+  const auto& usage = CurrentUsage(aService, aNow);
+  const double share =
+    kRetryBudgetRatio *
+    (m_ratio * usage.requests + m_slack / static_cast<double>(m_routers));
+  return usage.retries + 1 <= std::floor(share + RoundingOffset(aService));
 }
 
 void
 RetryBudget::Take(const std::string& aService, TimePoint aNow)
 {
-  Refill(aService, aNow).tokens -= 1.0;
+  CurrentUsage(aService, aNow).retries++;
 }
 
 }
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -3,6 +3,8 @@
 #include "base/enumnames.h"
 #include "fleet/fleettypes.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -48,9 +50,14 @@
 AfterFailure
 DecideAfterFailure(const FailedAttempt& aFailed, bool aBudgetAllows);
 
-//! Limits the retries of this router to each service by a token bucket. All
-//! routers together may retry a ratio of the requests plus a slack per sliding
-//! window; each router has an equal share of the slack.
+//! Limits the retries of this router to each service. All routers together may
+//! retry a ratio of the requests plus a slack per sliding window.
+//!
+//! Each router counts in windows of its own. A sliding window covers parts of
+//! two of these, so a router may use half of its share in each. In a large
+//! fleet this is less than one retry; the routers' fractions are then rounded
+//! so that their sum stays the same: router i of n rounds up what exceeds 1 - i
+//! / n.
 class RetryBudget
 {
 public:
@@ -59,7 +66,10 @@
   void Configure(double aRatio, double aSlack, Duration aWindow);
   //! Sets the number of routers that share the slack, this one included.
   void SetRouters(std::size_t aRouters);
-  //! Adds the budget that one new request grants.
+  //! Sets the index of this router among aRouters in an order that all routers
+  //! agree on.
+  void SetRank(std::size_t aRank, std::size_t aRouters);
+  //! Counts one new request, which adds to the budget.
   void CountRequest(const std::string& aService, TimePoint aNow);
   //! Whether the budget allows one more retry. Does not consume it, see Take.
   bool Allows(const std::string& aService, TimePoint aNow);
@@ -67,21 +77,26 @@
   void Take(const std::string& aService, TimePoint aNow);
 
 private:
-  struct Bucket
+  //! Counts of one service in the current window.
+  struct Usage
   {
-    TimePoint refilledAt{};
-    double tokens = 0; //!< retries allowed now
-    bool initialized = false;
+    std::int64_t window = 0; //!< index
+    double requests = 0;
+    double retries = 0;
   };
 
-  Bucket& Refill(const std::string& aService, TimePoint aNow);
-  double LocalSlack() const;
+  Usage& CurrentUsage(const std::string& aService, TimePoint aNow);
+  //! The part of one retry that is rounded up, 0 to 1. Differs between
+  //! services, so that no router is the last one for all of them.
+  double RoundingOffset(const std::string& aService) const;
 
   double m_ratio = 0.2;
   double m_slack = 20;
   Duration m_window{ 10000 };
   std::size_t m_routers = 1;
-  std::map<std::string, Bucket, std::less<>> m_buckets;
+  std::size_t m_rank = 0;
+  std::size_t m_rankedRouters = 1;
+  std::map<std::string, Usage, std::less<>> m_usage;
 };
 
 }
--- a/src/fleet/tests/retrytests.cpp
+++ b/src/fleet/tests/retrytests.cpp
@@ -112,12 +112,14 @@
 Test(retrypolicy, RetriesStayWithinTheBudgetOfTheFleet)
 {
   const bool held = rc::check([] {
-    const auto routers = *rc::gen::inRange(1, 8);
+    const auto routers = *rc::gen::inRange(1, 40);
     const double slack = *rc::gen::inRange(10, 100);
     std::vector<RetryBudget> budgets(static_cast<std::size_t>(routers));
+    std::size_t rank = 0;
     for (auto& budget : budgets) {
       budget.Configure(0.2, slack, 10000ms);
-      budget.SetRouters(static_cast<std::size_t>(routers));
+      budget.SetRouters(budgets.size());
+      budget.SetRank(rank++, budgets.size());
     }
     const auto requestsPerStep = *rc::gen::inRange(0, 4);
     std::vector<int> retries(200);
@@ -144,3 +146,28 @@
   });
   cr_assert(held);
 }
+
+//! With more routers than spare retries, each router had less than one retry in
+//! a window, and none ever retried.
+Test(retrypolicy, ALargeFleetUsesItsBudget)
+{
+  for (const std::size_t routers : { 6, 300, 600, 1200 }) {
+    const double slack = 640;
+    int retries = 0;
+    for (std::size_t rank = 0; rank < routers; ++rank) {
+      RetryBudget budget;
+      budget.Configure(0.2, slack, 10000ms);
+      budget.SetRouters(routers);
+      budget.SetRank(rank, routers);
+      while (budget.Allows("s", 1000ms)) {
+        budget.Take("s", 1000ms);
+        retries++;
+      }
+    }
+    const double share = kRetryBudgetRatio * slack;
+    cr_assert(retries <= share && retries >= share - 6,
+              "%d retries of %zu routers",
+              retries,
+              routers);
+  }
+}
--- a/src/fleet/warmup.h
+++ b/src/fleet/warmup.h
@@ -2,6 +2,8 @@
 
 #include "base/basetypes.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -30,6 +32,15 @@
   //! Whether the set is likely to be complete and the same at other routers.
   bool isSettled = false;
 
+  //! Number of routers whose hash is below that of this router.
+  std::size_t Rank() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(routers.begin(), routers.end(), [this](std::uint32_t aOne) {
+        return aOne < self;
+      }));
+  }
+
   bool operator==(const RouterSet&) const = default;
 };
 
