Start model: age of the proofs while the readers list the store

Change: the model lists the store anew at each router that turns to it, shares the freshest reader as reports do, and gives the oldest proof; after a start of all it must stay under the age at which a source counts as cut off (2.6 s).

--- a/src/fleet/tests/startmodel.cpp
+++ b/src/fleet/tests/startmodel.cpp
@@ -25,6 +25,8 @@
 constexpr int kMaxTransfers = 8;
 //! Time after its start at which a router knows the other routers.
 constexpr Duration kMembersKnownAfter = 600ms;
+//! Time until a report of a reader's proof has reached all routers.
+constexpr Duration kReportTime = 300ms;
 
 }
 
@@ -78,6 +80,8 @@
   view.sinceStart = m_now - aRouter.startsAt;
   view.seedWait = m_load.seedWait;
   view.proofAge = aRouter.hasList ? m_now - aRouter.provenAt : view.sinceStart;
+  view.freshestReader =
+    m_freshestReader.ReaderFresherThan(aRouter.provenAt, m_now);
   const bool knowsMembers = view.sinceStart >= kMembersKnownAfter;
   aRouter.selector.SetOptions(
     MakeSourceOptions(view, knowsMembers ? aRouter.plan : ExchangePlan{}),
@@ -96,6 +100,7 @@
 StartSimulation::FinishList(Router& aRouter)
 {
   aRouter.hasList = true;
+  aRouter.listsStore = false;
   aRouter.provenAt = m_now;
   aRouter.selector.Answered(Duration{}, m_now);
   DropWork(aRouter);
@@ -104,7 +109,7 @@
 void
 StartSimulation::ReadStore(Router& aRouter)
 {
-  if (aRouter.hasList) {
+  if (!aRouter.listsStore) {
     aRouter.provenAt = m_now;
     aRouter.selector.Answered(Duration{}, m_now);
     return;
@@ -178,6 +183,7 @@
   const auto& current = aRouter.selector.Current();
   if (!(before == current)) {
     DropWork(aRouter);
+    aRouter.listsStore = current.kind == SourceKind::Store;
   }
   if (current.kind == SourceKind::Store) {
     ReadStore(aRouter);
@@ -186,6 +192,24 @@
   }
 }
 
+void
+StartSimulation::ShareFreshestReader()
+{
+  const Router* freshest = nullptr;
+  for (const auto& router : m_routers) {
+    const bool reads =
+      router.hasList && router.selector.Current().kind == SourceKind::Store;
+    if (reads &&
+        (freshest == nullptr || router.provenAt > freshest->provenAt)) {
+      freshest = &router;
+    }
+  }
+  if (freshest != nullptr) {
+    m_freshestReader.Update(freshest->member.address,
+                            freshest->provenAt - kReportTime);
+  }
+}
+
 StartResult
 StartSimulation::Run(Duration aLength)
 {
@@ -199,7 +223,12 @@
       if (router.hasList && !hadList) {
         m_result.lastHasList = m_now - m_begin;
       }
+      if (router.hasList) {
+        m_result.oldestProof =
+          std::max(m_result.oldestProof, m_now - router.provenAt);
+      }
     }
+    ShareFreshestReader();
   }
   m_result.withoutList = static_cast<std::size_t>(
     std::count_if(m_routers.begin(), m_routers.end(), [](const auto& aRouter) {
--- a/src/fleet/tests/startmodel.h
+++ b/src/fleet/tests/startmodel.h
@@ -27,6 +27,7 @@
   Duration lastHasList{}; //!< from the first start until all have the list
   int storeCalls = 0;
   std::size_t withoutList = 0; //!< routers that still have none at the end
+  Duration oldestProof{};      //!< of any router after it got the list
 };
 
 //! Simulates in virtual time how routers that start at the same moment get the
@@ -49,6 +50,7 @@
     TimePoint startsAt{};
     bool isSeed = false;
     bool hasList = false;
+    bool listsStore = true; //!< reads pages until the next watch
     TimePoint provenAt{};
     std::size_t pagesLeft = 0; //!< of a listing in progress
     TimePoint pageDoneAt{};    //!< end of the call in progress, or backoff
@@ -69,6 +71,10 @@
     return m_now >= aRouter.startsAt;
   }
 
+  //! The reader of the store with the newest proof, as reports tell it.
+  void ShareFreshestReader();
+
+  FreshestReader m_freshestReader;
   StartLoad m_load;
   TimePoint m_now{ 100000 };
   TimePoint m_begin = m_now;
--- a/src/fleet/tests/starttests.cpp
+++ b/src/fleet/tests/starttests.cpp
@@ -1,3 +1,4 @@
+#include "fleet/fleetconstants.h"
 #include "startmodel.h"
 
 #include <criterion/criterion.h>
@@ -17,12 +18,13 @@
   load.running = aRunning;
   const auto result = StartSimulation(load).Run(20000ms);
   cr_log_warn("%zu routers, %zu running: list after %lld ms, %d calls, %zu "
-              "without\n",
+              "without, oldest proof %lld ms\n",
               aRouters,
               aRunning,
               static_cast<long long>(result.lastHasList.count()),
               result.storeCalls,
-              result.withoutList);
+              result.withoutList,
+              static_cast<long long>(result.oldestProof.count()));
   return result;
 }
 
@@ -47,6 +49,7 @@
     cr_expect(result.withoutList == 0);
     cr_expect(result.lastHasList <= 6000ms);
     cr_expect(result.storeCalls <= MaxCalls(routers));
+    cr_expect(result.oldestProof <= kMaxSourceProofAge);
   }
 }
 
