--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -183,7 +183,7 @@
 Gateway::UpdateSourceOptions(const fleet::ExchangePlan& aPlan,
                              base::TimePoint aNow)
 {
-  if (m_storeUpdateSource && m_storeUpdateSource->IsReceivingList()) {
+  if (m_storeUpdateSource && m_storeUpdateSource->IsReceivingAnswer()) {
     return; // another source would have to send the list from its beginning
   }
   fleet::SourceContext context;
--- a/src/gateway/internal/storeupdatefollower.cpp
+++ b/src/gateway/internal/storeupdatefollower.cpp
@@ -55,7 +55,7 @@
 }
 
 bool
-StoreUpdateFollower::IsReceivingList() const
+StoreUpdateFollower::IsReceivingAnswer() const
 {
   return m_connection && m_connection->HasPartialFrame();
 }
--- a/src/gateway/istoreupdatesource.h
+++ b/src/gateway/istoreupdatesource.h
@@ -49,7 +49,7 @@
   //! Time of the next call, response timeout or connection attempt.
   virtual base::TimePoint NextTickAt() const = 0;
   //! Whether part of an answer has arrived.
-  virtual bool IsReceivingList() const { return false; }
+  virtual bool IsReceivingAnswer() const { return false; }
 };
 
 }
--- a/src/gateway/storeupdatefollower.h
+++ b/src/gateway/storeupdatefollower.h
@@ -39,7 +39,7 @@
 
   void Tick(base::TimePoint aNow) override;
   base::TimePoint NextTickAt() const override;
-  bool IsReceivingList() const override;
+  bool IsReceivingAnswer() const override;
 
   void OnFrame(framing::FrameConnection& aConnection,
                const std::vector<std::uint8_t>& aFrame) override;
