After a start of all, the seeds go on reading the store

Cause: a seed left the store as soon as it had the list and knew the fleet. The readers of the plan then have to list the store, and while routers know different parts of the fleet they do not agree on the readers: a listing begins anew with each change.

Change: a seed reads the store for ten seconds after its start. Its proofs are the freshest, reports tell them to all, and hubs whose own source is stale turn to it. Ruled out: waiting longer with the change to the plan (nobody knows how long the readers need).

Before: the old condition gives the hub at each time of the new test (read, not run). After: it passes; fleet 201 tests.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -311,7 +311,8 @@
 //! all listening.
 inline constexpr base::Duration kStartSpread = 400ms;
 //! A router that has no list after this time looks for a source like one that
-//! runs: the seeds may be cut off from the store.
+//! runs: the seeds may be cut off from the store. A seed reads the store for
+//! this long after its start.
 inline constexpr base::Duration kMaxStartTime = 10000ms;
 //! A follower is sent a proof that is newer by this without waiting for its
 //! poll to time out: otherwise a proof would age by kNewsPollTimeout on each
--- a/src/fleet/internal/sourceoptions.cpp
+++ b/src/fleet/internal/sourceoptions.cpp
@@ -139,8 +139,10 @@
 {
   const bool hasProof = aView.proofAge < aView.sinceStart;
   const bool hasLearnedFleet = aPlan.IsLarge() && hasProof;
-  const auto startEnd = hasProof ? kSourceSettleTime : kMaxStartTime;
-  const bool isStarting = aView.sinceStart < startEnd && !hasLearnedFleet;
+  const auto startEnd =
+    hasProof && !aView.isSeed ? kSourceSettleTime : kMaxStartTime;
+  const bool followsPlan = hasLearnedFleet && !aView.isSeed;
+  const bool isStarting = aView.sinceStart < startEnd && !followsPlan;
   if (isStarting && !aView.isSeed && !aView.seeds.empty()) {
     return OptionsAtStart(aView, aPlan);
   }
--- a/src/fleet/sourceoptions.h
+++ b/src/fleet/sourceoptions.h
@@ -61,6 +61,9 @@
 //! otherwise the store would be listed once per router, or three seeds would
 //! send the list to the whole fleet. A router keeps to these sources until it
 //! has the list.
+//! The seeds go on reading the store for a while: the readers of the plan have
+//! to list it first, and while routers know different parts of the fleet they
+//! do not agree on the readers.
 //!
 //! If all readers are cut off from
 //! the store, the other routers turn to it one after another, by their rank and
--- a/src/fleet/tests/sourceselectortests.cpp
+++ b/src/fleet/tests/sourceselectortests.cpp
@@ -367,6 +367,28 @@
   cr_assert(policy.Current() == kStore);
 }
 
+//! After a start of all, the seeds left the store as soon as they had the list,
+//! and the readers took five seconds to list it. No router had a recent proof,
+//! and all refused requests with keys for a second.
+Test(sourceselector, ASeedReadsTheStoreUntilTheReadersHaveListedIt)
+{
+  SourceContext view;
+  view.self = { "10.0.0.9", 1 };
+  view.seeds = { kHubB.address };
+  view.isSeed = true;
+  view.proofAge = 100ms;
+  ExchangePlan plan;
+  plan.isHub = false;
+  plan.groupHubs = { kHubA.address };
+  plan.storeReadRank = kStoreReaders;
+  for (const auto sinceStart : { 700ms, 2500ms, 5000ms, 9900ms }) {
+    view.sinceStart = sinceStart;
+    cr_assert(MakeSourceOptions(view, plan).order.front() == kStore);
+  }
+  view.sinceStart = kMaxStartTime;
+  cr_assert(MakeSourceOptions(view, plan).order.front() == kHubA);
+}
+
 Test(sourceselector, InASmallFleetEachRouterReadsTheStore)
 {
   SourceContext view;
