--- a/src/framing/framebuffer.cpp
+++ b/src/framing/framebuffer.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
-//! An empty buffer of more bytes than this is freed: a router receives the whole
-//! list of upstreams once and small frames afterwards.
+//! An empty buffer of more bytes than this is freed: a router receives the
+//! whole list of upstreams once and small frames afterwards.
 constexpr std::size_t kMaxKeptBytes = 65536;
 
 }
