--- a/src/fleet/tests/starttests.cpp
+++ b/src/fleet/tests/starttests.cpp
@@ -17,7 +17,7 @@
   load.upstreams = 10 * aRouters;
   load.running = aRunning;
   const auto result = StartSimulation(load).Run(20000ms);
-  cr_log_warn("%zu routers, %zu running: list after %lld ms, %d calls, %zu "
+  cr_log_info("%zu routers, %zu running: list after %lld ms, %d calls, %zu "
               "without, oldest proof %lld ms\n",
               aRouters,
               aRunning,
