Log what upstreams say of themselves in answers

Cause: no log line or metric shows that an answer said its upstream leaves, or that a refusal asked for a pause, so that a router that does not read these fields looks like one that forgets them.

No decision uses them.

--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -65,8 +65,12 @@
     false; //!< has the seal that a successful response needs
   bool isEventStream = false;
   bool hasContentEncoding =
-    false;              //!< has a Content-Encoding, which no upstream sets
-  Duration keepAlive{}; //!< idle time of the connection; 0 if not given
+    false;                //!< has a Content-Encoding, which no upstream sets
+  Duration keepAlive{};   //!< idle time of the connection; 0 if not given
+  bool isLeaving = false; //!< the upstream will end and wants no more requests
+  //! Of a refusal: the upstream wants no requests from this router for so long;
+  //! 0 if not given.
+  Duration retryAfter{};
   std::vector<http::HeaderField> forwardedHeaders; //!< forwarded unchanged
 
   bool IsSuccess() const { return status >= 200 && status < 300; }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -79,6 +79,7 @@
   m_mayHaveReachedUpstream = true;
   auto response = m_dependencies.upstreams.Decode(std::move(aHead));
   const bool ranNothing = response.notRun || response.misdirected;
+  RecordSignals(response);
   if (!response.requestId.empty() && response.requestId != m_request.id) {
     m_dependencies.metrics.Count("foreign_answers_total");
     return HeadAction::Skip;
@@ -99,6 +100,35 @@
   return HeadAction::Accept;
 }
 
+//! Records what the upstream states about itself in the head of a response,
+//! also if the response answers another request. A misdirected request was
+//! answered by another upstream.
+void
+Exchange::RecordSignals(const UpstreamResponse& aResponse)
+{
+  const bool hasRetryAfter = aResponse.retryAfter > base::Duration{};
+  if (aResponse.misdirected || (!aResponse.isLeaving && !hasRetryAfter)) {
+    return;
+  }
+  auto& metrics = m_dependencies.metrics;
+  metrics.Count("answers_from_leaving_total", aResponse.isLeaving ? 1 : 0);
+  metrics.Count("answers_with_retry_after_total", hasRetryAfter ? 1 : 0);
+  if (!m_isLogged) {
+    return;
+  }
+  LogLine("upstream-signal")
+    .Add("upstream", m_upstreamId)
+    .Add("request", m_request.id)
+    .Add("status", aResponse.status)
+    .Add("leaving", aResponse.isLeaving ? "yes" : "no")
+    .Add("retry_after_ms", aResponse.retryAfter.count())
+    .Add("listed_as",
+         m_dependencies.fleet.Upstreams().MayGetWork(m_upstreamId)
+           ? "ready"
+           : "not-ready")
+    .Info();
+}
+
 void
 Exchange::OnAnswerBody(http::ClientConnection&, std::string_view aBytes)
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -110,6 +110,7 @@
   void Send(const fleet::PlaceResult& aPlace);
   void LogPlacement(const char* aEvent, const fleet::PlaceResult& aPlace);
 
+  void RecordSignals(const UpstreamResponse& aResponse);
   bool IsStream() const;
   void RelayStreamBytes(std::string_view aBytes);
   void SendHead();
