--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -102,14 +102,17 @@
 void
 StoreStandin::PutUpstream(const std::string& aId, const StoredEntry& aEntry)
 {
-  const json entry{ { "service", aEntry.service },
-                    { "address", aEntry.address.Text() },
-                    { "zone", aEntry.zone },
-                    { "version", "v1" },
-                    { "slots", aEntry.slots },
-                    { "state", aEntry.state },
-                    { "sequence", 1 },
-                    { "coldRemainingMs", aEntry.coldFor.count() } };
+  json entry{ { "service", aEntry.service },
+              { "address", aEntry.address.Text() },
+              { "zone", aEntry.zone },
+              { "version", "v1" },
+              { "slots", aEntry.slots },
+              { "state", aEntry.state },
+              { "sequence", 1 },
+              { "coldRemainingMs", aEntry.coldFor.count() } };
+  if (aEntry.born != 0) {
+    entry["born"] = aEntry.born;
+  }
   Put("servers/" + aId, entry.dump());
 }
 
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -15,6 +15,7 @@
 
 constexpr base::Duration kTickInterval(2);
 constexpr std::string_view kAttemptIdField = "Hemlockgauge-Attempt-Id";
+constexpr std::string_view kLeavingField = "Server-Leaving";
 constexpr int kTokensPerEvent = 3;
 constexpr int kMaxEvents = 64;
 constexpr std::array<std::string_view, 6> kRouterOnlyFields{
@@ -92,6 +93,7 @@
                  "");
     return;
   }
+  m_arrivals++;
   auto run = std::make_unique<UpstreamRun>();
   run->requestId = ValueOrEmpty(headers, kAttemptIdField);
   run->target = aHead.target;
@@ -112,12 +114,7 @@
   const auto fault = m_faultSelector(*run);
   if (fault == UpstreamFault::Shed ||
       m_activeWork.size() >= 4 * std::size_t{ m_settings.slots }) {
-    SendResponse(aConnection,
-                 503,
-                 fmt::format("Hemlockgauge-Not-Executed: 1\r\n{}: {}\r\n",
-                             kAttemptIdField,
-                             run->requestId),
-                 "");
+    Refuse(aConnection, *run);
     return;
   }
   Work work;
@@ -134,6 +131,20 @@
   m_observer(*work.run);
 }
 
+void
+UpstreamStandin::Refuse(http::ServerConnection& aConnection,
+                        const UpstreamRun& aRun)
+{
+  std::string fields;
+  http::AppendField(fields, "Hemlockgauge-Not-Executed", "1");
+  http::AppendField(fields, kAttemptIdField, aRun.requestId);
+  if (m_retryAfter > base::Duration{}) {
+    const auto seconds = static_cast<double>(m_retryAfter.count()) / 1000;
+    http::AppendField(fields, "Retry-After", fmt::format("{}", seconds));
+  }
+  SendResponse(aConnection, 503, fields, "");
+}
+
 std::string
 UpstreamStandin::ResponseHead(const Work& aWork, int aStatus) const
 {
@@ -151,6 +162,9 @@
     head,
     "Hemlockgauge-Instance-Load",
     fmt::format("{},0,{}", m_activeWork.size(), m_settings.slots));
+  if (m_leaving) {
+    http::AppendField(head, kLeavingField, "1");
+  }
   if (aWork.events > 0) {
     http::AppendField(head, "Content-Type", "text/event-stream");
   }
@@ -166,6 +180,9 @@
   std::string head;
   http::AppendStatusLine(head, aStatus, "Answer");
   head += aExtraHead;
+  if (m_leaving) {
+    http::AppendField(head, kLeavingField, "1");
+  }
   aConnection.BeginAnswer(head, Framing::Length, aBody.size());
   aConnection.Write(aBody);
   aConnection.EndAnswer();
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -25,7 +25,8 @@
 enum class UpstreamFault : std::uint8_t
 {
   None,
-  Shed,            //!< answers that it has not run the request
+  Shed,            //!< answers that it has not run the request; with a
+                   //!< Retry-After if one is set
   Fail,            //!< answers 500 after running the request
   CloseUnanswered, //!< runs the request, closes without an answer
   BreakOff,        //!< closes the connection within its answer
@@ -112,6 +113,13 @@
   bool HasCrashed() const { return m_crashed; }
   void TurnCold(base::Duration aFor);
   bool IsCold() const;
+  //! From now on all answers say that the upstream leaves. It goes on serving.
+  void Leave() { m_leaving = true; }
+  //! Retry-After of later refusals; 0: none.
+  void SetRetryAfter(base::Duration aRetryAfter) { m_retryAfter = aRetryAfter; }
+  //! Number of requests that reached the upstream and were meant for it,
+  //! including refused ones.
+  std::uint64_t Arrivals() const { return m_arrivals; }
 
   //! Returns the data of event aEvent (from 1) of a stream, or the body of a
   //! plain answer (aEvent is 0).
@@ -144,6 +152,7 @@
   //! Counts a request; returns true if it exceeds
   //! UpstreamStandinSettings::coldLimit.
   bool ExceedsColdLimit();
+  void Refuse(http::ServerConnection& aConnection, const UpstreamRun& aRun);
   //! Performs the next step of a run; returns true when the run has ended.
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
@@ -166,6 +175,9 @@
   http::ConnectionSet m_connections;
   http::Listener m_listener;
   bool m_crashed = false;
+  bool m_leaving = false;
+  base::Duration m_retryAfter{};
+  std::uint64_t m_arrivals = 0;
   base::TimePoint m_coldUntil{ base::TimePoint::min() / 2 };
   std::deque<base::TimePoint> m_coldRequestTimes; //!< within the last second
 };
