A leaving upstream gets no requests from routers that it told so

What callers saw: nothing yet; their requests went to an upstream that was about to end, 11 s after its answers had said so, and would have been cut had it ended on time.

Cause: a router learned from the store alone that an upstream leaves. The statement in the upstream's own answers was not read, so that a store that is unreachable, behind or restored from a copy kept the upstream in use. Class: what a router believes of an upstream comes from one source only, and newer first-hand knowledge is thrown away.

Change: UpstreamSignals keeps the statement by incarnation, apart from the list. It is taken from the head of any answer, those to other requests included, and holds whether the entry is missing, repeated, expired, listed anew or restored from a copy, until an entry shows a later start; it is forgotten ten minutes after the entry was last listed. First placements, retries, resumed streams, sources of prefix copies and crash checks all ask the same question of the upstream, and so does the capacity that shares are computed from.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -39,6 +39,7 @@
     status.id = upstream.entry->id;
     status.service = upstream.entry->service;
     status.draining = upstream.entry->draining;
+    status.leaving = upstream.leaving;
     status.evacuated = upstream.evacuated;
     status.coldFor = std::max(upstream.coldUntil - aNow, Duration{});
     status.ejected = upstream.health.IsEjected(aNow);
@@ -95,6 +96,7 @@
     }
     if (after && after->usable) {
       m_upstreams.Put(after, m_evacuations, aNow);
+      ApplySignals(*after, aNow);
     }
   }
   if (auto inForce = m_evacuations.InForce(); inForce != m_appliedEvacuations) {
@@ -104,6 +106,43 @@
   return updates;
 }
 
+//! Applies what is known from answers to the listed upstream with this entry.
+void
+Fleet::ApplySignals(const UpstreamEntry& aEntry, TimePoint aNow)
+{
+  if (m_signals.IsLeaving(aEntry)) {
+    m_upstreams.SetLeaving(UpstreamIdOf(aEntry), aNow);
+  }
+}
+
+void
+Fleet::SweepSignals(TimePoint aNow)
+{
+  if (aNow - m_signalsSweptAt < kSignalSweepInterval) {
+    return;
+  }
+  m_signalsSweptAt = aNow;
+  m_signals.Sweep(m_list.Entries(), aNow);
+}
+
+bool
+Fleet::RecordLeaving(AttemptId aAttempt, TimePoint aNow)
+{
+  const auto found = m_attempts.find(aAttempt);
+  if (found == m_attempts.end()) {
+    return false;
+  }
+  const auto& entry = *found->second.entry;
+  if (!m_signals.RecordLeaving(entry, aNow)) {
+    return false;
+  }
+  const auto listed = m_list.Entries().find(entry.id);
+  if (listed != m_list.Entries().end()) {
+    ApplySignals(*listed->second, aNow);
+  }
+  return true;
+}
+
 std::size_t
 Fleet::CountUpstreamsInZone(const std::string& aZone) const
 {
@@ -186,8 +225,8 @@
       upstream->health.AnsweredFailure(aNow);
       return false;
     case AttemptOutcome::Broken:
-      //! NOTE a draining upstream closes its connections without a crash.
-      if (hasFingerprint && !upstream->entry->draining) {
+      //! NOTE a leaving upstream closes its connections without a crash.
+      if (hasFingerprint && !upstream->IsLeaving()) {
         m_crashChecks.RecordBrokenConnection(
           attempt.upstream, attempt.fingerprint, aNow);
       }
@@ -206,10 +245,11 @@
 {
   std::vector<UpstreamToCheck> due;
   for (const auto id : m_crashChecks.StartDueChecks(aNow)) {
-    if (const auto* upstream = m_upstreams.Find(id)) {
+    const auto* upstream = m_upstreams.Find(id);
+    if (upstream != nullptr && !upstream->IsLeaving()) {
       due.push_back({ id, upstream->entry->address });
     } else {
-      m_crashChecks.EndCheck(id); // the upstream is no longer listed
+      m_crashChecks.EndCheck(id); // it ends or has ended on purpose
     }
   }
   return due;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -18,6 +18,7 @@
 #include "fleet/servicetime.h"
 #include "fleet/suitability.h"
 #include "fleet/upstreamlist.h"
+#include "fleet/upstreamsignals.h"
 #include "fleet/upstreamtable.h"
 #include "fleet/warmup.h"
 #include "fleet/workspacethrottle.h"
@@ -219,6 +220,10 @@
   PlaceResult Place(const PlaceRequest& aRequest, TimePoint aNow);
   //! Records that the first token of an attempt's answer arrived.
   void RecordFirstToken(AttemptId aAttempt, TimePoint aNow);
+  //! Records that an attempt's upstream stated that it is leaving: it gets no
+  //! more requests. Returns false if this was known.
+  bool RecordLeaving(AttemptId aAttempt, TimePoint aNow);
+  const UpstreamSignals& Signals() const { return m_signals; }
   //! Records the end of an attempt. Returns true if it ejects the upstream.
   bool EndAttempt(AttemptId aAttempt, AttemptOutcome aEnd, TimePoint aNow);
   RetryBudget& Retries() { return m_retries; }
@@ -270,7 +275,8 @@
   {
     std::string id;
     std::string service;
-    bool draining = false;
+    bool draining = false; //!< according to its entry
+    bool leaving = false;  //!< according to its answers
     bool evacuated = false;
     Duration coldFor{};
     bool ejected = false;
@@ -285,6 +291,7 @@
   struct Attempt
   {
     UpstreamId upstream{};
+    UpstreamEntryPtr entry; //!< of the upstream when the request was sent
     RequestFingerprint fingerprint{};
     //! Tokens to be prefilled at the upstream before its first token, those of
     //! its own prompt included.
@@ -295,6 +302,8 @@
     bool awaitsFirstToken = true;
   };
 
+  void ApplySignals(const UpstreamEntry& aEntry, TimePoint aNow);
+  void SweepSignals(TimePoint aNow);
   Suitability SuitabilityOf(const PlaceRequest& aRequest,
                             UpstreamId aId,
                             const Upstream& aUpstream,
@@ -394,6 +403,8 @@
   std::vector<PrefixUse> m_zoneUses;  //!< since the last zone sum
   std::vector<PrefixUse> m_fleetUses; //!< since the last fleet sum
   UpstreamTable m_upstreams;
+  UpstreamSignals m_signals;
+  TimePoint m_signalsSweptAt{};
   std::vector<Evacuation> m_appliedEvacuations; //!< to m_upstreams
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -190,6 +190,15 @@
 //! false alarms do not leave the service without upstreams.
 inline constexpr double kMaxEjectedRatio = 0.5;
 
+// ---- statements of upstreams about themselves
+
+//! A statement of an upstream is kept for this long after its entry was last
+//! listed: a store that was restored from a copy, or a router that was cut off,
+//! may list the entry again.
+inline constexpr base::Duration kSignalRetention = 600000ms;
+//! Interval between checks for statements to forget.
+inline constexpr base::Duration kSignalSweepInterval = 10000ms;
+
 // ---- retries
 
 //! Ratio of its part of the fleet's retry budget that a router uses in each of
--- a/src/fleet/internal/fleetlimits.cpp
+++ b/src/fleet/internal/fleetlimits.cpp
@@ -101,6 +101,7 @@
     sum.admitted += rate.admitted;
   }
   m_warmUp.Forget(aNow);
+  SweepSignals(aNow);
   UpdateFairShares();
   UpdateCallThrottle(aNow);
 }
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -58,7 +58,7 @@
   if (entry.service != aRequest.service) {
     return Suitability::Unlisted;
   }
-  if (entry.draining) {
+  if (aUpstream.IsLeaving()) {
     return Suitability::Draining;
   }
   if (!IsRegionAllowed(m_settings.regionOfZone, entry.zone, aRequest)) {
@@ -417,6 +417,7 @@
   const auto& work = *aRequest.work;
   Attempt attempt;
   attempt.upstream = aUpstream;
+  attempt.entry = upstream.entry;
   attempt.fingerprint = aRequest.fingerprint;
   const double prefillTokens = std::max(aCandidate.missingTokens, 0.0);
   attempt.tokensAhead = aCandidate.unreadTokens + aCandidate.missingTokens;
--- a/src/fleet/internal/upstreamtable.cpp
+++ b/src/fleet/internal/upstreamtable.cpp
@@ -79,6 +79,17 @@
   m_ejected.erase(aUpstream);
 }
 
+void
+UpstreamTable::SetLeaving(UpstreamId aUpstream, TimePoint aNow)
+{
+  const auto found = m_upstreams.find(aUpstream);
+  if (found == m_upstreams.end() || found->second.leaving) {
+    return;
+  }
+  found->second.leaving = true;
+  Count(aUpstream, found->second, aNow);
+}
+
 void
 UpstreamTable::Link(UpstreamId aId, Upstream& aUpstream, TimePoint aNow)
 {
--- /dev/null
+++ b/src/fleet/tests/upstreamsignalstests.cpp
@@ -0,0 +1,192 @@
+#include "fleet/tests/fleetfixture.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace hemlockgauge;
+using namespace hemlockgauge::fleet;
+
+namespace {
+
+UpstreamEntry
+Entry(const std::string& aId, std::optional<std::uint64_t> aStartedAt = {})
+{
+  UpstreamEntry entry;
+  entry.id = aId;
+  entry.startedAt = aStartedAt;
+  return entry;
+}
+
+}
+
+Test(upstreamsignals, LeavingHoldsUntilALaterStart)
+{
+  UpstreamSignals signals;
+  cr_assert(signals.RecordLeaving(Entry("u", 5), 0ms));
+  cr_assert(!signals.RecordLeaving(Entry("u", 5), 1ms), "known");
+  cr_assert(signals.IsLeaving(Entry("u", 5)));
+  cr_assert(signals.IsLeaving(Entry("u", 4)), "an earlier incarnation");
+  cr_assert(signals.IsLeaving(Entry("u")), "no start time proves no restart");
+  cr_assert(!signals.IsLeaving(Entry("u", 6)));
+  cr_assert(!signals.IsLeaving(Entry("v", 5)));
+}
+
+//! An answer of an earlier incarnation that arrives late says nothing about the
+//! later one.
+Test(upstreamsignals, ALateAnswerDoesNotChangeALaterIncarnation)
+{
+  UpstreamSignals signals;
+  cr_assert(signals.RecordLeaving(Entry("u", 6), 0ms));
+  cr_assert(!signals.RecordLeaving(Entry("u", 5), 0ms));
+  cr_assert(signals.IsLeaving(Entry("u", 6)));
+  cr_assert(!signals.IsLeaving(Entry("u", 7)));
+}
+
+Test(upstreamsignals, AreForgottenSomeTimeAfterTheEntryWasLastListed)
+{
+  UpstreamSignals signals;
+  signals.RecordLeaving(Entry("u", 5), 0ms);
+  const UpstreamEntries listed{
+    { "u", std::make_shared<UpstreamEntry>(Entry("u", 5)) }
+  };
+  signals.Sweep(listed, 2 * kSignalRetention);
+  signals.Sweep({}, 3 * kSignalRetention - 1ms);
+  cr_assert(signals.IsLeaving(Entry("u", 5)));
+  signals.Sweep({}, 3 * kSignalRetention);
+  cr_assert(signals.Size() == 0);
+}
+
+//! The statement of a replaced incarnation does not stay as long as its
+//! successor is listed.
+Test(upstreamsignals, AreForgottenWhileALaterIncarnationIsListed)
+{
+  UpstreamSignals signals;
+  signals.RecordLeaving(Entry("u", 5), 0ms);
+  const UpstreamEntries listed{
+    { "u", std::make_shared<UpstreamEntry>(Entry("u", 6)) }
+  };
+  signals.Sweep(listed, kSignalRetention);
+  cr_assert(signals.Size() == 0);
+}
+
+namespace {
+
+//! Places requests with new prefixes and returns the upstreams that got one.
+std::set<std::string>
+PlaceMany(FleetFixture& aFixture, int aRequests = 60)
+{
+  std::set<std::string> used;
+  for (int i = 0; i < aRequests; ++i) {
+    const auto request = aFixture.MakeRequest(1000 + aFixture.lastUniquePart);
+    const auto place = aFixture.Place(request);
+    used.insert(place.upstreamId);
+    aFixture.fleet.EndAttempt(
+      place.attempt, AttemptOutcome::Answered, aFixture.now);
+    aFixture.now += 50ms;
+  }
+  return used;
+}
+
+//! Lets the fixture's upstreams answer until aUpstream got a request; returns
+//! the attempt, which goes on.
+AttemptId
+PlaceAt(FleetFixture& aFixture, const std::string& aUpstream)
+{
+  for (std::uint64_t prefix = 1; prefix < 1000; ++prefix) {
+    const auto place = aFixture.Place(aFixture.MakeRequest(prefix));
+    if (place.upstreamId == aUpstream) {
+      return place.attempt;
+    }
+    aFixture.fleet.EndAttempt(
+      place.attempt, AttemptOutcome::Answered, aFixture.now);
+  }
+  cr_assert(false, "no request was placed there");
+  return 0;
+}
+
+}
+
+Test(upstreamsignals, ALeavingUpstreamGetsNothingHoweverItIsListedLater)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(3);
+  const auto attempt = PlaceAt(fixture, "u0");
+  cr_assert(fixture.fleet.RecordLeaving(attempt, fixture.now));
+  cr_assert(!PlaceMany(fixture).contains("u0"));
+  fixture.ListUpstreams(3);
+  cr_assert(!PlaceMany(fixture).contains("u0"));
+  fixture.ListUpstreams(0);
+  fixture.ListUpstreams(3);
+  cr_assert(!PlaceMany(fixture).contains("u0"));
+  fixture.ListEngine(7);
+  cr_assert(PlaceMany(fixture).contains("u0"));
+}
+
+//! The entry was gone when the answer arrived, and is listed again later.
+Test(upstreamsignals, AnAnswerCountsAlthoughItsUpstreamIsNoLongerListed)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(3);
+  const auto attempt = PlaceAt(fixture, "u0");
+  fixture.ListUpstreams(0);
+  cr_assert(fixture.fleet.RecordLeaving(attempt, fixture.now));
+  fixture.ListUpstreams(3);
+  cr_assert(!PlaceMany(fixture).contains("u0"));
+}
+
+//! A leaving upstream closes its connections; the request on them did not
+//! crash it.
+Test(upstreamsignals, ALeavingUpstreamIsNotCheckedForACrash)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(1);
+  const auto place = [&] {
+    auto request = fixture.MakeRequest(1);
+    request.fingerprint = RequestFingerprint{ 7 };
+    return fixture.Place(request).attempt;
+  };
+  const auto broken = place();
+  const auto leaving = place();
+  fixture.fleet.EndAttempt(broken, AttemptOutcome::Broken, fixture.now);
+  fixture.fleet.RecordLeaving(leaving, fixture.now);
+  fixture.fleet.EndAttempt(leaving, AttemptOutcome::Broken, fixture.now);
+  fixture.now += 10000ms;
+  cr_assert(fixture.fleet.UpstreamsToCheck(fixture.now).empty());
+}
+
+//! Other engines do not copy prefixes from an engine that is leaving.
+Test(upstreamsignals, ALeavingUpstreamIsNoSourceOfCopies)
+{
+  FleetFixture fixture;
+  auto config = std::make_shared<FleetConfig>(*MakeConfig(2));
+  config->services["engines"].kvBytesPerToken = 1000;
+  config->services["engines"].copyMbps = 100000;
+  fixture.fleet.SetConfig(config);
+  fixture.ListUpstreams(2);
+  const auto first = fixture.Place(fixture.MakeRequest(1, "w", 20000));
+  fixture.fleet.RecordLeaving(first.attempt, fixture.now);
+  fixture.fleet.EndAttempt(
+    first.attempt, AttemptOutcome::Answered, fixture.now);
+  fixture.now += 1000ms;
+  const auto second = fixture.Place(fixture.MakeRequest(1, "w", 20000));
+  cr_assert(second.upstreamId != first.upstreamId);
+  cr_assert(second.copyFrom.port == 0);
+  cr_assert(second.copiedTokens == 0);
+}
+
+//! The capacity that shares are computed from leaves out leaving upstreams.
+Test(upstreamsignals, ALeavingUpstreamIsNoCapacity)
+{
+  UpstreamTable table;
+  Evacuations none;
+  auto entry = std::make_shared<UpstreamEntry>(Entry("u"));
+  entry->service = "plain";
+  entry->slots = 6;
+  table.Put(entry, none, 0ms);
+  cr_assert(table.FindService("plain")->capacity.slots == 6);
+  table.SetLeaving(UpstreamIdOf(*entry), 0ms);
+  cr_assert(table.FindService("plain")->capacity.slots == 0);
+  table.Put(entry, none, 1ms);
+  cr_assert(table.FindService("plain")->capacity.slots == 0);
+}
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -41,6 +41,7 @@
   UpstreamEntryPtr entry;
   ServiceUpstreams* service = nullptr;
   bool evacuated = false; //!< its availability zone is evacuated
+  bool leaving = false;   //!< it stated so in an answer
   TimePoint coldUntil{ TimePoint::min() / 2 };
   PrefillRate prefillRate;
   UpstreamServiceTime serviceTime;
@@ -55,10 +56,11 @@
   {
     return service->coldRequestsPerSecond > 0 && aNow < coldUntil;
   }
+  bool IsLeaving() const { return entry->draining || leaving; }
   //! Whether it may get any new requests.
   bool AcceptsWork(TimePoint aNow) const
   {
-    return !entry->draining && !evacuated && !IsCold(aNow);
+    return !IsLeaving() && !evacuated && !IsCold(aNow);
   }
 };
 
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -33,6 +33,8 @@
            const Evacuations& aEvacuations,
            TimePoint aNow);
   void Remove(UpstreamId aUpstream);
+  //! Records that an upstream stated that it is leaving.
+  void SetLeaving(UpstreamId aUpstream, TimePoint aNow);
   //! Applies changed evacuations. The upstreams of a restored zone count as
   //! cold for aColdFor: they may have become cold without work, and only their
   //! next heartbeats report it.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -113,7 +113,14 @@
   auto& metrics = m_dependencies.metrics;
   metrics.Count("answers_from_leaving_total", aResponse.isLeaving ? 1 : 0);
   metrics.Count("answers_with_retry_after_total", hasRetryAfter ? 1 : 0);
-  if (!m_isLogged) {
+  auto& fleet = m_dependencies.fleet;
+  const bool newlyLeaving =
+    aResponse.isLeaving &&
+    fleet.RecordLeaving(m_attempt, m_dependencies.loop.Now());
+  if (newlyLeaving) {
+    m_dependencies.pool.CloseIdle(m_triedUpstreams.back());
+  }
+  if (!newlyLeaving && !m_isLogged) {
     return;
   }
   LogLine("upstream-signal")
@@ -123,9 +130,8 @@
     .Add("leaving", aResponse.isLeaving ? "yes" : "no")
     .Add("retry_after_ms", aResponse.retryAfter.count())
     .Add("listed_as",
-         m_dependencies.fleet.Upstreams().MayGetWork(m_upstreamId)
-           ? "ready"
-           : "not-ready")
+         fleet.Upstreams().MayGetWork(m_upstreamId) ? "ready" : "not-ready")
+    .Add("change", newlyLeaving ? "leaving" : "none")
     .Info();
 }
 
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -50,13 +50,15 @@
     m_exchanges.size(),
     m_connections.Size());
   for (const auto& upstream : m_fleet.Status(now)) {
-    text += fmt::format("upstream={} service={} draining={} evacuated={} "
+    text += fmt::format("upstream={} service={} draining={} leaving={} "
+                        "evacuated={} "
                         "cold_ms={} ejected={} "
                         "unread_tokens={:.0f} running={} read_rate={:.1f} "
                         "failure_part={:.2f}\n",
                         upstream.id,
                         upstream.service,
                         upstream.draining ? "yes" : "no",
+                        upstream.leaving ? "yes" : "no",
                         upstream.evacuated ? "yes" : "no",
                         upstream.coldFor.count(),
                         upstream.ejected ? "yes" : "no",
