An upstream gets no requests within its Retry-After

What callers saw: requests sent to upstreams that had asked for a pause, most of them refused again, one request at up to three of them in a row; retries and waits for nothing while the upstreams had no room.

Cause: the Retry-After of a refusal was not read. A refusal counted as a failure, and only three in a row kept requests away, for 0.5 s; the router's own answers named 100 ms, whatever the upstreams had asked for. Same class as the leaving upstream: first- hand knowledge is thrown away, and an estimate of our own takes its place.

Change: UpstreamSignals keeps the end of the pause by incarnation; a shorter one does not end a longer one. A paused upstream gets no request, no retry and no stream to resume, is no source of copies, and unlike an ejected one no last resort. Its capacity still counts in shares, as it asked this router only. If no upstream is eligible, the request is rejected at once with the time until the first one is, also if it learned of the pause itself. The end is reckoned from the clock when the answer is read: the event loop's time may be older than the answer. Ruled out: telling other routers (the pause is for one); postponing crash checks (they open a connection and send nothing; postponed, they would keep requests under suspicion as long as the pause).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -42,6 +42,7 @@
     status.leaving = upstream.leaving;
     status.evacuated = upstream.evacuated;
     status.coldFor = std::max(upstream.coldUntil - aNow, Duration{});
+    status.pausedFor = std::max(upstream.pausedUntil - aNow, Duration{});
     status.ejected = upstream.health.IsEjected(aNow);
     status.unreadTokens =
       upstream.prefills.UnreadTokens(aNow) + remote.unreadTokens;
@@ -110,9 +111,11 @@
 void
 Fleet::ApplySignals(const UpstreamEntry& aEntry, TimePoint aNow)
 {
+  const auto id = UpstreamIdOf(aEntry);
   if (m_signals.IsLeaving(aEntry)) {
-    m_upstreams.SetLeaving(UpstreamIdOf(aEntry), aNow);
+    m_upstreams.SetLeaving(id, aNow);
   }
+  m_upstreams.SetPause(id, m_signals.PausedUntil(aEntry));
 }
 
 void
@@ -125,22 +128,22 @@
   m_signals.Sweep(m_list.Entries(), aNow);
 }
 
-bool
-Fleet::RecordLeaving(AttemptId aAttempt, TimePoint aNow)
+SignalChange
+Fleet::RecordSignals(AttemptId aAttempt,
+                     const AnswerSignals& aSignals,
+                     TimePoint aNow)
 {
   const auto found = m_attempts.find(aAttempt);
   if (found == m_attempts.end()) {
-    return false;
+    return SignalChange::None;
   }
   const auto& entry = *found->second.entry;
-  if (!m_signals.RecordLeaving(entry, aNow)) {
-    return false;
-  }
+  const auto change = m_signals.Record(entry, aSignals, aNow);
   const auto listed = m_list.Entries().find(entry.id);
   if (listed != m_list.Entries().end()) {
     ApplySignals(*listed->second, aNow);
   }
-  return true;
+  return change;
 }
 
 std::size_t
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -218,11 +218,17 @@
   //! the outcome is Placed, an attempt starts, for which EndAttempt must be
   //! called.
   PlaceResult Place(const PlaceRequest& aRequest, TimePoint aNow);
+  //! Time until an upstream may get the request: 0 if one may get it now,
+  //! Duration::max() if waiting does not help.
+  Duration TimeUntilEligible(const PlaceRequest& aRequest,
+                             TimePoint aNow) const;
   //! Records that the first token of an attempt's answer arrived.
   void RecordFirstToken(AttemptId aAttempt, TimePoint aNow);
-  //! Records that an attempt's upstream stated that it is leaving: it gets no
-  //! more requests. Returns false if this was known.
-  bool RecordLeaving(AttemptId aAttempt, TimePoint aNow);
+  //! Records what an attempt's upstream stated about itself in an answer. aNow:
+  //! not before the upstream sent the answer.
+  SignalChange RecordSignals(AttemptId aAttempt,
+                             const AnswerSignals& aSignals,
+                             TimePoint aNow);
   const UpstreamSignals& Signals() const { return m_signals; }
   //! Records the end of an attempt. Returns true if it ejects the upstream.
   bool EndAttempt(AttemptId aAttempt, AttemptOutcome aEnd, TimePoint aNow);
@@ -279,6 +285,7 @@
     bool leaving = false;  //!< according to its answers
     bool evacuated = false;
     Duration coldFor{};
+    Duration pausedFor{}; //!< it wants no requests from this router
     bool ejected = false;
     double unreadTokens = 0;   //!< still to be prefilled, of all routers
     std::uint32_t running = 0; //!< requests of all routers
@@ -308,7 +315,6 @@
                             UpstreamId aId,
                             const Upstream& aUpstream,
                             TimePoint aNow) const;
-  Duration TimeUntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const;
   std::vector<UpstreamId> EligibleUpstreams(const PlaceRequest& aRequest,
                                             const PlacementPolicy& aPolicy,
                                             std::uint64_t aKey,
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -67,6 +67,9 @@
   if (aUpstream.evacuated) {
     return Suitability::Evacuated;
   }
+  if (aUpstream.IsPaused(aNow)) {
+    return Suitability::Paused;
+  }
   if (std::find(aRequest.triedUpstreams.begin(),
                 aRequest.triedUpstreams.end(),
                 aId) != aRequest.triedUpstreams.end()) {
@@ -116,10 +119,8 @@
   return eligible;
 }
 
-//! Time until the first cold upstream of the request's service is warm;
-//! Duration::max() if none is cold.
 Duration
-Fleet::TimeUntilWarm(const PlaceRequest& aRequest, TimePoint aNow) const
+Fleet::TimeUntilEligible(const PlaceRequest& aRequest, TimePoint aNow) const
 {
   auto least = Duration::max();
   const auto* service = m_upstreams.FindService(aRequest.service);
@@ -128,8 +129,17 @@
   }
   for (const auto id : service->ids) {
     const auto& upstream = *m_upstreams.Find(id);
-    if (SuitabilityOf(aRequest, id, upstream, aNow) == Suitability::Cold) {
-      least = std::min(least, upstream.coldUntil - aNow);
+    const auto suitability = SuitabilityOf(aRequest, id, upstream, aNow);
+    if (suitability == Suitability::Fits) {
+      return Duration{};
+    }
+    if (suitability == Suitability::Cold ||
+        suitability == Suitability::Paused) {
+      const auto eligibleAt =
+        upstream.IsCold(aNow)
+          ? std::max(upstream.coldUntil, upstream.pausedUntil)
+          : upstream.pausedUntil;
+      least = std::min(least, eligibleAt - aNow);
     }
   }
   return least;
@@ -363,8 +373,8 @@
   const auto unseen = EstimateUnreportedLoad(aRequest, candidates, aNow);
   auto placed = fleet::Place(policy, candidates, key, unseen);
   if (!placed) {
-    result.retryAfter =
-      NoUpstreamRetryAfter(result.suitability, TimeUntilWarm(aRequest, aNow));
+    result.retryAfter = NoUpstreamRetryAfter(result.suitability,
+                                             TimeUntilEligible(aRequest, aNow));
     return result;
   }
   auto admission =
--- a/src/fleet/internal/suitability.cpp
+++ b/src/fleet/internal/suitability.cpp
@@ -33,11 +33,14 @@
 }
 
 Duration
-NoUpstreamRetryAfter(Suitability aSuitability, Duration aUntilWarm)
+NoUpstreamRetryAfter(Suitability aSuitability, Duration aUntilEligible)
 {
   switch (aSuitability) {
     case Suitability::Cold:
-      return std::clamp(aUntilWarm, kMinRetryAfter, kMaxNoUpstreamRetryAfter);
+      return std::clamp(
+        aUntilEligible, kMinRetryAfter, kMaxNoUpstreamRetryAfter);
+    case Suitability::Paused:
+      return std::max(aUntilEligible, kMinRetryAfter);
     case Suitability::OtherRegion:
     case Suitability::Evacuated:
       return kMaxNoUpstreamRetryAfter;
--- a/src/fleet/internal/upstreamtable.cpp
+++ b/src/fleet/internal/upstreamtable.cpp
@@ -90,6 +90,16 @@
   Count(aUpstream, found->second, aNow);
 }
 
+void
+UpstreamTable::SetPause(UpstreamId aUpstream, TimePoint aUntil)
+{
+  const auto found = m_upstreams.find(aUpstream);
+  if (found != m_upstreams.end()) {
+    auto& upstream = found->second;
+    upstream.pausedUntil = std::max(upstream.pausedUntil, aUntil);
+  }
+}
+
 void
 UpstreamTable::Link(UpstreamId aId, Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/suitability.h
+++ b/src/fleet/suitability.h
@@ -24,6 +24,7 @@
   Draining,    //!< takes no new requests
   Evacuated,   //!< its availability zone is evacuated
   Cold,        //!< gets no request from this router now, see WarmUp
+  Paused,      //!< wants no requests from this router for a time
   Tried,       //!< already tried for the same request
   Fits
 };
@@ -33,11 +34,13 @@
                                    "draining",
                                    "evacuated",
                                    "cold",
+                                   "paused",
                                    "tried",
                                    "fits");
 
 //! Whether other upstreams may copy prefixes from this one. This includes one
-//! that gets no requests now because it is cold or was already tried.
+//! that gets no requests now because it is cold or was already tried, but not
+//! one that is paused, as a copy is work for its source.
 inline bool
 CanProvideCopies(Suitability aSuitability)
 {
@@ -55,9 +58,9 @@
                 const PlaceRequest& aRequest);
 
 //! Returns when a request that found no upstream should be retried.
-//! aSuitability: the greatest over all upstreams; aUntilWarm: time until the
-//! first cold upstream is warm.
+//! aSuitability: the greatest over all upstreams; aUntilEligible: time until
+//! the first cold or paused upstream is neither.
 Duration
-NoUpstreamRetryAfter(Suitability aSuitability, Duration aUntilWarm);
+NoUpstreamRetryAfter(Suitability aSuitability, Duration aUntilEligible);
 
 }
--- a/src/fleet/tests/upstreamsignalstests.cpp
+++ b/src/fleet/tests/upstreamsignalstests.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+constexpr AnswerSignals kLeaving{ true, {} };
+
+AnswerSignals
+RetryAfter(Duration aTime)
+{
+  return { false, aTime };
+}
+
 UpstreamEntry
 Entry(const std::string& aId, std::optional<std::uint64_t> aStartedAt = {})
 {
@@ -23,8 +31,9 @@
 Test(upstreamsignals, LeavingHoldsUntilALaterStart)
 {
   UpstreamSignals signals;
-  cr_assert(signals.RecordLeaving(Entry("u", 5), 0ms));
-  cr_assert(!signals.RecordLeaving(Entry("u", 5), 1ms), "known");
+  cr_assert(signals.Record(Entry("u", 5), kLeaving, 0ms) ==
+            SignalChange::Leaving);
+  cr_assert(signals.Record(Entry("u", 5), kLeaving, 1ms) == SignalChange::None);
   cr_assert(signals.IsLeaving(Entry("u", 5)));
   cr_assert(signals.IsLeaving(Entry("u", 4)), "an earlier incarnation");
   cr_assert(signals.IsLeaving(Entry("u")), "no start time proves no restart");
@@ -37,8 +46,8 @@
 Test(upstreamsignals, ALateAnswerDoesNotChangeALaterIncarnation)
 {
   UpstreamSignals signals;
-  cr_assert(signals.RecordLeaving(Entry("u", 6), 0ms));
-  cr_assert(!signals.RecordLeaving(Entry("u", 5), 0ms));
+  signals.Record(Entry("u", 6), kLeaving, 0ms);
+  cr_assert(signals.Record(Entry("u", 5), kLeaving, 0ms) == SignalChange::None);
   cr_assert(signals.IsLeaving(Entry("u", 6)));
   cr_assert(!signals.IsLeaving(Entry("u", 7)));
 }
@@ -46,7 +55,7 @@
 Test(upstreamsignals, AreForgottenSomeTimeAfterTheEntryWasLastListed)
 {
   UpstreamSignals signals;
-  signals.RecordLeaving(Entry("u", 5), 0ms);
+  signals.Record(Entry("u", 5), kLeaving, 0ms);
   const UpstreamEntries listed{
     { "u", std::make_shared<UpstreamEntry>(Entry("u", 5)) }
   };
@@ -62,7 +71,7 @@
 Test(upstreamsignals, AreForgottenWhileALaterIncarnationIsListed)
 {
   UpstreamSignals signals;
-  signals.RecordLeaving(Entry("u", 5), 0ms);
+  signals.Record(Entry("u", 5), kLeaving, 0ms);
   const UpstreamEntries listed{
     { "u", std::make_shared<UpstreamEntry>(Entry("u", 6)) }
   };
@@ -112,7 +121,7 @@
   FleetFixture fixture;
   fixture.ListUpstreams(3);
   const auto attempt = PlaceAt(fixture, "u0");
-  cr_assert(fixture.fleet.RecordLeaving(attempt, fixture.now));
+  fixture.fleet.RecordSignals(attempt, kLeaving, fixture.now);
   cr_assert(!PlaceMany(fixture).contains("u0"));
   fixture.ListUpstreams(3);
   cr_assert(!PlaceMany(fixture).contains("u0"));
@@ -130,7 +139,7 @@
   fixture.ListUpstreams(3);
   const auto attempt = PlaceAt(fixture, "u0");
   fixture.ListUpstreams(0);
-  cr_assert(fixture.fleet.RecordLeaving(attempt, fixture.now));
+  fixture.fleet.RecordSignals(attempt, kLeaving, fixture.now);
   fixture.ListUpstreams(3);
   cr_assert(!PlaceMany(fixture).contains("u0"));
 }
@@ -149,7 +158,7 @@
   const auto broken = place();
   const auto leaving = place();
   fixture.fleet.EndAttempt(broken, AttemptOutcome::Broken, fixture.now);
-  fixture.fleet.RecordLeaving(leaving, fixture.now);
+  fixture.fleet.RecordSignals(leaving, kLeaving, fixture.now);
   fixture.fleet.EndAttempt(leaving, AttemptOutcome::Broken, fixture.now);
   fixture.now += 10000ms;
   cr_assert(fixture.fleet.UpstreamsToCheck(fixture.now).empty());
@@ -165,7 +174,7 @@
   fixture.fleet.SetConfig(config);
   fixture.ListUpstreams(2);
   const auto first = fixture.Place(fixture.MakeRequest(1, "w", 20000));
-  fixture.fleet.RecordLeaving(first.attempt, fixture.now);
+  fixture.fleet.RecordSignals(first.attempt, kLeaving, fixture.now);
   fixture.fleet.EndAttempt(
     first.attempt, AttemptOutcome::Answered, fixture.now);
   fixture.now += 1000ms;
@@ -190,3 +199,65 @@
   table.Put(entry, none, 1ms);
   cr_assert(table.FindService("plain")->capacity.slots == 0);
 }
+
+// ---- pauses
+
+Test(upstreamsignals, APauseEndsWithItsTimeOrALaterStart)
+{
+  UpstreamSignals signals;
+  cr_assert(signals.Record(Entry("u", 5), RetryAfter(3000ms), 100ms) ==
+            SignalChange::Paused);
+  cr_assert(signals.PausedUntil(Entry("u", 5)) == 3100ms);
+  cr_assert(signals.PausedUntil(Entry("u")) == 3100ms);
+  cr_assert(signals.PausedUntil(Entry("u", 6)) < 0ms);
+  cr_assert(signals.Record(Entry("u", 5), RetryAfter(1000ms), 200ms) ==
+            SignalChange::None);
+  cr_assert(signals.PausedUntil(Entry("u", 5)) == 3100ms, "not shortened");
+  cr_assert(signals.Record(Entry("u", 5), RetryAfter(1000ms), 3100ms) ==
+            SignalChange::Paused);
+  signals.Sweep({}, 4099ms);
+  cr_assert(signals.PausedCount(4099ms) == 1);
+  signals.Sweep({}, 4100ms);
+  cr_assert(signals.Size() == 0);
+}
+
+Test(upstreamsignals, APausedUpstreamGetsNothingUntilThePauseIsOver)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(3);
+  const auto attempt = PlaceAt(fixture, "u0");
+  const auto until = fixture.now + 5000ms;
+  fixture.fleet.RecordSignals(attempt, RetryAfter(5000ms), fixture.now);
+  cr_assert(!PlaceMany(fixture).contains("u0"));
+  fixture.ListUpstreams(0);
+  fixture.ListUpstreams(3);
+  cr_assert(!PlaceMany(fixture, 30).contains("u0"));
+  fixture.now = until;
+  cr_assert(PlaceMany(fixture).contains("u0"));
+}
+
+//! An ejected upstream gets requests if there is no other; a paused one does
+//! not.
+Test(upstreamsignals, APausedUpstreamIsNotUsedAsALastResort)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(2);
+  const auto other = PlaceAt(fixture, "u1");
+  const auto attempt = PlaceAt(fixture, "u0");
+  fixture.fleet.RecordSignals(attempt, RetryAfter(5000ms), fixture.now);
+  fixture.fleet.RecordSignals(other, RetryAfter(2000ms), fixture.now);
+  auto request = fixture.MakeRequest(1);
+  request.admitted = true;
+  request.triedUpstreams = { UpstreamIdOf("u0") };
+  const auto place = fixture.Place(request);
+  cr_assert(place.outcome == PlaceOutcome::NoUpstream);
+  cr_assert(place.suitability == Suitability::Paused);
+  cr_assert(place.retryAfter == 2000ms);
+}
+
+//! Other engines do not copy prefixes from a paused engine.
+Test(upstreamsignals, OnlyCopiesOfUnpausedEnginesAreUsed)
+{
+  cr_assert(!CanProvideCopies(Suitability::Paused));
+  cr_assert(CanProvideCopies(Suitability::Tried));
+}
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -43,6 +43,8 @@
   bool evacuated = false; //!< its availability zone is evacuated
   bool leaving = false;   //!< it stated so in an answer
   TimePoint coldUntil{ TimePoint::min() / 2 };
+  //! Until then it wants no requests from this router.
+  TimePoint pausedUntil{ TimePoint::min() / 2 };
   PrefillRate prefillRate;
   UpstreamServiceTime serviceTime;
   UpstreamHealth health;
@@ -57,7 +59,8 @@
     return service->coldRequestsPerSecond > 0 && aNow < coldUntil;
   }
   bool IsLeaving() const { return entry->draining || leaving; }
-  //! Whether it may get any new requests.
+  bool IsPaused(TimePoint aNow) const { return aNow < pausedUntil; }
+  //! Whether it may get any new requests, of this router or of others.
   bool AcceptsWork(TimePoint aNow) const
   {
     return !IsLeaving() && !evacuated && !IsCold(aNow);
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -35,6 +35,8 @@
   void Remove(UpstreamId aUpstream);
   //! Records that an upstream stated that it is leaving.
   void SetLeaving(UpstreamId aUpstream, TimePoint aNow);
+  //! Pauses an upstream. Its capacity still counts, as it serves other routers.
+  void SetPause(UpstreamId aUpstream, TimePoint aUntil);
   //! Applies changed evacuations. The upstreams of a restored zone count as
   //! cold for aColdFor: they may have become cold without work, and only their
   //! next heartbeats report it.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/logline.h"
+#include "base/monotonicclock.h"
 #include "eventloop/eventloop.h"
 #include "gateway/icallercodec.h"
 #include "gateway/iupstreamcodec.h"
@@ -106,32 +107,33 @@
 void
 Exchange::RecordSignals(const UpstreamResponse& aResponse)
 {
-  const bool hasRetryAfter = aResponse.retryAfter > base::Duration{};
-  if (aResponse.misdirected || (!aResponse.isLeaving && !hasRetryAfter)) {
+  const fleet::AnswerSignals signals{ aResponse.isLeaving,
+                                      aResponse.retryAfter };
+  if (aResponse.misdirected || signals.IsEmpty()) {
     return;
   }
   auto& metrics = m_dependencies.metrics;
-  metrics.Count("answers_from_leaving_total", aResponse.isLeaving ? 1 : 0);
-  metrics.Count("answers_with_retry_after_total", hasRetryAfter ? 1 : 0);
-  auto& fleet = m_dependencies.fleet;
-  const bool newlyLeaving =
-    aResponse.isLeaving &&
-    fleet.RecordLeaving(m_attempt, m_dependencies.loop.Now());
-  if (newlyLeaving) {
+  metrics.Count("answers_from_leaving_total", signals.leaving ? 1 : 0);
+  metrics.Count("answers_with_retry_after_total",
+                signals.retryAfter > base::Duration{} ? 1 : 0);
+  //! NOTE the loop's time may be older than the answer.
+  const auto change = m_dependencies.fleet.RecordSignals(
+    m_attempt, signals, base::MonotonicNow());
+  if (change == fleet::SignalChange::Leaving) {
     m_dependencies.pool.CloseIdle(m_triedUpstreams.back());
   }
-  if (!newlyLeaving && !m_isLogged) {
+  if (change == fleet::SignalChange::None && !m_isLogged) {
     return;
   }
+  const auto& list = m_dependencies.fleet.Upstreams();
   LogLine("upstream-signal")
     .Add("upstream", m_upstreamId)
     .Add("request", m_request.id)
     .Add("status", aResponse.status)
-    .Add("leaving", aResponse.isLeaving ? "yes" : "no")
-    .Add("retry_after_ms", aResponse.retryAfter.count())
-    .Add("listed_as",
-         fleet.Upstreams().MayGetWork(m_upstreamId) ? "ready" : "not-ready")
-    .Add("change", newlyLeaving ? "leaving" : "none")
+    .Add("leaving", signals.leaving ? "yes" : "no")
+    .Add("retry_after_ms", signals.retryAfter.count())
+    .Add("listed_as", list.MayGetWork(m_upstreamId) ? "ready" : "not-ready")
+    .Add("change", fleet::kSignalChangeNames.NameOf(change))
     .Info();
 }
 
@@ -347,7 +349,20 @@
   const bool mayHaveRun = m_attemptsMayHaveRun > 0;
   SendLocalReply(mayHaveRun ? Refusal::UpstreamFailed : Refusal::NoUpstream,
                  mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
-                 mayHaveRun ? 0ms : kRetryElsewhereDelay);
+                 mayHaveRun ? 0ms : NotRunRetryAfter());
+}
+
+//! Retry-After of a request that no upstream ran: another router may serve it
+//! at once, but this one not before an upstream is eligible.
+base::Duration
+Exchange::NotRunRetryAfter() const
+{
+  auto request = MakePlaceRequest();
+  request.triedUpstreams.clear();
+  const auto until =
+    m_dependencies.fleet.TimeUntilEligible(request, m_dependencies.loop.Now());
+  return until == base::Duration::max() ? kRetryElsewhereDelay
+                                        : std::max(until, kRetryElsewhereDelay);
 }
 
 void
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -118,6 +118,7 @@
   void FinishResponse(const std::string& aWhy);
   void EndAttempt(fleet::AttemptOutcome aEnd);
   void AttemptFailed(base::Verdict aVerdict, const std::string& aWhy);
+  base::Duration NotRunRetryAfter() const;
   void SendLocalReply(Refusal aRefusal,
                       base::Verdict aVerdict,
                       base::Duration aRetryAfter = {});
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -26,6 +26,10 @@
       static_cast<double>(m_fleet.Quarantined().SuspectCount()));
   set("requests_quarantined",
       static_cast<double>(m_fleet.Quarantined().RefusedRequests(aNow).size()));
+  set("upstreams_leaving",
+      static_cast<double>(m_fleet.Signals().LeavingCount()));
+  set("upstreams_paused",
+      static_cast<double>(m_fleet.Signals().PausedCount(aNow)));
   set("zones_evacuated",
       static_cast<double>(m_fleet.Evacuated().InForce().size()));
   set("config_version", static_cast<double>(m_fleet.ConfigVersion()));
@@ -52,7 +56,7 @@
   for (const auto& upstream : m_fleet.Status(now)) {
     text += fmt::format("upstream={} service={} draining={} leaving={} "
                         "evacuated={} "
-                        "cold_ms={} ejected={} "
+                        "cold_ms={} paused_ms={} ejected={} "
                         "unread_tokens={:.0f} running={} read_rate={:.1f} "
                         "failure_part={:.2f}\n",
                         upstream.id,
@@ -61,6 +65,7 @@
                         upstream.leaving ? "yes" : "no",
                         upstream.evacuated ? "yes" : "no",
                         upstream.coldFor.count(),
+                        upstream.pausedFor.count(),
                         upstream.ejected ? "yes" : "no",
                         upstream.unreadTokens,
                         upstream.running,
