Soak: upstreams that leave or ask for pauses in their answers

Change: two faults of a seeded stream of their own (the other faults of a seed stay as they were): an upstream that leaves says so in its answers, and the store learns of it 6 to 10 s later; an upstream refuses one request in eight with a Retry-After. Two guarantees, checked per router from what callers sent to it and received from it. Two flawed routers that miss the fields, as the untouched code did.

--- a/src/soak/guarantees.h
+++ b/src/soak/guarantees.h
@@ -24,10 +24,14 @@
                       //!< work
   RevokedKeyRejected, //!< after the bound no request ran with a revoked key
   GracefulStop, //!< a planned stop without recent faults aborted no request
-  NoWorkInEvacuatedZone, //!< after the bound an evacuated zone got no work
-  ColdUpstreamLimited,   //!< a cold upstream stayed within its rate limit
-  CrashingRequestStops,  //!< a request that crashes upstreams is quarantined
-  Recovery               //!< after the last fault requests are served again
+  NoWorkInEvacuatedZone,    //!< after the bound an evacuated zone got no work
+  ColdUpstreamLimited,      //!< a cold upstream stayed within its rate limit
+  CrashingRequestStops,     //!< a request that crashes upstreams is quarantined
+  NoWorkAfterLeavingAnswer, //!< an upstream that said in an answer that it
+                            //!< leaves gets nothing more from that router
+  PauseIsKept, //!< an upstream gets nothing within its Retry-After from the
+               //!< router that it refused
+  Recovery     //!< after the last fault requests are served again
 };
 inline constexpr auto kGuaranteeNames =
   base::MakeEnumNames<Guarantee>("own-whole-answer",
@@ -41,6 +45,8 @@
                                  "nothing-to-evacuated",
                                  "cold-is-spared",
                                  "crashing-request-stops",
+                                 "nothing-after-leaving-answer",
+                                 "pause-is-kept",
                                  "recovery");
 inline constexpr std::size_t kGuaranteeCount =
   static_cast<std::size_t>(Guarantee::Recovery) + 1;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -17,6 +17,9 @@
 DEFINE_uint32(zone_faults,
               0,
               "number of zone evacuations and cold returns of upstreams");
+DEFINE_uint32(signal_faults,
+              0,
+              "number of upstreams that leave or ask for pauses in answers");
 DEFINE_uint32(port, 26000, "first of a hundred free ports on loopback");
 DEFINE_string(router, "", "path of the gateway program");
 DEFINE_string(directory, "", "directory for settings, logs and reports");
@@ -41,6 +44,7 @@
       settings.callers = FLAGS_callers;
       settings.restores = FLAGS_restores;
       settings.zoneFaults = FLAGS_zone_faults;
+      settings.signalFaults = FLAGS_signal_faults;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
         FLAGS_directory + "/seed-" + std::to_string(settings.seed);
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -86,8 +86,9 @@
   if (!m_connection || !m_connection->IsOpen()) {
     DropConnection();
     const auto& routers = m_shared.routers;
+    m_router = static_cast<std::uint32_t>(m_random() % routers.size());
     m_connection = std::make_unique<http::ClientConnection>(
-      m_shared.loop, routers[m_random() % routers.size()], *this);
+      m_shared.loop, routers[m_router], *this);
   }
   standins::CallText call;
   call.method = kind == 0 ? "GET" : "POST";
@@ -104,6 +105,7 @@
     call.promptParts =
       fmt::format("{:x}:200,{:x}:100", 1 + m_random() % 5, m_random());
   }
+  m_shared.signals.Sent(m_id, m_router, aNow);
   m_connection->Send(standins::EncodeCall(call));
 }
 
@@ -129,6 +131,10 @@
   m_shared.guarantees.Check(Guarantee::CompleteResponse,
                             isOwnResponse,
                             m_id + " got the response to " + id);
+  if (standins::ResponseSaysLeaving(aHead.headers)) {
+    m_shared.signals.GotAnswerOfLeaving(
+      m_router, standins::ResponseUpstream(aHead.headers), m_shared.loop.Now());
+  }
   return HeadAction::Accept;
 }
 
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -5,6 +5,7 @@
 #include "http/clientconnection.h"
 #include "metrics/latencyhistogram.h"
 #include "soak/guarantees.h"
+#include "soak/signalchecker.h"
 
 #include <array>
 #include <memory>
@@ -32,6 +33,7 @@
 {
   eventloop::EventLoop& loop;
   GuaranteeChecker& guarantees;
+  SignalChecker& signals;
   std::vector<base::Address> routers;
   std::string key;
   std::string revokedKey; //!< the revoked previous key; empty if none
@@ -77,6 +79,7 @@
   std::uint32_t m_index;
   std::mt19937_64 m_random;
   std::unique_ptr<http::ClientConnection> m_connection;
+  std::uint32_t m_router = 0; //!< index of the router it is connected to
   std::uint64_t m_count = 0;
   std::string m_id;
   int m_events = 0; //!< events of the stream; 0 for a plain request
--- a/src/soak/soakplan.cpp
+++ b/src/soak/soakplan.cpp
@@ -73,6 +73,38 @@
     });
 }
 
+constexpr std::uint64_t kSignalFaultSeedOffset = 0x516;
+//! Longer than routers may send requests to an upstream after its answer.
+constexpr std::uint32_t kMinSignalFaultMs = 6000;
+constexpr std::uint32_t kSignalFaultSpreadMs = 4000;
+
+//! Adds faults that upstreams announce in their answers: alternately ones that
+//! leave and ones that ask for pauses.
+void
+AddSignalFaults(const SoakSettings& aSettings, std::vector<Fault>& aPlan)
+{
+  std::mt19937_64 random(aSettings.seed ^ kSignalFaultSeedOffset);
+  const auto below = [&](std::uint64_t aBound) {
+    return static_cast<std::uint32_t>(random() % aBound);
+  };
+  const auto half = static_cast<std::uint64_t>(aSettings.length.count()) / 2;
+  for (std::uint32_t i = 0; i < aSettings.signalFaults; ++i) {
+    Fault fault;
+    fault.at = base::Duration(below(half));
+    fault.kind =
+      i % 2 == 0 ? FaultKind::LeaveInAnswers : FaultKind::AskForPauses;
+    fault.target = below(aSettings.upstreams);
+    fault.duration =
+      std::min(base::Duration(kMinSignalFaultMs + below(kSignalFaultSpreadMs)),
+               aSettings.length - fault.at);
+    aPlan.push_back(fault);
+  }
+  std::stable_sort(
+    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
+      return aFirst.at < aSecond.at;
+    });
+}
+
 bool
 TargetsRouter(FaultKind aKind)
 {
@@ -103,6 +135,7 @@
   }
   AddRestores(aSettings, plan);
   AddZoneFaults(aSettings, plan);
+  AddSignalFaults(aSettings, plan);
   return plan;
 }
 
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -28,7 +28,10 @@
   RevokeKey,
   RestoreStore, //!< restores an older copy; lost writes are repeated later
   EvacuateZone,
-  ColdReturn //!< replaces an upstream by one that starts cold
+  ColdReturn,     //!< replaces an upstream by one that starts cold
+  LeaveInAnswers, //!< an upstream says in its answers that it leaves; the store
+                  //!< learns of it at the end of the fault
+  AskForPauses    //!< an upstream refuses requests with Retry-After
 };
 inline constexpr auto kFaultKindNames =
   base::MakeEnumNames<FaultKind>("kill-router",
@@ -49,7 +52,9 @@
                                  "withdraw-key",
                                  "restore-store",
                                  "evacuate-zone",
-                                 "cold-return");
+                                 "cold-return",
+                                 "leave-in-answers",
+                                 "ask-for-pauses");
 
 inline constexpr std::uint32_t kSoakZones = 2;
 
@@ -72,6 +77,9 @@
   //! Evacuations and cold upstreams, added to the other faults. Above 0,
   //! upstreams are spread over kSoakZones zones.
   std::uint32_t zoneFaults = 0;
+  //! Upstreams that leave or ask for pauses in their answers, added to the
+  //! other faults.
+  std::uint32_t signalFaults = 0;
   base::Duration length{
     20000
   }; //!< fault injection time; a time without faults follows
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -38,6 +38,9 @@
 constexpr double kMinServedRatio = 0.8;
 //! An upstream misbehaves on one in this many requests.
 constexpr std::uint64_t kMisbehaveOneIn = 25;
+//! An upstream that asks for pauses refuses one in this many requests.
+constexpr std::uint64_t kRefuseOneIn = 8;
+constexpr base::Duration kPause = 2500ms;
 constexpr int kFirstRouterHostNumber = 10;
 //! Times from an upstream's crash until its entry in the store expires, and
 //! until another upstream replaces it.
@@ -67,7 +70,7 @@
   , m_port(aPort)
   , m_plan(MakePlan(aSettings))
   , m_store(m_loop, LocalAddress(10))
-  , m_shared{ m_loop, m_guarantees, {}, "", "", {}, {}, {}, {} }
+  , m_shared{ m_loop, m_guarantees, m_signalChecks, {}, "", "", {}, {}, {}, {} }
   , m_crashingCaller(m_shared)
 {
   m_storeProxy =
@@ -212,18 +215,17 @@
   upstream->proxy = std::make_unique<ChaosProxy>(
     m_loop, LocalAddress(60 + slot), LocalAddress(20 + slot));
   auto& added = *upstream;
-  added.worker->SetFaultSelector([this](const standins::UpstreamRun& aRun) {
-    if (CrashingCaller::IsCrashingRequest(aRun.target)) {
-      return HasFreePorts() ? UpstreamFault::Crash
-                            : UpstreamFault::CloseUnanswered;
-    }
-    const auto draw =
-      base::HashName(aRun.requestId + aRun.lastEventId) + m_settings.seed;
-    if (draw % kMisbehaveOneIn != 0) {
-      return UpstreamFault::None;
-    }
-    return static_cast<UpstreamFault>(1 + draw / kMisbehaveOneIn % 10);
-  });
+  added.worker->SetFaultSelector(
+    [this, &added](const standins::UpstreamRun& aRun) {
+      return ChooseFault(added, aRun);
+    });
+  added.worker->SetRefusalObserver(
+    [this, &added](const standins::UpstreamRun& aRun,
+                   base::Duration aRetryAfter) {
+      const auto now = m_loop.Now();
+      m_signalChecks.Arrived(added.id, aRun.requestId, now);
+      m_signalChecks.Refused(added.id, aRun.requestId, aRetryAfter, now);
+    });
   // After a crash the proxy must stop listening too: otherwise it would accept
   // connections to a process that has ended.
   added.worker->SetOnCrash([&added] { added.proxy->Close(); });
@@ -237,6 +239,25 @@
   m_upstreams.push_back(std::move(upstream));
 }
 
+UpstreamFault
+SoakRun::ChooseFault(const Upstream& aUpstream,
+                     const standins::UpstreamRun& aRun)
+{
+  if (CrashingCaller::IsCrashingRequest(aRun.target)) {
+    return HasFreePorts() ? UpstreamFault::Crash
+                          : UpstreamFault::CloseUnanswered;
+  }
+  const auto draw =
+    base::HashName(aRun.requestId + aRun.lastEventId) + m_settings.seed;
+  if (aUpstream.asksForPauses && draw % kRefuseOneIn == 0) {
+    return UpstreamFault::Shed;
+  }
+  if (draw % kMisbehaveOneIn != 0) {
+    return UpstreamFault::None;
+  }
+  return static_cast<UpstreamFault>(1 + draw / kMisbehaveOneIn % 10);
+}
+
 void
 SoakRun::PutEntry(const Upstream& aUpstream,
                   bool aDraining,
@@ -275,6 +296,7 @@
     aRun.requestId +
       " reached its upstream with another workspace or with its key");
   const auto now = m_loop.Now();
+  m_signalChecks.Arrived(aUpstream.id, aRun.requestId, now);
   m_zoneChecks.RecordRun(aUpstream.id, aUpstream.zone, aRun.requestId, now);
   if (aUpstream.leftAt > base::TimePoint{}) {
     m_guarantees.Check(Guarantee::NoWorkForLeaving,
@@ -356,6 +378,9 @@
 SoakRun::BeginRouterFault(const Fault& aFault)
 {
   auto& router = m_routers[aFault.target];
+  if (aFault.kind != FaultKind::ReloadRouter) {
+    m_signalChecks.RouterDisturbed(aFault.target);
+  }
   switch (aFault.kind) {
     case FaultKind::KillRouter:
       router.faultFreeStop = false; // the kill ends a planned stop early
@@ -375,21 +400,61 @@
   }
 }
 
+SoakRun::Upstream&
+SoakRun::NewestUpstream(std::uint32_t aIndex)
+{
+  const auto found = std::find_if(
+    m_upstreams.rbegin(), m_upstreams.rend(), [&](const auto& aUpstream) {
+      return aUpstream->index == aIndex;
+    });
+  return **found;
+}
+
 void
-SoakRun::BeginUpstreamFault(const Fault& aFault)
+SoakRun::BeginSignalFault(const Fault& aFault)
 {
-  // The last match is the newest upstream with this index.
-  Upstream* upstream = nullptr;
-  for (const auto& one : m_upstreams) {
-    if (one->index == aFault.target) {
-      upstream = one.get();
+  auto& upstream = NewestUpstream(aFault.target);
+  if (aFault.kind == FaultKind::AskForPauses) {
+    upstream.asksForPauses = true;
+    upstream.worker->SetRetryAfter(kPause);
+    return;
+  }
+  if (HasFreePorts()) {
+    upstream.worker->Leave();
+    AddUpstream(aFault.target);
+  }
+}
+
+void
+SoakRun::EndSignalFault(const Fault& aFault)
+{
+  for (const auto& upstream : m_upstreams) {
+    if (upstream->index != aFault.target) {
+      continue;
+    }
+    if (aFault.kind == FaultKind::AskForPauses) {
+      upstream->asksForPauses = false;
+      upstream->worker->SetRetryAfter({});
+      continue;
+    }
+    const bool isUnlisted = upstream->leftAt > base::TimePoint{};
+    if (upstream->worker->IsLeaving() && !isUnlisted) {
+      upstream->leftAt = m_loop.Now();
+      PutEntry(*upstream, true);
     }
   }
+}
+
+void
+SoakRun::BeginUpstreamFault(const Fault& aFault)
+{
+  auto* upstream = &NewestUpstream(aFault.target);
   const bool isRemoval = aFault.kind == FaultKind::DrainUpstream ||
                          aFault.kind == FaultKind::RemoveUpstream;
   if (isRemoval && !HasFreePorts()) {
     return;
   }
+  m_signalChecks.UpstreamDisturbed(upstream->id);
   switch (aFault.kind) {
     case FaultKind::ResetUpstream:
       upstream->proxy->ResetAll();
@@ -409,6 +474,7 @@
   AddUpstream(aFault.target);
   upstream->leftAt = m_loop.Now();
   if (aFault.kind == FaultKind::DrainUpstream) {
+    upstream->worker->Leave();
     PutEntry(*upstream, true);
   } else {
     WriteToStore([this, id = upstream->id] { m_store.RemoveUpstream(id); });
@@ -508,6 +574,10 @@
 void
 SoakRun::BeginFault(const Fault& aFault)
 {
+  if (aFault.kind >= FaultKind::LeaveInAnswers) {
+    BeginSignalFault(aFault);
+    return;
+  }
   if (aFault.kind >= FaultKind::EvacuateZone) {
     BeginZoneFault(aFault);
     return;
@@ -526,6 +596,7 @@
 {
   switch (aFault.kind) {
     case FaultKind::PauseRouter:
+      m_signalChecks.RouterDisturbed(aFault.target);
       m_routers[aFault.target].process->Signal(SIGCONT);
       return;
     case FaultKind::SilenceUpstream:
@@ -533,6 +604,7 @@
     case FaultKind::DelayUpstream:
       for (const auto& one : m_upstreams) {
         if (one->index == aFault.target) {
+          m_signalChecks.UpstreamDisturbed(one->id);
           one->proxy->SetSilent(false);
           one->proxy->SetOneWay(false);
           one->proxy->SetDelay({});
@@ -542,6 +614,10 @@
     case FaultKind::EvacuateZone:
       SetEvacuated(aFault.target, false);
       return;
+    case FaultKind::LeaveInAnswers:
+    case FaultKind::AskForPauses:
+      EndSignalFault(aFault);
+      return;
     case FaultKind::RestoreStore:
     case FaultKind::StoreMute:
       m_store.faults.mute = false;
@@ -573,6 +649,7 @@
     }
     if (router.startAt > base::TimePoint{} && aNow >= router.startAt) {
       router.startAt = {};
+      m_signalChecks.RouterDisturbed(static_cast<std::uint32_t>(i));
       router.process->Start();
     }
   }
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -5,6 +5,7 @@
 #include "soak/crashingcaller.h"
 #include "soak/guarantees.h"
 #include "soak/routerprocess.h"
+#include "soak/signalchecker.h"
 #include "soak/soakcaller.h"
 #include "soak/soakplan.h"
 #include "soak/zonechecker.h"
@@ -54,6 +55,7 @@
     base::TimePoint leftAt{};    //!< 0: ready in the store
     base::TimePoint crashedAt{}; //!< 0: has not crashed
     bool replaced = false; //!< another upstream was started after the crash
+    bool asksForPauses = false; //!< refuses requests with Retry-After
   };
 
   struct Router
@@ -72,6 +74,11 @@
                 base::Duration aColdFor = {});
   void UpdateWarmUpstreams(base::TimePoint aNow);
   void BeginZoneFault(const Fault& aFault);
+  void BeginSignalFault(const Fault& aFault);
+  void EndSignalFault(const Fault& aFault);
+  Upstream& NewestUpstream(std::uint32_t aIndex);
+  standins::UpstreamFault ChooseFault(const Upstream& aUpstream,
+                                      const standins::UpstreamRun& aRun);
   void SetEvacuated(std::uint32_t aZone, bool aEvacuated);
   void WriteToStore(std::function<void()> aWrite);
   void UpdateStoreCopies(base::TimePoint aNow);
@@ -97,6 +104,7 @@
   std::uint16_t m_port;
   eventloop::EventLoop m_loop;
   GuaranteeChecker m_guarantees;
+  SignalChecker m_signalChecks{ m_guarantees };
   std::vector<Fault> m_plan;
   std::size_t m_nextFault = 0;
   std::vector<std::pair<base::TimePoint, Fault>> m_activeFaults;
--- a/src/soak/tests/flawedcodecs.cpp
+++ b/src/soak/tests/flawedcodecs.cpp
@@ -52,6 +52,19 @@
   return m_delegate.Encode(aRequest, context);
 }
 
+gateway::UpstreamResponse
+FlawedUpstreamCodec::Decode(http::ResponseHead&& aHead) const
+{
+  auto response = m_delegate.Decode(std::move(aHead));
+  if (m_flaw == Flaw::IgnoresLeavingAnswers) {
+    response.isLeaving = false;
+  }
+  if (m_flaw == Flaw::IgnoresRetryAfter) {
+    response.retryAfter = {};
+  }
+  return response;
+}
+
 gateway::StorePage
 FlawedStoreCodec::ApplyFlaw(gateway::StorePage aPage) const
 {
--- a/src/soak/tests/flawedcodecs.h
+++ b/src/soak/tests/flawedcodecs.h
@@ -13,17 +13,19 @@
 //! soak test must detect it.
 enum class Flaw : std::uint8_t
 {
-  ReusesIds,            //!< some requests carry the id of the previous one
-  FalseNotRun,          //!< reports "not run" for requests that may have run
-  RetriesNonIdempotent, //!< retries non-idempotent requests too
-  WrongWorkspace,       //!< sends another workspace to upstreams
-  IgnoresDraining,      //!< sends requests to draining and removed upstreams
-  KeepsRevokedKeys,     //!< accepts revoked keys
-  StopsWithoutDrain,    //!< does not drain in a planned stop
-  RejectsStorePages,    //!< rejects responses of the store after a while
-  IgnoresRepetition,    //!< does not recognise a repeated request
-  IgnoresEvacuations,   //!< sends requests to evacuated zones
-  IgnoresColdState      //!< sends the full load to cold upstreams
+  ReusesIds,             //!< some requests carry the id of the previous one
+  FalseNotRun,           //!< reports "not run" for requests that may have run
+  RetriesNonIdempotent,  //!< retries non-idempotent requests too
+  WrongWorkspace,        //!< sends another workspace to upstreams
+  IgnoresDraining,       //!< sends requests to draining and removed upstreams
+  KeepsRevokedKeys,      //!< accepts revoked keys
+  StopsWithoutDrain,     //!< does not drain in a planned stop
+  RejectsStorePages,     //!< rejects responses of the store after a while
+  IgnoresRepetition,     //!< does not recognise a repeated request
+  IgnoresEvacuations,    //!< sends requests to evacuated zones
+  IgnoresColdState,      //!< sends the full load to cold upstreams
+  IgnoresLeavingAnswers, //!< learns from the store alone who leaves
+  IgnoresRetryAfter      //!< of upstreams' refusals
 };
 inline constexpr auto kFlawNames =
   base::MakeEnumNames<Flaw>("crossed-ids",
@@ -36,7 +38,9 @@
                             "loses-the-store",
                             "takes-all-for-new",
                             "misses-evacuations",
-                            "takes-cold-for-warm");
+                            "takes-cold-for-warm",
+                            "misses-leaving-answers",
+                            "misses-retry-after");
 
 class FlawedCallerCodec : public gateway::ICallerCodec
 {
@@ -74,10 +78,7 @@
 
   std::string Encode(const gateway::CallerRequest& aRequest,
                      const gateway::SendContext& aContext) const override;
-  gateway::UpstreamResponse Decode(http::ResponseHead&& aHead) const override
-  {
-    return m_delegate.Decode(std::move(aHead));
-  }
+  gateway::UpstreamResponse Decode(http::ResponseHead&& aHead) const override;
 
 private:
   Flaw m_flaw;
--- a/src/soak/tests/soaktests.cpp
+++ b/src/soak/tests/soaktests.cpp
@@ -1,4 +1,5 @@
 #include "soak/guarantees.h"
+#include "soak/signalchecker.h"
 #include "soak/soakplan.h"
 #include "soak/zonechecker.h"
 
@@ -96,6 +97,62 @@
   cr_assert(guarantees.Violations().size() == 2);
 }
 
+Test(soakplan, SignalFaultsDoNotChangeOtherFaults)
+{
+  SoakSettings settings;
+  settings.seed = 5;
+  const auto without = MakePlan(settings);
+  settings.signalFaults = 4;
+  auto with = MakePlan(settings);
+  const auto added = std::erase_if(with, [&](const Fault& aFault) {
+    return aFault.kind >= FaultKind::LeaveInAnswers &&
+           aFault.at + aFault.duration <= settings.length;
+  });
+  cr_assert(added == 4);
+  cr_assert(with.size() == without.size());
+  for (std::size_t i = 0; i < with.size(); ++i) {
+    cr_assert(with[i].at == without[i].at && with[i].kind == without[i].kind);
+  }
+}
+
+//! A request sent just within the bound may arrive later; one sent just beyond
+//! it may not, and other routers are not bound.
+Test(guarantees, DetectsWorkAfterALeavingAnswer)
+{
+  using namespace std::chrono_literals;
+  GuaranteeChecker guarantees;
+  SignalChecker signals(guarantees);
+  signals.GotAnswerOfLeaving(0, "i-1", 1000ms);
+  signals.Sent("r-1", 0, 4499ms);
+  signals.Sent("r-2", 1, 9000ms);
+  signals.Sent("r-3", 0, 4500ms);
+  signals.Arrived("i-1", "r-1", 9000ms);
+  signals.Arrived("i-1", "r-2", 9000ms);
+  signals.Arrived("i-2", "r-3", 9000ms);
+  cr_assert(guarantees.Violations().empty());
+  signals.Arrived("i-1", "r-3", 9000ms);
+  cr_assert(guarantees.Violations().size() == 1);
+  signals.RouterDisturbed(0);
+  signals.Arrived("i-1", "r-3", 9000ms);
+  cr_assert(guarantees.Violations().size() == 1);
+}
+
+Test(guarantees, DetectsMoreThanTwoRequestsWithinAPause)
+{
+  using namespace std::chrono_literals;
+  GuaranteeChecker guarantees;
+  SignalChecker signals(guarantees);
+  signals.Sent("r", 0, 1000ms);
+  signals.Refused("i-1", "r", 3000ms, 1000ms);
+  signals.Refused("i-1", "r", 1000ms, 1100ms); // the longer pause counts
+  for (const auto at : { 1499ms, 1500ms, 3999ms, 4000ms }) {
+    signals.Arrived("i-1", "r", at);
+  }
+  cr_assert(guarantees.Violations().empty());
+  signals.Arrived("i-1", "r", 3999ms);
+  cr_assert(guarantees.Violations().size() == 1);
+}
+
 Test(guarantees, DetectsSecondRunOfNonIdempotentRequest)
 {
   GuaranteeChecker guarantees;
--- a/standins/platformtext.cpp
+++ b/standins/platformtext.cpp
@@ -36,4 +36,17 @@
   return id == nullptr ? std::string() : *id;
 }
 
+std::string
+ResponseUpstream(const http::HeaderList& aHeaders)
+{
+  const auto* seal = aHeaders.Find("Hemlockgauge-Response-Seal");
+  return seal == nullptr ? std::string() : seal->substr(0, seal->find('/'));
+}
+
+bool
+ResponseSaysLeaving(const http::HeaderList& aHeaders)
+{
+  return aHeaders.Find("Server-Leaving") != nullptr;
+}
+
 }
--- a/standins/platformtext.h
+++ b/standins/platformtext.h
@@ -29,4 +29,13 @@
 std::string
 ResponseAttemptId(const http::HeaderList& aHeaders);
 
+//! Returns the id of the upstream stand-in that made an answer; empty if the
+//! answer has no seal.
+std::string
+ResponseUpstream(const http::HeaderList& aHeaders);
+
+//! Whether an answer says that its upstream leaves.
+bool
+ResponseSaysLeaving(const http::HeaderList& aHeaders);
+
 }
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -143,6 +143,9 @@
     http::AppendField(fields, "Retry-After", fmt::format("{}", seconds));
   }
   SendResponse(aConnection, 503, fields, "");
+  if (m_refusalObserver) {
+    m_refusalObserver(aRun, m_retryAfter);
+  }
 }
 
 std::string
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -117,6 +117,15 @@
   void Leave() { m_leaving = true; }
   //! Retry-After of later refusals; 0: none.
   void SetRetryAfter(base::Duration aRetryAfter) { m_retryAfter = aRetryAfter; }
+  bool IsLeaving() const { return m_leaving; }
+  //! aObserver is called with each refused request and the Retry-After that it
+  //! gets; 0: none.
+  using RefusalObserver =
+    std::function<void(const UpstreamRun& aRun, base::Duration aRetryAfter)>;
+  void SetRefusalObserver(RefusalObserver aObserver)
+  {
+    m_refusalObserver = std::move(aObserver);
+  }
   //! Number of requests that reached the upstream and were meant for it,
   //! including refused ones.
   std::uint64_t Arrivals() const { return m_arrivals; }
@@ -168,6 +177,7 @@
   UpstreamStandinSettings m_settings;
   FaultSelector m_faultSelector;
   Observer m_observer;
+  RefusalObserver m_refusalObserver;
   std::function<void()> m_onCrash;
   base::CallerLimits m_limits;
   std::vector<std::unique_ptr<UpstreamRun>> m_runs;
