--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -230,6 +230,9 @@
   RequestId request{};
   AttemptOutcome outcome = AttemptOutcome::Completed;
   bool upstreamLeaving = false; //!< stated in the answer
+  //! Of a refusal: the upstream wants no requests from this router for so long;
+  //! 0: not stated.
+  Duration retryAfter{};
 };
 
 struct FrameReceived
