Our own router: an upstream gets no requests within its Retry-After

What callers saw: requests of our own interface went to upstreams that had just asked for a pause, again and again: a refusal counted neither as a failure nor as a pause.

Retry-After of a refusal was not read.

Change: the pool keeps the end of each pause and hands out no slot, overdraft or probe of a paused upstream; its slots stay held, as other routers may use it. If all are paused, requests that can't be served before their deadlines are refused at once, those in the queue too, and the expected wait that callers are told contains the pause. A decision 'paused' is logged. The plain and the engine stand-in say in all answers that they leave and can add Retry-After.

--- a/src/decision/decisionconstants.h
+++ b/src/decision/decisionconstants.h
@@ -90,6 +90,9 @@
 inline constexpr Duration kInitialServiceTime = 1000ms;
 inline constexpr Duration kMinRetryAfter = 1000ms;
 inline constexpr Duration kMaxRetryAfter = 60000ms;
+//! Longest time that an upstream may keep this router's requests away by a
+//! Retry-After. After it, one request finds out whether it still wants none.
+inline constexpr Duration kMaxUpstreamPause = 600000ms;
 
 //! Interval at which quarantined requests are sent again, for routers that
 //! started or were cut off in the meantime. It costs some hundred bytes while
--- a/src/decision/decisiontypes.h
+++ b/src/decision/decisiontypes.h
@@ -367,6 +367,7 @@
   Abandoned,
   Ejected,
   Readmitted,
+  Paused, //!< an upstream refused a request with Retry-After
   MemberChanged,
   SlotsGranted,
   SlotsExpired,
@@ -384,6 +385,7 @@
                                     "abandoned",
                                     "ejected",
                                     "readmitted",
+                                    "paused",
                                     "member-changed",
                                     "slots-granted",
                                     "slots-lapsed",
--- a/src/decision/internal/pool.cpp
+++ b/src/decision/internal/pool.cpp
@@ -310,13 +310,51 @@
   return m_slots.OverdraftCount() < static_cast<std::uint32_t>(maxOverdrafts);
 }
 
+void
+Pool::Pause(UpstreamId aUpstream, Duration aRetryAfter, TimePoint aNow)
+{
+  auto& until = m_pausedUntil[aUpstream];
+  until = std::max(until, aNow + std::min(aRetryAfter, kMaxUpstreamPause));
+  m_slots.At(aUpstream).paused = true;
+}
+
+void
+Pool::EndPauses(TimePoint aNow)
+{
+  std::erase_if(m_pausedUntil, [&](const auto& aEntry) {
+    const bool isOver = aNow >= aEntry.second;
+    if (isOver) {
+      m_slots.At(aEntry.first).paused = false;
+    }
+    return isOver;
+  });
+}
+
+Duration
+Pool::PausedFor(TimePoint aNow) const
+{
+  auto least = Duration::max();
+  for (const auto& lent : m_upstreams) {
+    if (m_health.IsEjected(lent.upstream)) {
+      continue;
+    }
+    const auto found = m_pausedUntil.find(lent.upstream);
+    if (found == m_pausedUntil.end() || aNow >= found->second) {
+      return Duration{};
+    }
+    least = std::min(least, found->second - aNow);
+  }
+  return least == Duration::max() ? Duration{} : least;
+}
+
 std::optional<Placement>
 Pool::PickProbe(const RequestState& aState, TimePoint aNow) const
 {
   for (const auto& lent : m_upstreams) {
     const bool safe = aState.parameters.repeatable ||
                       m_health.LastFailedBeforeRunning(lent.upstream);
-    if (safe && m_health.MayProbe(lent.upstream, aNow)) {
+    const bool isPaused = m_pausedUntil.contains(lent.upstream);
+    if (safe && !isPaused && m_health.MayProbe(lent.upstream, aNow)) {
       return Placement{
         aState.parameters.request, lent.upstream, "probe", true, false
       };
@@ -328,6 +366,7 @@
 std::optional<Placement>
 Pool::PickNext(RequestTable& aRequests, TimePoint aNow)
 {
+  EndPauses(aNow);
   auto* queue = NextQueue();
   if (queue == nullptr) {
     return std::nullopt;
@@ -420,13 +459,14 @@
 }
 
 Duration
-Pool::ExpectedWait(const WorkspaceQueue& aQueue) const
+Pool::ExpectedWait(const WorkspaceQueue& aQueue, TimePoint aNow) const
 {
   const double slots = std::max(0.05, AttainableSlots(aQueue));
   const double ahead = aQueue.Waiting();
   const double runs = std::floor(ahead / slots);
-  return Duration(static_cast<std::int64_t>(
-    runs * static_cast<double>(aQueue.MeanServiceTime().count())));
+  return PausedFor(aNow) +
+         Duration(static_cast<std::int64_t>(
+           runs * static_cast<double>(aQueue.MeanServiceTime().count())));
 }
 
 }
--- a/src/decision/internal/pool.h
+++ b/src/decision/internal/pool.h
@@ -56,6 +56,11 @@
   //! Recomputes demand, entitlement and lag of all workspaces.
   void RefreshShares(FleetView& aView, TimePoint aNow);
   void Enqueue(WorkspaceQueue& aQueue, RequestId aRequest);
+  //! Keeps requests away from an upstream for aRetryAfter.
+  void Pause(UpstreamId aUpstream, Duration aRetryAfter, TimePoint aNow);
+  //! Time until one of the upstreams that are not ejected takes requests again;
+  //! 0 if one does now.
+  Duration PausedFor(TimePoint aNow) const;
   //! Returns the next request that may run now, if any.
   std::optional<Placement> PickNext(RequestTable& aRequests, TimePoint aNow);
   void Start(const Placement& aPlacement,
@@ -82,7 +87,7 @@
   }
   std::size_t EjectedCount() const;
   //! Estimates how long a new request of a workspace would wait.
-  Duration ExpectedWait(const WorkspaceQueue& aQueue) const;
+  Duration ExpectedWait(const WorkspaceQueue& aQueue, TimePoint aNow) const;
 
 private:
   bool IsBaseline() const;
@@ -98,6 +103,7 @@
   double AttainableSlots(const WorkspaceQueue& aQueue) const;
   //! Ratio of the workspace's demand in the fleet that is at this router.
   double LocalDemandRatio(const WorkspaceQueue& aQueue) const;
+  void EndPauses(TimePoint aNow);
   WorkspaceQueue* NextQueue();
   std::optional<Placement> PickProbe(const RequestState& aState,
                                      TimePoint aNow) const;
@@ -107,6 +113,7 @@
   std::map<WorkspaceId, WorkspaceQueue> m_queues;
   std::vector<LentUpstream> m_upstreams;
   SlotTable m_slots;
+  std::map<UpstreamId, TimePoint> m_pausedUntil;
   UpstreamHealth m_health;
   LagTracker m_lag;
   std::uint32_t m_concurrency = 1;
--- a/src/decision/internal/requestflow.cpp
+++ b/src/decision/internal/requestflow.cpp
@@ -97,7 +97,8 @@
   if (aPool.Upstreams().empty()) {
     return RefusalReason::NoUpstream;
   }
-  if (m_state.now + aPool.ExpectedWait(aQueue) > aRequest.deadline) {
+  if (m_state.now + aPool.ExpectedWait(aQueue, m_state.now) >
+      aRequest.deadline) {
     return RefusalReason::DeadlineUnreachable;
   }
   return std::nullopt;
@@ -106,7 +107,8 @@
 Duration
 RequestFlow::RetryAfter(const Pool& aPool, const WorkspaceQueue& aQueue) const
 {
-  return std::clamp(aPool.ExpectedWait(aQueue), kMinRetryAfter, kMaxRetryAfter);
+  return std::clamp(
+    aPool.ExpectedWait(aQueue, m_state.now), kMinRetryAfter, kMaxRetryAfter);
 }
 
 void
@@ -218,6 +220,9 @@
   const auto workspace = pool.Find(request->parameters.workspace)->Spec().name;
   pool.FinishAttempt(m_state.requests, aEvent.request, m_state.now);
   UpdateHealth(pool, upstream, aEvent);
+  if (aEvent.retryAfter > Duration{}) {
+    Pause(pool, upstream, aEvent);
+  }
   m_crashes.RecordOutcome(*request, upstream, aEvent.outcome);
   request->mayHaveRun = request->mayHaveRun || !DidNotRun(aEvent.outcome);
   if (auto* lease = std::get_if<LeasePolicy>(&pool.Policy())) {
@@ -244,6 +249,7 @@
                           m_state.NameOf(upstream),
                           outcome);
     Requeue(pool, *request);
+    RefuseUnreachable(pool);
     return;
   }
   const auto verdict =
@@ -252,7 +258,44 @@
                         ? RefusalReason::Broken
                         : RefusalReason::UpstreamFailed;
   m_state.requests.Erase(aEvent.request);
-  Refuse(aEvent.request, reason, verdict, kMinRetryAfter);
+  Refuse(aEvent.request,
+         reason,
+         verdict,
+         std::max(kMinRetryAfter, pool.PausedFor(m_state.now)));
+  RefuseUnreachable(pool);
+}
+
+void
+RequestFlow::Pause(Pool& aPool,
+                   UpstreamId aUpstream,
+                   const AttemptEnded& aEvent)
+{
+  aPool.Pause(aUpstream, aEvent.retryAfter, m_state.now);
+  m_state.RecordRequest(
+    DecisionKind::Paused,
+    aEvent.request,
+    "",
+    m_state.NameOf(aUpstream),
+    "retry_after_ms=" + std::to_string(aEvent.retryAfter.count()) +
+      " all_paused_ms=" + std::to_string(aPool.PausedFor(m_state.now).count()));
+}
+
+//! Refuses the queued requests of a pool whose deadlines pass before any of its
+//! upstreams takes requests again.
+void
+RequestFlow::RefuseUnreachable(const Pool& aPool)
+{
+  const auto pausedFor = aPool.PausedFor(m_state.now);
+  if (pausedFor <= Duration{}) {
+    return;
+  }
+  for (const auto id : m_state.requests.AllQueued()) {
+    const auto& parameters = m_state.requests.Find(id)->parameters;
+    const bool isOfPool = &m_state.PoolOf(parameters.pool) == &aPool;
+    if (isOfPool && parameters.deadline <= m_state.now + pausedFor) {
+      RefuseQueued(id, RefusalReason::DeadlineUnreachable);
+    }
+  }
 }
 
 void
--- a/src/decision/internal/requestflow.h
+++ b/src/decision/internal/requestflow.h
@@ -48,6 +48,8 @@
   void UpdateHealth(Pool& aPool,
                     UpstreamId aUpstream,
                     const AttemptEnded& aEvent);
+  void Pause(Pool& aPool, UpstreamId aUpstream, const AttemptEnded& aEvent);
+  void RefuseUnreachable(const Pool& aPool);
   bool MayRetry(const RequestState& aRequest, AttemptOutcome aOutcome);
   void Requeue(Pool& aPool, RequestState& aRequest);
   Duration RetryAfter(const Pool& aPool, const WorkspaceQueue& aQueue) const;
--- a/src/decision/internal/slottable.cpp
+++ b/src/decision/internal/slottable.cpp
@@ -52,7 +52,7 @@
   std::optional<UpstreamId> best;
   std::uint32_t bestLimit = 0;
   for (const auto& [id, slot] : m_slots) {
-    const bool open = !slot.closed && slot.inUse <= slot.limit;
+    const bool open = slot.IsOpen() && slot.inUse <= slot.limit;
     if (id == aExcluded || !open) {
       continue;
     }
--- a/src/decision/internal/slottable.h
+++ b/src/decision/internal/slottable.h
@@ -19,10 +19,14 @@
     //! The upstream is ejected, leaving or gone: running requests continue, no
     //! request is added.
     bool closed = false;
+    //! The upstream wants no requests from this router for a time. Other
+    //! routers may use it, so its slots stay held.
+    bool paused = false;
 
+    bool IsOpen() const { return !closed && !paused; }
     std::uint32_t Free() const
     {
-      return closed || inUse >= limit ? 0 : limit - inUse;
+      return !IsOpen() || inUse >= limit ? 0 : limit - inUse;
     }
   };
 
--- a/src/decision/tests/scenariotests.cpp
+++ b/src/decision/tests/scenariotests.cpp
@@ -67,7 +67,7 @@
   for (const auto& entry : std::filesystem::directory_iterator(SCENARIO_DIR)) {
     files += entry.path().extension() == ".scenario" ? 1 : 0;
   }
-  constexpr std::size_t kTests = 16;
+  constexpr std::size_t kTests = 19;
   cr_assert(files == kTests, "%zu", files);
 }
 
--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -1,6 +1,7 @@
 #include "traffic/internal/transfer.h"
 
 #include "base/monotonicclock.h"
+#include "base/retryafter.h"
 #include "traffic/internal/urlescape.h"
 
 #include <algorithm>
@@ -101,6 +102,7 @@
   m_contentType.clear();
   m_answerRequestId.clear();
   m_refusedByUpstream = false;
+  m_retryAfter = {};
   m_foreignAnswer = false;
   m_paused = false;
   m_pauseRequested = false;
@@ -227,6 +229,8 @@
     m_refusedByUpstream = m_status == kUnavailable;
   } else if (HeaderValue(aLine, "X-Leaving")) {
     m_upstreamLeaving = true;
+  } else if (const auto retryAfter = HeaderValue(aLine, "Retry-After")) {
+    m_retryAfter = base::ParseRetryAfter(*retryAfter);
   }
 }
 
--- a/src/traffic/internal/transfer.h
+++ b/src/traffic/internal/transfer.h
@@ -48,6 +48,11 @@
   void Unpause();
   decision::AttemptOutcome Outcome() const { return m_outcome; }
   bool UpstreamLeaving() const { return m_upstreamLeaving; }
+  //! See AttemptEnded.
+  base::Duration RetryAfter() const
+  {
+    return m_refusedByUpstream ? m_retryAfter : base::Duration{};
+  }
   //! Whether the stream may still run at the model engine although the attempt
   //! ended, so that it must be cancelled there.
   bool NeedsCancel() const;
@@ -88,6 +93,7 @@
   std::string m_contentType;
   std::string m_answerRequestId;
   bool m_refusedByUpstream = false;
+  base::Duration m_retryAfter{};
   bool m_foreignAnswer = false;
   bool m_paused = false;
   bool m_pauseRequested = false;
--- a/src/traffic/internal/upstreamworker.cpp
+++ b/src/traffic/internal/upstreamworker.cpp
@@ -214,7 +214,8 @@
   }
   const decision::AttemptEnded ended{ aTransfer.Id(),
                                       aTransfer.Outcome(),
-                                      aTransfer.UpstreamLeaving() };
+                                      aTransfer.UpstreamLeaving(),
+                                      aTransfer.RetryAfter() };
   aTransfer.CallerExchange().SetDrainedCallback({});
   m_transfers.erase(aTransfer.Id());
   m_onEnded(ended);
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -250,6 +250,34 @@
   cr_assert(fixture.control->Outcomes()[0] == AttemptOutcome::Refused);
 }
 
+Test(path, RetryAfterOfARefusalIsReported)
+{
+  TrafficFixture fixture(21180, "plain", [](const HttpRequest& aRequest) {
+    auto response = PlainAnswer(aRequest);
+    response.status = 503;
+    response.headers["X-Not-Run"] = "true";
+    response.headers["Retry-After"] = "2.5";
+    return response;
+  });
+  cr_assert(fixture.Call().HasHeader("X-Verdict: not-run"));
+  cr_assert(fixture.control->LastEnded().retryAfter == 2500ms);
+  cr_assert(!fixture.control->LastEnded().upstreamLeaving);
+}
+
+//! A field of a response that ran the request is not a refusal's.
+Test(path, RetryAfterOfACompletedAnswerIsNotReported)
+{
+  TrafficFixture fixture(21190, "plain", [](const HttpRequest& aRequest) {
+    auto response = PlainAnswer(aRequest);
+    response.headers["Retry-After"] = "2";
+    response.headers["X-Leaving"] = "true";
+    return response;
+  });
+  cr_assert(fixture.Call().status == 200);
+  cr_assert(fixture.control->LastEnded().retryAfter == 0ms);
+  cr_assert(fixture.control->LastEnded().upstreamLeaving);
+}
+
 Test(path, PlainAnswerOfAnotherRequestIsDiscarded)
 {
   TrafficFixture fixture(21080, "plain", [](const HttpRequest& aRequest) {
--- a/src/traffic/tests/trafficfixture.h
+++ b/src/traffic/tests/trafficfixture.h
@@ -76,6 +76,13 @@
     return m_outcomes;
   }
 
+  //! The last attempt that ended.
+  decision::AttemptEnded LastEnded()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_lastEnded;
+  }
+
   std::atomic<int> abandoned{ 0 };
   std::atomic<bool> permissionExpired{ false };
 
@@ -85,6 +92,7 @@
     {
       const std::lock_guard lock(m_mutex);
       m_outcomes.push_back(aEnded.outcome);
+      m_lastEnded = aEnded;
     }
     using decision::AttemptOutcome;
     const bool notRun = aEnded.outcome == AttemptOutcome::ConnectFailed ||
@@ -103,6 +111,7 @@
   base::Address m_upstream;
   std::mutex m_mutex;
   std::vector<decision::AttemptOutcome> m_outcomes;
+  decision::AttemptEnded m_lastEnded;
 };
 
 struct CallerAnswer
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -31,6 +31,7 @@
 DEFINE_int32(load_lag_ms,
              500,
              "minimum interval in ms between updates of the reported load");
+DEFINE_int32(retry_after_ms, 0, "Retry-After of refusals in ms; 0: none");
 DEFINE_int32(late_ms, 3000, "delay in ms of an answer with the fault \"late\"");
 DEFINE_bool(refuse_old_fencing,
             true,
@@ -203,6 +204,7 @@
     auto refusal = MakeResponse(503);
     refusal.headers["X-Not-Run"] = "true";
     refusal.headers["X-Request-Id"] = id;
+    AddRetryAfter(refusal, FLAGS_retry_after_ms);
     if (m_leaving) {
       refusal.headers["X-Leaving"] = "true";
     }
@@ -323,6 +325,9 @@
   response.headers["Content-Type"] = "text/event-stream";
   response.headers["X-Request-Id"] =
     m_faults.Take(FaultKind::Cross) ? "other-1" : aId;
+  if (m_leaving) {
+    response.headers["X-Leaving"] = "true";
+  }
   response.stream = [aRun, aId, cursor, aStartToken]() -> Chunk {
     const auto middle = aStartToken + (aRun->tokens - aStartToken) / 2;
     if (cursor->done) {
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -189,4 +189,12 @@
   _Exit(0); // streams in progress need not be completed
 }
 
+void
+AddRetryAfter(HttpResponse& aResponse, int aMillis)
+{
+  if (aMillis > 0) {
+    aResponse.headers["Retry-After"] = std::to_string(aMillis / 1000.0);
+  }
+}
+
 }
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -39,6 +39,10 @@
   bool drop = false;
 };
 
+//! Adds a Retry-After field; none if aMillis is 0.
+void
+AddRetryAfter(HttpResponse& aResponse, int aMillis);
+
 //! HTTP server with one thread per connection.
 class HttpServer
 {
--- a/standins/plain.cpp
+++ b/standins/plain.cpp
@@ -16,6 +16,7 @@
 
 DEFINE_string(listen, "127.0.0.1:9100", "IP:PORT to serve on");
 DEFINE_int32(work_ms, 30, "processing time of a request in ms");
+DEFINE_int32(retry_after_ms, 0, "Retry-After of refusals in ms; 0: none");
 DEFINE_int32(late_ms, 3000, "delay in ms of an answer with the fault \"late\"");
 
 using namespace hemlockgauge;
@@ -95,12 +96,13 @@
     return response;
   }
   response.headers["X-Request-Id"] = id->second;
+  if (m_leaving) {
+    response.headers["X-Leaving"] = "true";
+  }
   if (m_leaving || m_faults.Take(FaultKind::Refuse)) {
     response.status = 503;
     response.headers["X-Not-Run"] = "true";
-    if (m_leaving) {
-      response.headers["X-Leaving"] = "true";
-    }
+    AddRetryAfter(response, FLAGS_retry_after_ms);
     return response;
   }
   {
