Pauses of full upstreams do not stop a service

Cause: each pause sends a router's load to the other upstreams, beyond the queues that they have, and they refuse requests in turn. Soon all are paused, and callers are told the same moment to come back. The router's forecast knows no end of a queue.

Change: ConcurrencyLimit learns how many requests an upstream takes at once, from refusals that ask for a pause and only from these: it is set to .8 of the requests at the refusal and grows by .03 of itself in each time that the pause took. An upstream at its limit is full; if all are, a request is refused at once and may come back in 100 ms.

Upstreams that never ask for a pause are treated as before.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -143,6 +143,11 @@
   if (listed != m_list.Entries().end()) {
     ApplySignals(*listed->second, aNow);
   }
+  auto* upstream = m_upstreams.Find(found->second.upstream);
+  if (change == SignalChange::Paused && upstream != nullptr) {
+    upstream->concurrencyLimit.Refused(
+      RunningAt(found->second.upstream, *upstream), aSignals.retryAfter, aNow);
+  }
   return change;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -309,6 +309,11 @@
     bool awaitsFirstToken = true;
   };
 
+  //! Number of requests of all routers at an upstream.
+  std::uint32_t RunningAt(UpstreamId aId, const Upstream& aUpstream) const
+  {
+    return aUpstream.running + m_peers.LoadOf(aId).running;
+  }
   void ApplySignals(const UpstreamEntry& aEntry, TimePoint aNow);
   void SweepSignals(TimePoint aNow);
   Suitability SuitabilityOf(const PlaceRequest& aRequest,
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -199,6 +199,14 @@
 //! Interval between checks for statements to forget.
 inline constexpr base::Duration kSignalSweepInterval = 10000ms;
 
+//! Ratio of the number of requests at a refusal to which the concurrency limit
+//! of an upstream is set. Reports of other routers' requests are late, so the
+//! real number was greater.
+inline constexpr double kConcurrencyCutRatio = 0.8;
+//! Ratio by which the limit grows in each time that the pause took: a pause
+//! that is caused by the growth takes about a tenth of the time.
+inline constexpr double kConcurrencyGrowthRatio = 0.03;
+
 // ---- retries
 
 //! Ratio of its part of the fleet's retry budget that a router uses in each of
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -75,6 +75,10 @@
                 aId) != aRequest.triedUpstreams.end()) {
     return Suitability::Tried;
   }
+  const auto& limit = aUpstream.concurrencyLimit;
+  if (limit.IsSet() && !limit.Allows(RunningAt(aId, aUpstream), aNow)) {
+    return Suitability::Full;
+  }
   const bool isBlocked =
     aUpstream.IsCold(aNow) &&
     !m_warmUp.MaySend(aId, aUpstream.service->coldRequestsPerSecond, aNow);
@@ -129,17 +133,20 @@
   }
   for (const auto id : service->ids) {
     const auto& upstream = *m_upstreams.Find(id);
-    const auto suitability = SuitabilityOf(aRequest, id, upstream, aNow);
-    if (suitability == Suitability::Fits) {
-      return Duration{};
-    }
-    if (suitability == Suitability::Cold ||
-        suitability == Suitability::Paused) {
-      const auto eligibleAt =
-        upstream.IsCold(aNow)
-          ? std::max(upstream.coldUntil, upstream.pausedUntil)
-          : upstream.pausedUntil;
-      least = std::min(least, eligibleAt - aNow);
+    switch (SuitabilityOf(aRequest, id, upstream, aNow)) {
+      case Suitability::Fits:
+        return Duration{};
+      case Suitability::Full:
+        least = std::min(least, kNoUpstreamRetryAfter);
+        break;
+      case Suitability::Cold:
+        least = std::min(least, upstream.coldUntil - aNow);
+        break;
+      case Suitability::Paused:
+        least = std::min(least, upstream.pausedUntil - aNow);
+        break;
+      default:
+        break;
     }
   }
   return least;
--- a/src/fleet/internal/suitability.cpp
+++ b/src/fleet/internal/suitability.cpp
@@ -46,6 +46,7 @@
       return kMaxNoUpstreamRetryAfter;
     case Suitability::Unlisted:
     case Suitability::Draining:
+    case Suitability::Full:
     case Suitability::Tried:
     case Suitability::Fits:
       return kNoUpstreamRetryAfter;
--- a/src/fleet/suitability.h
+++ b/src/fleet/suitability.h
@@ -25,6 +25,7 @@
   Evacuated,   //!< its availability zone is evacuated
   Cold,        //!< gets no request from this router now, see WarmUp
   Paused,      //!< wants no requests from this router for a time
+  Full,        //!< has as many requests as it takes, see ConcurrencyLimit
   Tried,       //!< already tried for the same request
   Fits
 };
@@ -35,18 +36,19 @@
                                    "evacuated",
                                    "cold",
                                    "paused",
+                                   "full",
                                    "tried",
                                    "fits");
 
 //! Whether other upstreams may copy prefixes from this one. This includes one
-//! that gets no requests now because it is cold or was already tried, but not
-//! one that is paused, as a copy is work for its source.
+//! that gets no requests now because it is cold, full or was already tried, but
+//! not one that is paused, as a copy is work for its source.
 inline bool
 CanProvideCopies(Suitability aSuitability)
 {
   return aSuitability == Suitability::Fits ||
          aSuitability == Suitability::Tried ||
-         aSuitability == Suitability::Cold;
+         aSuitability == Suitability::Full || aSuitability == Suitability::Cold;
 }
 
 //! Whether a request may run in a zone, by the allowed regions of its route and
--- a/src/fleet/tests/plainmodel.cpp
+++ b/src/fleet/tests/plainmodel.cpp
@@ -51,8 +51,16 @@
   PlainResult Run();
 
 private:
+  struct CallState
+  {
+    std::uint64_t key = 0;
+    TimePoint arrivedAt{};
+    bool hasReturned = false;
+  };
+
   void ScheduleCall();
-  void Call();
+  void Call(const CallState& aCall);
+  void ReturnLater(const CallState& aCall, Duration aRetryAfter);
   double Draw() { return m_uniform(m_random); }
   double DrawExponential(double aMeanMs)
   {
@@ -69,6 +77,8 @@
   Work m_noWork;
   ModelFleet m_fleet;
   std::map<std::string, ModelUpstream> m_upstreams;
+  //! End of the pause by router and upstream.
+  std::map<std::pair<std::size_t, std::string>, TimePoint> m_pausedUntil;
 };
 
 PlainSimulation::PlainSimulation(const PlainLoad& aLoad, std::uint32_t aSeed)
@@ -106,42 +116,68 @@
     Duration(static_cast<std::int64_t>(m_nextCallMs)) - m_fleet.SinceStart();
   m_fleet.Schedule(m_fleet.Now() + interval, [this] {
     ScheduleCall();
-    Call();
+    Call({ base::HashName("call" + std::to_string(++m_callCount)),
+           m_fleet.Now() });
+  });
+}
+
+void
+PlainSimulation::ReturnLater(const CallState& aCall, Duration aRetryAfter)
+{
+  if (aCall.hasReturned || aRetryAfter > m_load.patience) {
+    return;
+  }
+  m_fleet.Schedule(m_fleet.Now() + aRetryAfter, [this, call = aCall]() mutable {
+    call.hasReturned = true;
+    Call(call);
   });
 }
 
 void
-PlainSimulation::Call()
+PlainSimulation::Call(const CallState& aCall)
 {
   PlaceRequest request;
   request.route = &m_route;
   request.work = &m_noWork;
   request.service = "plain";
-  request.key = base::HashName("call" + std::to_string(++m_callCount));
+  request.key = aCall.key;
   request.timeLeft = 1500ms;
   const auto now = m_fleet.Now();
-  auto& fleet = m_fleet.At(
-    static_cast<std::size_t>(Draw() * static_cast<double>(m_fleet.Size())));
+  const auto router =
+    static_cast<std::size_t>(Draw() * static_cast<double>(m_fleet.Size()));
+  auto& fleet = m_fleet.At(router);
   fleet.CountArrival(request, now);
   const auto place = fleet.Place(request, now);
   const bool isCounted = m_fleet.SinceStart() >= m_load.warmUp;
   const auto count = [isCounted](int& aCounter) {
     aCounter += isCounted ? 1 : 0;
   };
-  count(m_result.calls);
+  if (!aCall.hasReturned) {
+    count(m_result.calls);
+  }
   if (place.outcome != PlaceOutcome::Placed) {
     count(m_result.refusedByRouter);
+    ReturnLater(aCall, place.retryAfter);
     return;
   }
+  auto& pausedUntil = m_pausedUntil[{ router, place.upstreamId }];
+  if (now < pausedUntil) {
+    count(m_result.withinPauses);
+  }
   const auto work =
     Duration(static_cast<std::int64_t>(DrawExponential(m_load.meanServiceMs)));
   const auto end = m_upstreams.at(place.upstreamId).Accept(work, now);
   if (!end) {
     count(m_result.refusedByUpstream);
+    pausedUntil = std::max(pausedUntil, now + m_load.retryAfter);
+    fleet.RecordSignals(place.attempt, { false, m_load.retryAfter }, now);
     fleet.EndAttempt(place.attempt, AttemptOutcome::Refused, now);
+    const auto until = fleet.TimeUntilEligible(request, now);
+    ReturnLater(aCall, std::max(until, 100ms));
     return;
   }
-  count(*end - now <= m_load.target ? m_result.inTime : m_result.late);
+  count(*end - aCall.arrivedAt <= m_load.target ? m_result.inTime
+                                                : m_result.late);
   m_fleet.Schedule(*end, [this, &fleet, attempt = place.attempt] {
     fleet.EndAttempt(attempt, AttemptOutcome::Answered, m_fleet.Now());
   });
--- a/src/fleet/tests/plainmodel.h
+++ b/src/fleet/tests/plainmodel.h
@@ -15,6 +15,11 @@
   double meanServiceMs = 60;
   double callsPerSecond = 730; //!< calls of all callers per second
   Duration target{ 300 };
+  //! Retry-After of an upstream's refusals; 0: none.
+  Duration retryAfter{};
+  //! Refused callers come back once after the router's Retry-After, to any
+  //! router, unless it exceeds this time; 0: they don't.
+  Duration patience{};
   Duration reportDelay{ 250 }; //!< of reports, on their way through hubs
   Duration length{ 20000 };
   Duration warmUp{ 4000 }; //!< calls before this are not counted
@@ -27,6 +32,9 @@
   int refusedByUpstream = 0;
   int inTime = 0;
   int late = 0;
+  //! Calls that reached an upstream from a router within the Retry-After that
+  //! the upstream had given to that router.
+  int withinPauses = 0;
 
   //! Ratio of a number of calls to all calls.
   double RatioOf(int aCalls) const
@@ -35,8 +43,8 @@
   }
 };
 
-//! Runs the load against real Fleet objects in virtual time. Refused calls are
-//! not retried.
+//! Runs the load against real Fleet objects in virtual time. Routers do not
+//! retry refused calls.
 PlainResult
 SimulatePlainLoad(const PlainLoad& aLoad, std::uint32_t aSeed);
 
--- a/src/fleet/tests/upstreamsignalstests.cpp
+++ b/src/fleet/tests/upstreamsignalstests.cpp
@@ -261,3 +261,54 @@
   cr_assert(!CanProvideCopies(Suitability::Paused));
   cr_assert(CanProvideCopies(Suitability::Tried));
 }
+
+// ---- the concurrency limit that refusals set
+
+Test(concurrencylimit, IsSetBelowTheRefusalAndGrowsWithThePauses)
+{
+  ConcurrencyLimit limit;
+  cr_assert(limit.Allows(1000, 0ms));
+  limit.Refused(20, 1000ms, 5000ms);
+  cr_assert(limit.Allows(15, 6000ms));
+  cr_assert(!limit.Allows(16, 6000ms));
+  cr_assert(!limit.Allows(19, 6000ms + 8 * 1000ms));
+  cr_assert(limit.Allows(19, 6000ms + 9 * 1000ms));
+}
+
+//! A late report showed more requests than the limit had allowed.
+Test(concurrencylimit, ARefusalNeverRaisesIt)
+{
+  ConcurrencyLimit limit;
+  limit.Refused(10, 1000ms, 0ms);
+  limit.Refused(50, 1000ms, 1000ms);
+  cr_assert(!limit.Allows(7, 2000ms));
+  for (int i = 0; i < 100; ++i) {
+    limit.Refused(0, 1000ms, 2000ms);
+  }
+  cr_assert(limit.Allows(0, 3000ms), "one request is always allowed");
+}
+
+Test(concurrencylimit, AnUpstreamAtItsLimitIsFull)
+{
+  FleetFixture fixture;
+  fixture.ListUpstreams(1);
+  std::vector<AttemptId> running;
+  for (int i = 0; i < 10; ++i) {
+    running.push_back(PlaceAt(fixture, "u0"));
+  }
+  fixture.fleet.RecordSignals(running.back(), RetryAfter(1000ms), fixture.now);
+  fixture.fleet.EndAttempt(
+    running.back(), AttemptOutcome::Refused, fixture.now);
+  fixture.now += 1000ms;
+  auto place = fixture.Place(fixture.MakeRequest(1));
+  cr_assert(place.outcome == PlaceOutcome::NoUpstream);
+  cr_assert(place.suitability == Suitability::Full);
+  cr_assert(place.retryAfter == kNoUpstreamRetryAfter);
+  for (int i = 0; i < 2; ++i) {
+    fixture.fleet.EndAttempt(running[static_cast<std::size_t>(i)],
+                             AttemptOutcome::Answered,
+                             fixture.now);
+  }
+  place = fixture.Place(fixture.MakeRequest(1));
+  cr_assert(place.outcome == PlaceOutcome::Placed);
+}
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/concurrencylimit.h"
 #include "fleet/fleettypes.h"
 #include "fleet/prefillqueue.h"
 #include "fleet/prefillrate.h"
@@ -45,6 +46,7 @@
   TimePoint coldUntil{ TimePoint::min() / 2 };
   //! Until then it wants no requests from this router.
   TimePoint pausedUntil{ TimePoint::min() / 2 };
+  ConcurrencyLimit concurrencyLimit;
   PrefillRate prefillRate;
   UpstreamServiceTime serviceTime;
   UpstreamHealth health;
