Concurrency limits apply only while half of a service's upstreams are paused

Change: it applies while at least half of the service's upstreams are paused at this router. The table counts paused upstreams by service, with each pause and in each report interval; the work follows the number of paused ones. Tried: from a quarter on, cuts to .7 and .6 of the requests at the refusal, growth by .1.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -115,7 +115,7 @@
   if (m_signals.IsLeaving(aEntry)) {
     m_upstreams.SetLeaving(id, aNow);
   }
-  m_upstreams.SetPause(id, m_signals.PausedUntil(aEntry));
+  m_upstreams.SetPause(id, m_signals.PausedUntil(aEntry), aNow);
 }
 
 void
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -207,6 +207,11 @@
 //! that is caused by the growth takes about a tenth of the time.
 inline constexpr double kConcurrencyGrowthRatio = 0.03;
 
+//! Concurrency limits are applied while at least this ratio of a service's
+//! upstreams is paused. The limits follow late reports; in a large fleet, where
+//! a router is a small part of an upstream's load, they cost more than a pause.
+inline constexpr double kMostlyPausedRatio = 0.5;
+
 // ---- retries
 
 //! Ratio of its part of the fleet's retry budget that a router uses in each of
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -76,7 +76,9 @@
     return Suitability::Tried;
   }
   const auto& limit = aUpstream.concurrencyLimit;
-  if (limit.IsSet() && !limit.Allows(RunningAt(aId, aUpstream), aNow)) {
+  const bool isFull = limit.IsSet() && aUpstream.service->IsMostlyPaused() &&
+                      !limit.Allows(RunningAt(aId, aUpstream), aNow);
+  if (isFull) {
     return Suitability::Full;
   }
   const bool isBlocked =
--- a/src/fleet/internal/upstreamtable.cpp
+++ b/src/fleet/internal/upstreamtable.cpp
@@ -76,6 +76,7 @@
   m_upstreams.erase(found);
   m_busy.erase(aUpstream);
   m_cold.erase(aUpstream);
+  m_paused.erase(aUpstream);
   m_ejected.erase(aUpstream);
 }
 
@@ -91,13 +92,26 @@
 }
 
 void
-UpstreamTable::SetPause(UpstreamId aUpstream, TimePoint aUntil)
+UpstreamTable::SetPause(UpstreamId aUpstream, TimePoint aUntil, TimePoint aNow)
 {
   const auto found = m_upstreams.find(aUpstream);
-  if (found != m_upstreams.end()) {
-    auto& upstream = found->second;
-    upstream.pausedUntil = std::max(upstream.pausedUntil, aUntil);
+  if (found == m_upstreams.end() || aUntil <= aNow) {
+    return;
   }
+  auto& upstream = found->second;
+  upstream.pausedUntil = std::max(upstream.pausedUntil, aUntil);
+  upstream.service->paused += m_paused.insert(aUpstream).second ? 1 : 0;
+}
+
+void
+UpstreamTable::EndPauses(TimePoint aNow)
+{
+  std::erase_if(m_paused, [&](UpstreamId aId) {
+    auto& upstream = m_upstreams.at(aId);
+    const bool isOver = !upstream.IsPaused(aNow);
+    upstream.service->paused -= isOver ? 1 : 0;
+    return isOver;
+  });
 }
 
 void
@@ -107,6 +121,7 @@
   aUpstream.service = &service;
   InsertSorted(service.ids, aId);
   service.evacuated += aUpstream.evacuated ? 1 : 0;
+  service.paused += m_paused.contains(aId) ? 1 : 0;
   Count(aId, aUpstream, aNow);
 }
 
@@ -119,6 +134,7 @@
   Uncount(aUpstream);
   EraseSorted(aUpstream.service->ids, aId);
   aUpstream.service->evacuated -= aUpstream.evacuated ? 1 : 0;
+  aUpstream.service->paused -= m_paused.contains(aId) ? 1 : 0;
   aUpstream.service = nullptr;
 }
 
@@ -180,6 +196,7 @@
 void
 UpstreamTable::Tick(TimePoint aNow)
 {
+  EndPauses(aNow);
   for (auto& [name, service] : m_services) {
     if (!service.isCapacityStale) {
       continue;
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/concurrencylimit.h"
+#include "fleet/fleetconstants.h"
 #include "fleet/fleettypes.h"
 #include "fleet/prefillqueue.h"
 #include "fleet/prefillrate.h"
@@ -30,9 +31,19 @@
   double coldRequestsPerSecond = 0;
   std::vector<UpstreamId> ids; //!< sorted
   std::size_t evacuated = 0;   //!< of them, those in evacuated zones
+  //! Of them, those that wanted no requests from this router at the last Tick.
+  std::size_t paused = 0;
   UpstreamCapacity capacity;
   //! The settings changed since the capacity was counted.
   bool isCapacityStale = false;
+
+  //! Whether so many upstreams are paused that the rest must not be filled up,
+  //! or all would be paused soon.
+  bool IsMostlyPaused() const
+  {
+    return static_cast<double>(paused) >=
+           kMostlyPausedRatio * static_cast<double>(ids.size());
+  }
 };
 
 //! One incarnation of an upstream: its entry and what this router has learned
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -36,7 +36,7 @@
   //! Records that an upstream stated that it is leaving.
   void SetLeaving(UpstreamId aUpstream, TimePoint aNow);
   //! Pauses an upstream. Its capacity still counts, as it serves other routers.
-  void SetPause(UpstreamId aUpstream, TimePoint aUntil);
+  void SetPause(UpstreamId aUpstream, TimePoint aUntil, TimePoint aNow);
   //! Applies changed evacuations. The upstreams of a restored zone count as
   //! cold for aColdFor: they may have become cold without work, and only their
   //! next heartbeats report it.
@@ -44,7 +44,7 @@
                       Duration aColdFor,
                       TimePoint aNow);
   //! Updates the capacity of services whose settings changed, and by the
-  //! upstreams whose cold time has ended.
+  //! upstreams whose cold time or pause has ended.
   void Tick(TimePoint aNow);
 
   //! Returns null if the upstream is not listed or not usable.
@@ -76,7 +76,8 @@
   bool MayEject(const Upstream& aUpstream, TimePoint aNow);
   //! Adds the upstream to the service that its entry names, or removes it.
   void Link(UpstreamId aId, Upstream& aUpstream, TimePoint aNow);
-  static void Unlink(UpstreamId aId, Upstream& aUpstream);
+  void Unlink(UpstreamId aId, Upstream& aUpstream);
+  void EndPauses(TimePoint aNow);
   //! Updates the upstream's part in its service's capacity.
   void Count(UpstreamId aId, Upstream& aUpstream, TimePoint aNow);
   static void Uncount(Upstream& aUpstream);
@@ -86,6 +87,7 @@
   std::map<std::string, ServiceUpstreams, std::less<>> m_services;
   std::set<UpstreamId> m_busy;
   std::set<UpstreamId> m_cold;    //!< as of the last Count of each
+  std::set<UpstreamId> m_paused;  //!< as of the last Tick
   std::set<UpstreamId> m_ejected; //!< may contain some whose ejection ended
   mutable std::uint64_t m_examined = 0;
 };
