--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -280,9 +280,9 @@
 //! A router that serves the store's state answers a follower's poll after this
 //! time at the latest.
 inline constexpr base::Duration kNewsPollTimeout = 700ms;
-//! Interval of the messages by which a source tells a follower to keep waiting,
-//! and how long such a message counts.
+//! Interval of the messages by which a source tells a follower to keep waiting.
 inline constexpr base::Duration kPendingInterval = 200ms;
+//! A follower expects an answer for this long after such a message.
 inline constexpr base::Duration kPendingTimeout = 3 * kPendingInterval;
 //! Timeout for answers of a router that is followed.
 inline constexpr base::Duration kRouterTimeout = kNewsPollTimeout + 600ms;
--- a/src/fleet/internal/sourceoptions.cpp
+++ b/src/fleet/internal/sourceoptions.cpp
@@ -85,6 +85,18 @@
   return options;
 }
 
+//! Whether the router uses the sources of a start. Afterwards it follows the
+//! plan.
+bool
+IsStarting(const SourceContext& aView, const ExchangePlan& aPlan)
+{
+  const bool hasProof = aView.proofAge < aView.sinceStart;
+  if (aView.isSeed || !hasProof) {
+    return aView.sinceStart < kMaxStartTime;
+  }
+  return !aPlan.IsLarge() && aView.sinceStart < kSourceSettleTime;
+}
+
 SourceOptions
 OptionsWithStoreFirst(const SourceContext& aView, const ExchangePlan& aPlan)
 {
@@ -137,12 +149,7 @@
 SourceOptions
 MakeSourceOptions(const SourceContext& aView, const ExchangePlan& aPlan)
 {
-  const bool hasProof = aView.proofAge < aView.sinceStart;
-  const bool hasLearnedFleet = aPlan.IsLarge() && hasProof;
-  const auto startEnd =
-    hasProof && !aView.isSeed ? kSourceSettleTime : kMaxStartTime;
-  const bool followsPlan = hasLearnedFleet && !aView.isSeed;
-  const bool isStarting = aView.sinceStart < startEnd && !followsPlan;
+  const bool isStarting = IsStarting(aView, aPlan);
   if (isStarting && !aView.isSeed && !aView.seeds.empty()) {
     return OptionsAtStart(aView, aPlan);
   }
--- a/src/fleet/rankedupstreams.h
+++ b/src/fleet/rankedupstreams.h
@@ -15,7 +15,7 @@
 RankHash(std::uint64_t aKey, UpstreamId aUpstream);
 
 //! Iterates over upstreams in the order of rendezvous hashing of a key. Hashes
-//! all of them once, but sorts only as many as are asked for.
+//! all of them at construction, but sorts only as many as are asked for.
 class RankedUpstreams
 {
 public:
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -55,9 +55,9 @@
 //!
 //! Each router counts in windows of its own. A sliding window covers parts of
 //! two of these, so a router may use half of its share in each. In a large
-//! fleet this is less than one retry; the routers' fractions are then rounded
-//! so that their sum stays the same: router i of n rounds up what exceeds 1 - i
-//! / n.
+//! fleet this is less than one retry. Fractions are rounded up at as many
+//! routers as keep the fleet's sum: the router of rank i among n rounds up if
+//! the fraction is at least (n - i) / n.
 class RetryBudget
 {
 public:
--- a/src/fleet/tests/startmodel.h
+++ b/src/fleet/tests/startmodel.h
@@ -71,7 +71,7 @@
     return m_now >= aRouter.startsAt;
   }
 
-  //! The reader of the store with the newest proof, as reports tell it.
+  //! Tells all routers of the reader with the newest proof, as reports do.
   void ShareFreshestReader();
 
   FreshestReader m_freshestReader;
