Readings of the diff: one sort of soak plans; the true time of our own router's refusals

Change: SortByStart; RequestFlow::RetryAfter is never shorter than the pause. A comment on crash checks said less than the condition.

--- a/src/decision/internal/requestflow.cpp
+++ b/src/decision/internal/requestflow.cpp
@@ -107,8 +107,9 @@
 Duration
 RequestFlow::RetryAfter(const Pool& aPool, const WorkspaceQueue& aQueue) const
 {
-  return std::clamp(
+  const auto wait = std::clamp(
     aPool.ExpectedWait(aQueue, m_state.now), kMinRetryAfter, kMaxRetryAfter);
+  return std::max(wait, aPool.PausedFor(m_state.now));
 }
 
 void
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -257,7 +257,7 @@
     if (upstream != nullptr && !upstream->IsLeaving()) {
       due.push_back({ id, upstream->entry->address });
     } else {
-      m_crashChecks.EndCheck(id); // it ends or has ended on purpose
+      m_crashChecks.EndCheck(id); // it is leaving or no longer listed
     }
   }
   return due;
--- a/src/fleet/tests/upstreamsignalstests.cpp
+++ b/src/fleet/tests/upstreamsignalstests.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <set>
 
 using namespace hemlockgauge;
@@ -293,9 +294,9 @@
 {
   FleetFixture fixture;
   fixture.ListUpstreams(1);
-  std::vector<AttemptId> running;
-  for (int i = 0; i < 10; ++i) {
-    running.push_back(PlaceAt(fixture, "u0"));
+  std::array<AttemptId, 10> running{};
+  for (auto& attempt : running) {
+    attempt = PlaceAt(fixture, "u0");
   }
   fixture.fleet.RecordSignals(running.back(), RetryAfter(1000ms), fixture.now);
   fixture.now += 1000ms;
--- a/src/soak/soakplan.cpp
+++ b/src/soak/soakplan.cpp
@@ -14,6 +14,16 @@
 constexpr std::uint32_t kFaultDurationSpreadMs = 3000;
 constexpr std::uint32_t kMinFaultDurationMs = 200;
 
+//! Sorts faults by their start; those of the same time keep their order.
+void
+SortByStart(std::vector<Fault>& aPlan)
+{
+  std::stable_sort(
+    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
+      return aFirst.at < aSecond.at;
+    });
+}
+
 //! Seed offset of a separate random stream for restores, so that enabling
 //! restores does not change the other faults of a seed.
 constexpr std::uint64_t kRestoreSeedOffset = 0x5e57;
@@ -31,10 +41,7 @@
       static_cast<std::int64_t>(kMinFaultDurationMs + random() % 1000));
     aPlan.push_back(fault);
   }
-  std::stable_sort(
-    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
-      return aFirst.at < aSecond.at;
-    });
+  SortByStart(aPlan);
 }
 
 constexpr std::uint64_t kZoneFaultSeedOffset = 0x20e5;
@@ -67,10 +74,7 @@
     }
     aPlan.push_back(fault);
   }
-  std::stable_sort(
-    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
-      return aFirst.at < aSecond.at;
-    });
+  SortByStart(aPlan);
 }
 
 constexpr std::uint64_t kSignalFaultSeedOffset = 0x516;
@@ -99,10 +103,7 @@
                aSettings.length - fault.at);
     aPlan.push_back(fault);
   }
-  std::stable_sort(
-    aPlan.begin(), aPlan.end(), [](const Fault& aFirst, const Fault& aSecond) {
-      return aFirst.at < aSecond.at;
-    });
+  SortByStart(aPlan);
 }
 
 bool
