Soak: a refusal that the network drops asks no router for a pause

Cause: an upstream whose answers are dropped refuses requests, and no router learns of it; the check would have counted their next requests.

Change: such a refusal starts no pause in the check.

Conclusion: the case is allowed: a cut excuses it.

--- a/src/soak/chaosproxy.h
+++ b/src/soak/chaosproxy.h
@@ -39,6 +39,8 @@
   void SetSilent(bool aOn) { m_silent = aOn; }
   //! While on, bytes sent by the target are dropped.
   void SetOneWay(bool aOn) { m_oneWay = aOn; }
+  //! Whether bytes sent by the target are forwarded.
+  bool ForwardsAnswers() const { return !m_silent && !m_oneWay; }
   //! Delays bytes that are read from now on, in both directions.
   void SetDelay(base::Duration aDelay) { m_delay = aDelay; }
   //! Forwards the bytes whose delay has passed.
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -224,7 +224,9 @@
                    base::Duration aRetryAfter) {
       const auto now = m_loop.Now();
       m_signalChecks.Arrived(added.id, aRun.requestId, now);
-      m_signalChecks.Refused(added.id, aRun.requestId, aRetryAfter, now);
+      if (added.proxy->ForwardsAnswers()) {
+        m_signalChecks.Refused(added.id, aRun.requestId, aRetryAfter, now);
+      }
     });
   // After a crash the proxy must stop listening too: otherwise it would accept
   // connections to a process that has ended.
