A test waits for the end of the attempt that it reads

A completed answer reaches its caller before the attempt's end is posted; the test read the end at once.

Change: the test waits until an end was reported. It checks the same.

Conclusion: the test was wrong, the router's order is as intended.

--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -274,6 +274,8 @@
     return response;
   });
   cr_assert(fixture.Call().status == 200);
+  // The caller has its answer before the attempt's end is reported.
+  cr_assert(WaitUntil([&] { return !fixture.control->Outcomes().empty(); }));
   cr_assert(fixture.control->LastEnded().retryAfter == 0ms);
   cr_assert(fixture.control->LastEnded().upstreamLeaving);
 }
