Logs name software versions and the streams that requests resume

Cause: of three hypotheses on streams that join two versions none could be told from the others: no log line had a version, nor the attempt that a request resumes.

Change: the entry keeps the version that was parsed and dropped, updates between routers carry it (a field that older routers leave out), and log lines of entries, placements and ends name it. No decision uses any of it.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -98,6 +98,7 @@
   PlaceOutcome outcome = PlaceOutcome::NoUpstream;
   AttemptId attempt = 0;
   std::string upstreamId;
+  std::string softwareVersion; //!< of the upstream; empty if unknown
   base::Address address;
   UpstreamId upstream{};
   Duration retryAfter{};
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -120,6 +120,8 @@
   std::string service;
   base::Address address;
   std::string zone;
+  //! Version of the upstream's software; empty if unknown.
+  std::string softwareVersion;
   std::uint32_t slots = 1;
   bool draining = false;
   Duration coldFor{}; //!< remaining cold time when the entry was written
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -420,6 +420,7 @@
   result.upstream = id;
   result.sameZone = candidate.sameZone;
   result.upstreamId = entry.id;
+  result.softwareVersion = entry.softwareVersion;
   result.address = entry.address;
   result.attempt = StartAttempt(aRequest, id, candidate, aNow);
   return result;
--- a/src/fleet/internal/upstreamlist.cpp
+++ b/src/fleet/internal/upstreamlist.cpp
@@ -14,7 +14,7 @@
 EntryNotice
 MakeNotice(const UpstreamEntry& aEntry, EntryChange aChange)
 {
-  return { aEntry.id, aChange, UpstreamIdOf(aEntry) };
+  return { aEntry.id, aChange, UpstreamIdOf(aEntry), aEntry.softwareVersion };
 }
 
 EntryChange
@@ -34,6 +34,7 @@
                             aEntry.service,
                             aEntry.address.Text(),
                             aEntry.zone,
+                            aEntry.softwareVersion,
                             std::to_string(aEntry.slots),
                             aEntry.usable ? "usable" : "",
                             aEntry.draining ? "draining" : "",
--- a/src/fleet/upstreamlist.h
+++ b/src/fleet/upstreamlist.h
@@ -45,7 +45,8 @@
 {
   std::string id;
   EntryChange change = EntryChange::Listed;
-  UpstreamId upstream{}; //!< the incarnation that changed
+  UpstreamId upstream{};       //!< the incarnation that changed
+  std::string softwareVersion; //!< of that incarnation; empty if unknown
 };
 
 //! The upstreams that the platform's store lists. While the store is
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -28,6 +28,9 @@
   //! Id of the last stream event that the caller received from an earlier
   //! attempt.
   std::optional<std::string> lastEventId;
+  //! Id of the caller's attempt that brought the first event of the stream that
+  //! this request resumes; empty if not given.
+  std::string resumedRequestId;
   fleet::Work work;
   //! Header fields forwarded unchanged: without hop-by-hop fields and those
   //! that the router sets.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -73,6 +73,13 @@
   return m_response.isEventStream && m_response.IsSuccess();
 }
 
+std::optional<std::string>
+Exchange::LastEventId() const
+{
+  return m_streamFilter.LastId() ? m_streamFilter.LastId()
+                                 : m_request.lastEventId;
+}
+
 http::IClientEvents::HeadAction
 Exchange::OnAnswerHead(http::ClientConnection& aConnection,
                        http::ResponseHead&& aHead)
@@ -326,6 +333,8 @@
     .Add("request", m_request.id)
     .Add("fingerprint", quarantine::FingerprintText(m_fingerprint))
     .Add("upstream", m_upstreamId)
+    .Add("version", m_upstreamVersion)
+    .Add("events", static_cast<std::uint64_t>(m_streamFilter.EventCount()))
     .Add("sent_ms_ago", (now - m_sentAt).count())
     .Add("why", aWhy)
     .Add("verdict", base::kVerdictNames.NameOf(aVerdict))
@@ -442,6 +451,8 @@
     .Add("outcome", aOutcome)
     .Add("status", aStatus)
     .Add("upstream", m_upstreamId)
+    .Add("version", m_upstreamVersion)
+    .Add("resumes", m_request.resumedRequestId)
     .Add("first_ms", (aFirstByteAt - m_arrivedAt).count())
     .Add("total_ms", (m_dependencies.loop.Now() - m_arrivedAt).count())
     .Add("events", static_cast<std::uint64_t>(m_streamFilter.EventCount()))
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -7,6 +7,7 @@
 #include "http/clientconnection.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,8 @@
 
   void RecordSignals(const UpstreamResponse& aResponse);
   bool IsStream() const;
+  //! Id of the last event that the caller has, from this or an earlier request.
+  std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
   void SendHead();
   void HandleCompleteResponse();
@@ -153,6 +156,7 @@
 
   fleet::AttemptId m_attempt = 0; //!< the running attempt; 0 if none
   std::string m_upstreamId;
+  std::string m_upstreamVersion; //!< of its software; empty if unknown
   std::vector<base::UpstreamId> m_triedUpstreams;
   std::uint32_t m_attemptsMayHaveRun = 0; //!< failed attempts
   std::uint32_t m_attemptsNotRun = 0;     //!< failed attempts
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -58,6 +58,8 @@
   const auto now = m_dependencies.loop.Now();
   const auto request = MakePlaceRequest();
   m_dependencies.fleet.CountArrival(request, now);
+  m_dependencies.metrics.Count("requests_resuming_total",
+                               LastEventId().has_value() ? 1 : 0);
   const auto place = m_dependencies.fleet.Place(request, now);
   switch (place.outcome) {
     case fleet::PlaceOutcome::Placed:
@@ -178,6 +180,9 @@
     .Add("router_busy", aPlace.routerBusy ? "yes" : "no")
     .Add("crashes", static_cast<std::uint64_t>(aPlace.crashes))
     .Add("upstream", aPlace.upstreamId)
+    .Add("version", aPlace.softwareVersion)
+    .Add("resumes", m_request.resumedRequestId)
+    .Add("last_event", LastEventId().value_or(""))
     .Add("address", aPlace.address.Text())
     .Add("foreseen_ms", aPlace.predictedMs)
     .Add("unread_tokens", aPlace.unreadTokens)
@@ -212,6 +217,7 @@
   m_attempt = aPlace.attempt;
   CountTraffic();
   m_upstreamId = aPlace.upstreamId;
+  m_upstreamVersion = aPlace.softwareVersion;
   m_isSameZone = aPlace.sameZone;
   m_triedUpstreams.push_back(aPlace.upstream);
   m_response = UpstreamResponse{};
@@ -224,8 +230,7 @@
   context.workspace = m_workspace;
   context.timeLeft = TimeLeft(m_sentAt);
   context.copyFrom = aPlace.copyFrom;
-  context.lastEventId =
-    m_streamFilter.LastId() ? m_streamFilter.LastId() : m_request.lastEventId;
+  context.lastEventId = LastEventId();
   m_upstream =
     &m_dependencies.pool.Acquire(aPlace.upstream, aPlace.address, *this);
   auto bytes = m_dependencies.upstreams.Encode(m_request, context);
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -290,6 +290,7 @@
   for (const auto& notice : aNotices) {
     LogLine("upstream-entry")
       .Add("upstream", notice.id)
+      .Add("version", notice.softwareVersion)
       .Add("change", fleet::kEntryChangeNames.NameOf(notice.change))
       .Info();
   }
--- a/src/gateway/internal/storeupdatecodec.cpp
+++ b/src/gateway/internal/storeupdatecodec.cpp
@@ -33,6 +33,7 @@
     //! NOTE strings that many entries share are encoded once.
     const auto service = aBuilder.CreateSharedString(entry.service);
     const auto zone = aBuilder.CreateSharedString(entry.zone);
+    const auto version = aBuilder.CreateSharedString(entry.softwareVersion);
     upstreams.push_back(
       fb::CreateUpstream(aBuilder,
                          aBuilder.CreateString(entry.id),
@@ -45,7 +46,8 @@
                          static_cast<std::uint32_t>(
                            std::max<std::int64_t>(entry.coldFor.count(), 0)),
                          entry.usable,
-                         entry.startedAt ? *entry.startedAt + 1 : 0));
+                         entry.startedAt ? *entry.startedAt + 1 : 0,
+                         version));
   }
   flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::Evacuation>>>
     evacuations;
@@ -96,6 +98,7 @@
   entry.service = StringOrEmpty(aWire.service());
   entry.address = { StringOrEmpty(aWire.ip()), aWire.port() };
   entry.zone = StringOrEmpty(aWire.zone());
+  entry.softwareVersion = StringOrEmpty(aWire.software_version());
   entry.slots = aWire.slots();
   entry.draining = aWire.draining();
   entry.coldFor = base::Duration(aWire.cold_ms());
