--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -105,7 +105,7 @@
   json entry{ { "service", aEntry.service },
               { "address", aEntry.address.Text() },
               { "zone", aEntry.zone },
-              { "version", "v1" },
+              { "version", aEntry.softwareVersion },
               { "slots", aEntry.slots },
               { "state", aEntry.state },
               { "sequence", 1 },
--- a/standins/storestandin.h
+++ b/standins/storestandin.h
@@ -39,6 +39,7 @@
   std::string state = "ready";
   base::Duration coldFor{}; //!< remaining time until it is warm
   std::uint64_t born = 0;   //!< Unix time of its start, in ms; 0: not written
+  std::string softwareVersion = "v1";
 };
 
 //! Test double of the platform's key-value store: one revision counter for all
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -47,14 +47,6 @@
   return std::clamp(output / kTokensPerEvent, 1, kMaxEvents);
 }
 
-std::string
-EventText(const std::string& aRequestId, int aEvent)
-{
-  return fmt::format("id: {}\ndata: {}\n\n",
-                     aEvent,
-                     UpstreamStandin::AnswerText(aRequestId, aEvent));
-}
-
 }
 
 UpstreamStandin::UpstreamStandin(eventloop::EventLoop& aLoop,
@@ -79,6 +71,18 @@
   return fmt::format("{}.{}", aRequestId, aEvent);
 }
 
+std::string
+UpstreamStandin::EventText(const std::string& aRequestId,
+                           int aEvent,
+                           const std::string& aSoftwareVersion)
+{
+  const auto version = aSoftwareVersion.empty()
+                         ? std::string()
+                         : fmt::format("event: {}\n", aSoftwareVersion);
+  return fmt::format(
+    "id: {}\n{}data: {}\n\n", aEvent, version, AnswerText(aRequestId, aEvent));
+}
+
 void
 UpstreamStandin::OnRequest(http::ServerConnection& aConnection,
                            http::RequestHead&& aHead,
@@ -99,6 +103,7 @@
   run->target = aHead.target;
   run->workspace = ValueOrEmpty(headers, "Hemlockgauge-Tenant");
   run->lastEventId = ValueOrEmpty(headers, "Last-Event-Id");
+  run->resumedRequestId = ValueOrEmpty(headers, "Resumes");
   run->body = std::move(aBody);
   run->receivedCallerKey = headers.Find("Authorization") != nullptr;
   run->receivedRouterOnlyField =
@@ -319,7 +324,8 @@
     aWork.headSent = true;
     connection.BeginAnswer(ResponseHead(aWork, 200), Framing::Chunked);
   }
-  const auto text = EventText(aWork.run->requestId, aWork.sent + 1);
+  const auto text =
+    EventText(aWork.run->requestId, aWork.sent + 1, m_settings.softwareVersion);
   const bool isHalfSent = aWork.sent >= aWork.events / 2;
   if (aWork.fault == UpstreamFault::BreakOff && isHalfSent) {
     connection.Write(text.substr(0, text.size() / 2));
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -60,6 +60,7 @@
   std::string workspace;
   std::string body;
   std::string lastEventId;
+  std::string resumedRequestId;
   std::int64_t deadlineMs = -1;
   bool receivedCallerKey = false; //!< the router forwarded a caller's key
   bool receivedRouterOnlyField =
@@ -78,6 +79,9 @@
   //! While cold, the upstream crashes if it receives more requests than this
   //! within one second; 0: no limit.
   std::uint32_t coldLimit = 0;
+  //! Version of its software, which each event of a stream names; empty: events
+  //! name no version.
+  std::string softwareVersion;
 };
 
 //! Test double of a model engine or a plain service of the platform.
@@ -133,6 +137,10 @@
   //! Returns the data of event aEvent (from 1) of a stream, or the body of a
   //! plain answer (aEvent is 0).
   static std::string AnswerText(const std::string& aRequestId, int aEvent);
+  //! Returns event aEvent (from 1) of a stream from an upstream of a version.
+  static std::string EventText(const std::string& aRequestId,
+                               int aEvent,
+                               const std::string& aSoftwareVersion = "");
 
   void OnRequest(http::ServerConnection& aConnection,
                  http::RequestHead&& aHead,
