A stream goes on within its answer only at the version that began it

Callers saw: streams whose engine broke went on, in the same answer, with events that another software version had generated.

Cause: the version in an upstream's entry was dropped, so a retry went to any upstream of the service. Class: something that the platform states is read and thrown away.

Change: the version counts from the entry as it was when the request was sent, and is fixed when the first event passes; it is unknown if the entry has changed to another incarnation meanwhile. Later attempts need an upstream of that version and service (other-version in logs and metrics); a stream of an unknown version is cut. Ruled out: the entry at the time of the retry, which may be gone or show the successor under the same id.

Conclusion: the caller's own resumes are open.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -151,6 +151,21 @@
   return change;
 }
 
+VersionId
+Fleet::VersionOf(AttemptId aAttempt) const
+{
+  const auto found = m_attempts.find(aAttempt);
+  if (found == m_attempts.end()) {
+    return VersionId::Unknown;
+  }
+  const auto& sent = *found->second.entry;
+  const auto listed = m_list.Entries().find(sent.id);
+  const bool isSame = listed == m_list.Entries().end() ||
+                      (listed->second->startedAt == sent.startedAt &&
+                       listed->second->softwareVersion == sent.softwareVersion);
+  return isSame ? VersionIdOf(sent) : VersionId::Unknown;
+}
+
 std::size_t
 Fleet::CountUpstreamsInZone(const std::string& aZone) const
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include "fleet/retrypolicy.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
+#include "fleet/streamtypes.h"
 #include "fleet/suitability.h"
 #include "fleet/upstreamlist.h"
 #include "fleet/upstreamsignals.h"
@@ -71,6 +72,9 @@
   std::vector<UpstreamId>
     triedUpstreams;      //!< upstreams that it was sent to already
   bool admitted = false; //!< admitted before; needs only an upstream
+  //! Version that began the stream which the request goes on with; empty if it
+  //! begins one. No upstream fits a stream of an unknown version.
+  std::optional<VersionId> streamVersion;
   //! Time since this router's event loop was last idle.
   Duration busyFor{};
 };
@@ -223,6 +227,10 @@
   //! Duration::max() if waiting does not help.
   Duration TimeUntilEligible(const PlaceRequest& aRequest,
                              TimePoint aNow) const;
+  //! Version of the upstream that runs an attempt. Unknown if its entry shows
+  //! another incarnation than when the request was sent, as either may have
+  //! got the request.
+  VersionId VersionOf(AttemptId aAttempt) const;
   //! Records that the first token of an attempt's answer arrived.
   void RecordFirstToken(AttemptId aAttempt, TimePoint aNow);
   //! Records what an attempt's upstream stated about itself in an answer. aNow:
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -16,6 +16,13 @@
 //! Makes the draw of an upstream independent of other hashes of the same key.
 constexpr std::uint32_t kDrawSeed = 0x5eed;
 
+//! Whether the upstream can go on with a stream that aVersion began.
+bool
+CanGoOn(VersionId aVersion, const UpstreamEntry& aEntry)
+{
+  return aVersion != VersionId::Unknown && aVersion == VersionIdOf(aEntry);
+}
+
 }
 
 void
@@ -58,6 +65,9 @@
   if (entry.service != aRequest.service) {
     return Suitability::Unlisted;
   }
+  if (aRequest.streamVersion && !CanGoOn(*aRequest.streamVersion, entry)) {
+    return Suitability::OtherVersion;
+  }
   if (aUpstream.IsLeaving()) {
     return Suitability::Draining;
   }
--- a/src/fleet/internal/suitability.cpp
+++ b/src/fleet/internal/suitability.cpp
@@ -45,6 +45,7 @@
     case Suitability::Evacuated:
       return kMaxNoUpstreamRetryAfter;
     case Suitability::Unlisted:
+    case Suitability::OtherVersion:
     case Suitability::Draining:
     case Suitability::Full:
     case Suitability::Tried:
--- a/src/fleet/suitability.h
+++ b/src/fleet/suitability.h
@@ -19,19 +19,21 @@
 //! all upstreams is reported.
 enum class Suitability : std::uint8_t
 {
-  Unlisted,    //!< not an upstream of the request's service
-  OtherRegion, //!< the request may not run in its region
-  Draining,    //!< takes no new requests
-  Evacuated,   //!< its availability zone is evacuated
-  Cold,        //!< gets no request from this router now, see WarmUp
-  Paused,      //!< wants no requests from this router for a time
-  Full,        //!< has as many requests as it takes, see ConcurrencyLimit
-  Tried,       //!< already tried for the same request
+  Unlisted,     //!< not an upstream of the request's service
+  OtherRegion,  //!< the request may not run in its region
+  OtherVersion, //!< can't go on with the request's stream
+  Draining,     //!< takes no new requests
+  Evacuated,    //!< its availability zone is evacuated
+  Cold,         //!< gets no request from this router now, see WarmUp
+  Paused,       //!< wants no requests from this router for a time
+  Full,         //!< has as many requests as it takes, see ConcurrencyLimit
+  Tried,        //!< already tried for the same request
   Fits
 };
 inline constexpr auto kSuitabilityNames =
   base::MakeEnumNames<Suitability>("unlisted",
                                    "other-region",
+                                   "other-version",
                                    "draining",
                                    "evacuated",
                                    "cold",
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -187,6 +187,9 @@
   if (out.empty()) {
     return;
   }
+  if (!m_streamVersion) {
+    m_streamVersion = m_dependencies.fleet.VersionOf(m_attempt);
+  }
   SendHead();
   m_caller->Write(out);
   if (m_caller->UnsentBytes() > kMaxUnsentToCaller && m_upstream != nullptr) {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -166,6 +166,9 @@
   bool m_mayHaveReachedUpstream =
     false; //!< an upstream may have received the request
 
+  //! Version that generated the events that the caller has; empty while it has
+  //! none.
+  std::optional<fleet::VersionId> m_streamVersion;
   UpstreamResponse m_response;
   EventStreamFilter m_streamFilter;
   std::string
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -48,6 +48,7 @@
   request.waited = TimeSinceArrival();
   request.timeLeft = TimeLeft(m_dependencies.loop.Now());
   request.triedUpstreams = m_triedUpstreams;
+  request.streamVersion = m_streamVersion;
   request.busyFor = m_dependencies.loop.BusyFor();
   return request;
 }
