A caller's resumed stream goes on at the version that began it, at any router

Callers saw: a stream that was taken up with Resumes and Last-Event-Id went on at any version.

Cause: Resumes was not read, and the router that gets the resume, mostly another one than the first, had no way to know which version began the stream.

The router that passes on a stream's first event keeps a record (hash of the attempt id that began it, hash of service and version) for as long as the caller may still resume, and sends a copy to two routers, chosen by rendezvous hashing over the live members and in two availability zones; a router that is asked to resume a stream that it does not know asks the first four of the same order (datagrams, 150 ms at the most). Copies follow when the members change; a router that stops passes its records on. An unknown stream, or one that the request does not name, is refused at once with 503: it has not run. A resumed stream that is known is not refused for load, as it was admitted when it began, but counts as its workspace's. Last-Event-Id counts for streams alone, and not when it is empty. Ruled out: asking the first router alone (gone when it is killed); records in the reports to all (grow with the fleet); a version that follows from the attempt id (routers with different lists disagree).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/fleetconstants.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -166,6 +168,23 @@
   return isSame ? VersionIdOf(sent) : VersionId::Unknown;
 }
 
+std::string
+Fleet::NameOfVersion(const std::string& aService, VersionId aVersion) const
+{
+  if (aVersion == VersionId::Unknown) {
+    return "";
+  }
+  if (const auto* service = m_upstreams.FindService(aService)) {
+    for (const auto id : service->ids) {
+      const auto& entry = *m_upstreams.Find(id)->entry;
+      if (VersionIdOf(entry) == aVersion) {
+        return entry.softwareVersion;
+      }
+    }
+  }
+  return fmt::format("{:x}", base::Raw(aVersion));
+}
+
 std::size_t
 Fleet::CountUpstreamsInZone(const std::string& aZone) const
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -75,6 +75,10 @@
   //! Version that began the stream which the request goes on with; empty if it
   //! begins one. No upstream fits a stream of an unknown version.
   std::optional<VersionId> streamVersion;
+
+  //! Whether it was admitted before, with this or an earlier request: what has
+  //! been generated of a stream is lost if it can't go on.
+  bool WasAdmitted() const { return admitted || streamVersion.has_value(); }
   //! Time since this router's event loop was last idle.
   Duration busyFor{};
 };
@@ -231,6 +235,10 @@
   //! another incarnation than when the request was sent, as either may have
   //! got the request.
   VersionId VersionOf(AttemptId aAttempt) const;
+  //! Name of a version, for logs; its hash if no upstream of the service has
+  //! it, empty if it is unknown.
+  std::string NameOfVersion(const std::string& aService,
+                            VersionId aVersion) const;
   //! Records that the first token of an attempt's answer arrived.
   void RecordFirstToken(AttemptId aAttempt, TimePoint aNow);
   //! Records what an attempt's upstream stated about itself in an answer. aNow:
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -343,4 +343,27 @@
 //! Margin below the bound within which a withdrawn key must stop working.
 inline constexpr base::Duration kRevocationMargin = 500ms;
 
+// ---- versions of streams
+
+//! Routers that get a copy of a stream's record besides the router at which it
+//! began. They are in two availability zones.
+inline constexpr std::size_t kStreamCopies = 2;
+//! Routers that are asked for a record. More than hold copies, as a router that
+//! joined moves the holders back by one place.
+inline constexpr std::size_t kStreamRoutersAsked = 4;
+//! Time after which a lookup ends without an answer: the caller waits for it.
+inline constexpr base::Duration kStreamLookupTimeout = 150ms;
+//! Interval at which queries are repeated, as datagrams may be lost.
+inline constexpr base::Duration kStreamQueryInterval = 40ms;
+//! Lifetime of the record of a stream whose caller stated no deadline.
+inline constexpr base::Duration kDefaultStreamRecordLifetime = 60000ms;
+//! Added to the time that a caller waits: it may see its time run out later
+//! than this router.
+inline constexpr base::Duration kStreamRecordMargin = 1000ms;
+inline constexpr base::Duration kMaxStreamRecordLifetime = 600000ms;
+//! Greatest number of records at a router: some 10 MB.
+inline constexpr std::size_t kMaxStreamRecords = 65536;
+//! Records that fit into one packet.
+inline constexpr std::size_t kMaxStreamRecordsPerDatagram = 48;
+
 }
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -330,11 +330,11 @@
   result.farBehind =
     m_othersWait && admittedRate < kFarBehindRatio * m_maxAdmittedRate;
   result.starved = isGeneration && IsStarved(aRequest.workspace);
-  result.passesThrottle = !isGeneration || aRequest.admitted ||
+  result.passesThrottle = !isGeneration || aRequest.WasAdmitted() ||
                           result.starved ||
                           m_workspaceThrottle.TryAdmit(aRequest.workspace);
   result.passesCallThrottle =
-    isGeneration || aRequest.admitted ||
+    isGeneration || aRequest.WasAdmitted() ||
     m_callThrottle.Admits(ServiceIdOf(aRequest.service), aRequest.key);
   result.maxReportAge = m_peers.OldestReportAge(aNow);
   result.loadAge = m_peers.MeanLoadAge(aNow);
@@ -369,10 +369,10 @@
   if (IsQuarantined(aRequest, result, aNow)) {
     return result;
   }
-  const bool isShed = aRequest.work->IsGeneration() && !aRequest.admitted &&
-                      ShedsWhileBusy(result.IsNominallyEntitled(),
-                                     aRequest.busyFor,
-                                     aRequest.route->target);
+  const bool isShed =
+    aRequest.work->IsGeneration() && !aRequest.WasAdmitted() &&
+    ShedsWhileBusy(
+      result.IsNominallyEntitled(), aRequest.busyFor, aRequest.route->target);
   if (isShed) {
     result.outcome = PlaceOutcome::Refused;
     result.routerBusy = true;
@@ -398,7 +398,7 @@
   }
   auto admission =
     DecideAdmission(aRequest, candidates[placed->candidate], unseen, result);
-  if (!admission.admitted && !aRequest.admitted &&
+  if (!admission.admitted && !aRequest.WasAdmitted() &&
       result.IsNominallyEntitled()) {
     //! NOTE the engines of the request's prefix are full. It may still be in
     //! time at an engine that has to prefill the whole prompt. Without an
@@ -419,7 +419,7 @@
     result.copyFrom = m_upstreams.Find(candidate.copy->from)->entry->address;
     result.copiedTokens = candidate.copy->tokens;
   }
-  if (!admission.admitted && !aRequest.admitted) {
+  if (!admission.admitted && !aRequest.WasAdmitted()) {
     result.outcome = PlaceOutcome::Refused;
     result.retryAfter = admission.retryAfter;
     return result;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -35,6 +35,9 @@
   //! Returns the plan among the routers that are alive. The plan is computed
   //! anew only after the set of these routers has changed.
   const ExchangePlan& Plan(TimePoint aNow);
+  //! The other routers that the last plan includes.
+  const std::vector<FleetMember>& PlannedFor() const { return m_plannedFor; }
+  const FleetMember& Self() const { return m_self; }
   //! Returns the seeds if it is time to contact them again, which reconnects
   //! the parts of the fleet after a network partition. Otherwise returns an
   //! empty list.
--- a/src/fleet/streamtypes.h
+++ b/src/fleet/streamtypes.h
@@ -6,7 +6,9 @@
 #include "base/hash.h"
 #include "fleet/fleettypes.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -40,4 +42,48 @@
                base::HashFields({ aEntry.service, aEntry.softwareVersion }));
 }
 
+//! Which version began a stream, as routers tell each other.
+struct StreamRecord
+{
+  StreamId stream{};
+  VersionId version = VersionId::Unknown;
+  Duration age{};      //!< since the version was observed
+  Duration lifetime{}; //!< how much longer the stream may be resumed
+
+  bool operator==(const StreamRecord&) const = default;
+};
+
+enum class StreamMessageKind : std::uint8_t
+{
+  Store, //!< records to keep
+  Query, //!< asks for the records of streams
+  Reply  //!< records that were asked for; lifetime 0: not known
+};
+inline constexpr auto kStreamMessageKindNames =
+  base::MakeEnumNames<StreamMessageKind>("store", "query", "reply");
+
+struct StreamMessage
+{
+  StreamMessageKind kind = StreamMessageKind::Store;
+  std::vector<StreamRecord> records;
+};
+
+//! A message and its receiver.
+struct StreamDatagram
+{
+  base::Address to;
+  StreamMessage message;
+};
+
+//! Result of asking other routers which version began a stream.
+struct StreamLookupResult
+{
+  StreamId stream{};
+  //! Empty if no router knows the stream.
+  std::optional<StreamRecord> record;
+  std::size_t asked = 0;    //!< routers
+  std::size_t answered = 0; //!< routers
+  Duration took{};
+};
+
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -122,6 +122,12 @@
   , m_membership(aSettings.peerListen,
                  base::HashName(aSettings.zone),
                  SeedPeerAddresses(aSettings))
+  , m_streamVersions(aLoop,
+                     m_metrics,
+                     m_membership.Self(),
+                     [this](const auto& aMessage, const auto& aTo) {
+                       m_peerLink->Send(aMessage, aTo);
+                     })
   , m_intakeLoggedAt(aLoop.Now())
   , m_startedAt(aLoop.Now())
   , m_lastTick(m_startedAt)
@@ -148,6 +154,9 @@
     m_metrics,
     [this](const fleet::PeerReport& aReport, const base::Address& aFrom) {
       HandleReport(aReport, aFrom);
+    },
+    [this](const fleet::StreamMessage& aMessage, const base::Address& aFrom) {
+      m_streamVersions.Take(aMessage, aFrom);
     });
   m_probeServer = std::make_unique<ProbeServer>(
     m_loop, m_settings.probeListen, [this](const std::string& aTarget) {
@@ -196,7 +205,7 @@
   const ExchangeDependencies dependencies{ m_loop,           m_fleet,
                                            m_codecs.callers, m_codecs.upstreams,
                                            m_pool,           m_metrics,
-                                           m_logBudget };
+                                           m_logBudget,      m_streamVersions };
   m_intake.read++;
   auto exchange = std::make_unique<Exchange>(dependencies, *this, aConnection);
   auto* key = exchange.get();
@@ -293,6 +302,7 @@
     return;
   }
   m_stopBeganAt = m_loop.Now();
+  m_streamVersions.HandOver();
   LogLine("stop-began")
     .Add("running", static_cast<std::uint64_t>(m_exchanges.size()))
     .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
@@ -320,6 +330,7 @@
     return;
   }
   m_stopped = true;
+  m_streamVersions.HandOver();
   m_requestsAborted = m_exchanges.size();
   LogLine("stopped")
     .Add("requests_cut", static_cast<std::uint64_t>(m_requestsAborted))
@@ -379,6 +390,7 @@
     }
   }
   CheckUpstreams(now);
+  m_streamVersions.Tick();
   TickSource(now);
   m_storeUpdateServer->Tick(now);
   ContinueStop(now);
@@ -396,7 +408,8 @@
 {
   return m_stopBeganAt.has_value() || !IsReady() ||
          m_plan.AggregatesReports() || m_storeUpdateServer->HasFollowers() ||
-         m_checks.IsChecking() || m_listener->IsPaused();
+         m_checks.IsChecking() || m_listener->IsPaused() ||
+         m_streamVersions.IsAsking();
 }
 
 base::TimePoint
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/exchange.h"
 #include "gateway/istoreupdatesource.h"
 #include "gateway/probeserver.h"
+#include "gateway/streamversions.h"
 #include "gateway/upstreamchecks.h"
 #include "gateway/upstreampool.h"
 #include "http/connectionset.h"
@@ -179,6 +180,8 @@
   std::unique_ptr<StoreUpdateServer> m_storeUpdateServer;
   fleet::Membership m_membership;
   std::unique_ptr<PeerLink> m_peerLink;
+  StreamVersions m_streamVersions;
+  std::uint64_t m_streamMembersPlan = 0; //!< plan that m_streamVersions follows
   fleet::ExchangeClock m_exchangeClock;
   fleet::ExchangePlan m_plan;    //!< in use since the last own report
   fleet::PeerReport m_ownReport; //!< the last one sent
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -93,6 +93,7 @@
   Overload,      //!< could not be served within its target latency
   NoUpstream,    //!< no upstream of the service may receive requests
   Quarantined,   //!< the request is suspected to crash upstreams
+  UnknownStream, //!< the version that began the resumed stream is not known
   Draining,      //!< the router is stopping
   Timeout,       //!< the request's deadline or route timeout passed
   UpstreamFailed //!< every attempt failed, and some may have run
@@ -109,10 +110,27 @@
                                "overload",
                                "no-upstream",
                                "quarantined",
+                               "unknown-stream",
                                "draining",
                                "timeout",
                                "upstream-failed");
 
+//! How a router knows which version began a stream that is to be resumed.
+enum class StreamSource : std::uint8_t
+{
+  Own,         //!< it has the stream's record
+  OtherRouter, //!< another router told it
+  Unknown,     //!< all routers that were asked don't know the stream
+  Unanswered,  //!< some of them did not answer
+  NotNamed     //!< the request does not name the stream
+};
+inline constexpr auto kStreamSourceNames =
+  base::MakeEnumNames<StreamSource>("own",
+                                    "other-router",
+                                    "unknown",
+                                    "unanswered",
+                                    "not-named");
+
 //! A response that the router generates itself.
 struct LocalReply
 {
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -52,6 +52,7 @@
 
 Exchange::~Exchange()
 {
+  m_dependencies.streams.Cancel(*this);
   DiscardUpstream();
 }
 
@@ -187,8 +188,15 @@
   if (out.empty()) {
     return;
   }
-  if (!m_streamVersion) {
-    m_streamVersion = m_dependencies.fleet.VersionOf(m_attempt);
+  if (!m_hasPassedEvents) {
+    if (!MatchesStreamVersion()) {
+      EndAttempt(AttemptOutcome::Broken);
+      DiscardUpstream();
+      AttemptFailed(Verdict::MayHaveRun, "upstream may be of another version");
+      return;
+    }
+    m_hasPassedEvents = true;
+    RecordStreamVersion();
   }
   SendHead();
   m_caller->Write(out);
@@ -409,6 +417,7 @@
 void
 Exchange::Finish(const char* aOutcome, int aStatus, const std::string& aWhy)
 {
+  m_dependencies.streams.Cancel(*this);
   const auto now = m_dependencies.loop.Now();
   const auto firstByteAt =
     m_firstByteAt == base::TimePoint{} ? now : m_firstByteAt;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet.h"
 #include "gateway/eventstreamfilter.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/istreamversions.h"
 #include "http/clientconnection.h"
 
 #include <cstdint>
@@ -42,6 +43,7 @@
   UpstreamPool& pool;
   metrics::Metrics& metrics;
   base::LogRateLimiter& logBudget;
+  IStreamVersions& streams;
 };
 
 //! The owner of the exchanges.
@@ -61,7 +63,9 @@
 //! response: checks the router's state, the route and the API key, chooses an
 //! upstream, sends the request, forwards the response, and retries or reports a
 //! failure.
-class Exchange : public http::IClientEvents
+class Exchange
+  : public http::IClientEvents
+  , public IStreamVersionReader
 {
 public:
   Exchange(const ExchangeDependencies& aDependencies,
@@ -95,6 +99,8 @@
                 http::ClientFailure aFailure) override;
   void OnIdleClosed(http::ClientConnection&) override {}
 
+  void OnStreamVersion(const fleet::StreamLookupResult& aResult) override;
+
 private:
   // Filters. Each returns false if it has sent a response.
   bool Decode(http::RequestHead&& aHead, std::string&& aBody);
@@ -103,6 +109,15 @@
   bool CheckRouterState();
   bool ApplyRoute();
 
+  //! Whether the caller already has events of the stream that it asks for.
+  bool ResumesStream() const;
+  //! Id of the request that began the stream.
+  const std::string& StreamOrigin() const;
+  void FindStreamVersion();
+  void ResumeWith(StreamSource aSource,
+                  const fleet::StreamLookupResult& aLookup);
+  bool MatchesStreamVersion() const;
+  void RecordStreamVersion();
   void PlaceInitial();
   bool PlaceRetry();
   fleet::PlaceRequest MakePlaceRequest() const;
@@ -174,7 +189,9 @@
   std::string
     m_bufferedBody; //!< of a response that is buffered until it is complete
   bool m_isBuffering = true; //!< the response's body is still being buffered
-  bool m_headSent = false;   //!< the caller has the head of the response
+  //! The caller has events of the current attempt.
+  bool m_hasPassedEvents = false;
+  bool m_headSent = false; //!< the caller has the head of the response
   //! An error response of the upstream is kept, to be sent if no retry is
   //! possible.
   bool m_hasErrorResponse = false;
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -33,9 +33,14 @@
   const bool admitted = Decode(std::move(aHead), std::move(aBody)) &&
                         CheckRouterState() && FindRoute() && CheckApiKey() &&
                         ApplyRoute();
-  if (admitted) {
-    PlaceInitial();
+  if (!admitted) {
+    return;
   }
+  if (ResumesStream()) {
+    FindStreamVersion();
+    return;
+  }
+  PlaceInitial();
 }
 
 bool
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -224,6 +224,7 @@
   m_response = UpstreamResponse{};
   m_bufferedBody.clear();
   m_isBuffering = true;
+  m_hasPassedEvents = false;
   m_hasErrorResponse = false;
   m_sentAt = m_dependencies.loop.Now();
   SendContext context;
--- /dev/null
+++ b/src/gateway/internal/exchangestream.cpp
@@ -0,0 +1,129 @@
+#include "gateway/internal/exchange.h"
+
+#include "base/logline.h"
+#include "eventloop/eventloop.h"
+#include "fleet/fleetconstants.h"
+#include "metrics/metrics.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+//! How a stream stays at the version of the upstreams' software that began it,
+//! within one request and over the requests that resume it.
+namespace hemlockgauge::gateway {
+
+using base::LogLine;
+using base::Verdict;
+using fleet::VersionId;
+
+bool
+Exchange::ResumesStream() const
+{
+  return m_route->kind == fleet::CallKind::Stream &&
+         (m_request.lastEventId || !m_request.resumedRequestId.empty());
+}
+
+const std::string&
+Exchange::StreamOrigin() const
+{
+  return m_request.resumedRequestId.empty() ? m_request.id
+                                            : m_request.resumedRequestId;
+}
+
+//! Looks for the version that began the stream to be resumed, here and then at
+//! other routers. Without it nothing is sent to any upstream.
+void
+Exchange::FindStreamVersion()
+{
+  if (m_request.resumedRequestId.empty()) {
+    ResumeWith(StreamSource::NotNamed, {});
+    return;
+  }
+  fleet::StreamLookupResult known;
+  known.record = m_dependencies.streams.Find(StreamOrigin());
+  if (known.record) {
+    ResumeWith(StreamSource::Own, known);
+    return;
+  }
+  m_dependencies.streams.Ask(StreamOrigin(), *this);
+}
+
+void
+Exchange::OnStreamVersion(const fleet::StreamLookupResult& aResult)
+{
+  const bool allAnswered =
+    aResult.asked > 0 && aResult.answered == aResult.asked;
+  const auto unfound =
+    allAnswered ? StreamSource::Unknown : StreamSource::Unanswered;
+  ResumeWith(aResult.record ? StreamSource::OtherRouter : unfound, aResult);
+}
+
+//! Resumes the stream if the version that began it is known, else refuses the
+//! request.
+void
+Exchange::ResumeWith(StreamSource aSource,
+                     const fleet::StreamLookupResult& aLookup)
+{
+  const auto version =
+    aLookup.record ? aLookup.record->version : VersionId::Unknown;
+  const auto source = kStreamSourceNames.NameOf(aSource);
+  m_dependencies.metrics.Count(
+    fmt::format("streams_to_resume_total{{source=\"{}\",version=\"{}\"}}",
+                source,
+                version == VersionId::Unknown ? "unknown" : "known"));
+  LogLine("stream-version")
+    .Add("request", m_request.id)
+    .Add("resumes", m_request.resumedRequestId)
+    .Add("last_event", m_request.lastEventId.value_or(""))
+    .Add("source", source)
+    .Add("version", m_dependencies.fleet.NameOfVersion(m_service, version))
+    .Add("age_ms", aLookup.record ? aLookup.record->age.count() : 0)
+    .Add("asked", static_cast<std::uint64_t>(aLookup.asked))
+    .Add("answered", static_cast<std::uint64_t>(aLookup.answered))
+    .Add("took_ms", aLookup.took.count())
+    .Info();
+  if (version == VersionId::Unknown) {
+    //! NOTE another router may reach those that did not answer this one.
+    const bool mayBeKnownElsewhere = aSource == StreamSource::Unanswered;
+    SendLocalReply(Refusal::UnknownStream,
+                   Verdict::NotRun,
+                   mayBeKnownElsewhere ? kRetryElsewhereDelay
+                                       : base::Duration{});
+    return;
+  }
+  m_streamVersion = version;
+  PlaceInitial();
+}
+
+//! Whether the current attempt's events belong to the version that began the
+//! stream. The upstream's entry may have changed since the request was sent.
+bool
+Exchange::MatchesStreamVersion() const
+{
+  return !m_streamVersion ||
+         *m_streamVersion == m_dependencies.fleet.VersionOf(m_attempt);
+}
+
+//! Records which version generates the stream's events, before the first event
+//! of an attempt is passed on.
+void
+Exchange::RecordStreamVersion()
+{
+  if (!m_streamVersion) {
+    m_streamVersion = m_dependencies.fleet.VersionOf(m_attempt);
+  }
+  if (!m_route->MayRunAgain()) {
+    return;
+  }
+  auto lifetime = fleet::kDefaultStreamRecordLifetime;
+  if (m_request.deadline) {
+    lifetime =
+      std::max(base::Duration{}, *m_request.deadline - TimeSinceArrival()) +
+      fleet::kStreamRecordMargin;
+  }
+  m_dependencies.streams.RecordBegin(
+    StreamOrigin(), *m_streamVersion, lifetime);
+}
+
+}
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -11,6 +11,7 @@
 #include "gateway/storeupdateserver.h"
 
 #include <algorithm>
+#include <utility>
 
 //! How a gateway exchanges reports with other routers and follows the content
 //! of the platform's store.
@@ -157,6 +158,10 @@
   }
   m_plan = m_membership.Plan(aNow);
   m_fleet.SetPlan(m_plan);
+  if (std::exchange(m_streamMembersPlan, m_membership.PlansMade()) !=
+      m_membership.PlansMade()) {
+    m_streamVersions.SetMembers(m_membership.PlannedFor());
+  }
   UpdateSourceOptions(m_plan, aNow);
   m_ownReport = m_fleet.MakeReport(m_loop.BusyFor(), aNow);
   auto& report = m_ownReport;
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "eventloop/eventloop.h"
 #include "gateway/reportcodec.h"
+#include "gateway/streammessagecodec.h"
 #include "metrics/metrics.h"
 
 #include <ace/INET_Addr.h>
@@ -23,10 +24,12 @@
 PeerLink::PeerLink(eventloop::EventLoop& aLoop,
                    const base::Address& aListen,
                    metrics::Metrics& aMetrics,
-                   OnReport aOnReport)
+                   OnReport aOnReport,
+                   OnStreamMessage aOnStreamMessage)
   : m_loop(aLoop)
   , m_metrics(aMetrics)
   , m_onReport(std::move(aOnReport))
+  , m_onStreamMessage(std::move(aOnStreamMessage))
   , m_buffer(kMaxDatagramBytes)
 {
   const ACE_INET_Addr local(aListen.port, aListen.ip.c_str());
@@ -68,6 +71,18 @@
   }
 }
 
+void
+PeerLink::Send(const fleet::StreamMessage& aMessage, const base::Address& aTo)
+{
+  const auto bytes = EncodeStreamMessage(aMessage);
+  const ACE_INET_Addr to(aTo.port, aTo.ip.c_str());
+  const bool isSent = m_socket.send(bytes.data(), bytes.size(), to) != -1;
+  const std::string kind(fleet::kStreamMessageKindNames.NameOf(aMessage.kind));
+  m_metrics.Count("stream_messages_sent_total{kind=\"" + kind + "\"}");
+  m_metrics.Count("stream_message_bytes_sent_total", bytes.size());
+  m_metrics.Count("stream_messages_unsent_total", isSent ? 0 : 1);
+}
+
 void
 PeerLink::OnIo(std::uint32_t)
 {
@@ -90,6 +105,10 @@
                          const base::Address& aFrom)
 {
   try {
+    if (IsStreamMessage(aBytes, aSize)) {
+      m_onStreamMessage(DecodeStreamMessage(aBytes, aSize), aFrom);
+      return;
+    }
     m_onReport(DecodeReport(aBytes, aSize), aFrom);
   } catch (const base::Error& error) {
     m_metrics.Count("bad_datagrams_total");
