A stream whose record is missing goes on where only one version has served

Callers saw: a resume without Resumes, or after its record was lost, was refused also while all engines had one version.

Cause: a missing record does not mean a doubt.

Change: VersionHistory keeps, for each service, since when the list has shown one version. A resume without a record goes on if that is longer than the route's timeout and 15 s, by a list that the store confirmed at least each 2.5 s throughout. A router that has just started or lost the store, a second version within that time, or an entry without a version mean doubt, and the request is refused as before. Ruled out: the list of the moment, as it says nothing of the version that has just left.

Conclusion: with two versions an unnamed stream stays refused.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -91,6 +91,7 @@
 Fleet::UpdateUpstreams(TimePoint aNow)
 {
   auto updates = m_list.TakeUpdates();
+  m_versions.Apply(updates, aNow);
   for (const auto& [before, after] : updates) {
     const bool stays = before && after && after->usable &&
                        UpstreamIdOf(*before) == UpstreamIdOf(*after);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,6 +21,7 @@
 #include "fleet/upstreamlist.h"
 #include "fleet/upstreamsignals.h"
 #include "fleet/upstreamtable.h"
+#include "fleet/versionhistory.h"
 #include "fleet/warmup.h"
 #include "fleet/workspacethrottle.h"
 #include "quarantine/crashchecks.h"
@@ -212,6 +213,8 @@
   //! Applies what changed in Upstreams() and Evacuated(); must be called after
   //! each change. Returns the changed entries.
   std::vector<EntryUpdate> UpdateUpstreams(TimePoint aNow);
+  //! Records that the store confirmed Upstreams() as of aAt.
+  void RecordListProof(TimePoint aAt) { m_versions.RecordProof(aAt); }
   Evacuations& Evacuated() { return m_evacuations; }
   const Evacuations& Evacuated() const { return m_evacuations; }
   std::size_t CountUpstreamsInZone(const std::string& aZone) const;
@@ -235,6 +238,15 @@
   //! another incarnation than when the request was sent, as either may have
   //! got the request.
   VersionId VersionOf(AttemptId aAttempt) const;
+  //! The version that began all streams of a route's requests which may still
+  //! be resumed; empty if there may be several.
+  std::optional<VersionId> OnlyVersion(const Route& aRoute,
+                                       const std::string& aService,
+                                       TimePoint aNow) const
+  {
+    return m_versions.OnlyVersion(
+      aService, aRoute.timeout + kOnlyVersionMargin, aNow);
+  }
   //! Name of a version, for logs; its hash if no upstream of the service has
   //! it, empty if it is unknown.
   std::string NameOfVersion(const std::string& aService,
@@ -431,6 +443,7 @@
   std::vector<PrefixUse> m_zoneUses;  //!< since the last zone sum
   std::vector<PrefixUse> m_fleetUses; //!< since the last fleet sum
   UpstreamTable m_upstreams;
+  VersionHistory m_versions;
   UpstreamSignals m_signals;
   TimePoint m_signalsSweptAt{};
   std::vector<Evacuation> m_appliedEvacuations; //!< to m_upstreams
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -361,6 +361,13 @@
 //! than this router.
 inline constexpr base::Duration kStreamRecordMargin = 1000ms;
 inline constexpr base::Duration kMaxStreamRecordLifetime = 600000ms;
+//! Longest time between two confirmations of the upstream list after which it
+//! still shows every upstream that has served: one stays listed for longer.
+inline constexpr base::Duration kMaxListProofGap = 2500ms;
+//! Added to a route's timeout for how long ago the previous request of a stream
+//! may have been sent: callers pause before they resume, and routers that are
+//! cut off from the store use older lists.
+inline constexpr base::Duration kOnlyVersionMargin = 15000ms;
 //! Greatest number of records at a router: some 10 MB.
 inline constexpr std::size_t kMaxStreamRecords = 65536;
 //! Records that fit into one packet.
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -120,6 +120,7 @@
 {
   Own,         //!< it has the stream's record
   OtherRouter, //!< another router told it
+  OnlyVersion, //!< there was no other version when the stream began
   Unknown,     //!< all routers that were asked don't know the stream
   Unanswered,  //!< some of them did not answer
   NotNamed     //!< the request does not name the stream
@@ -127,6 +128,7 @@
 inline constexpr auto kStreamSourceNames =
   base::MakeEnumNames<StreamSource>("own",
                                     "other-router",
+                                    "only-version",
                                     "unknown",
                                     "unanswered",
                                     "not-named");
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -65,8 +65,14 @@
 Exchange::ResumeWith(StreamSource aSource,
                      const fleet::StreamLookupResult& aLookup)
 {
-  const auto version =
-    aLookup.record ? aLookup.record->version : VersionId::Unknown;
+  auto version = aLookup.record ? aLookup.record->version : VersionId::Unknown;
+  if (version == VersionId::Unknown) {
+    if (const auto only = m_dependencies.fleet.OnlyVersion(
+          *m_route, m_service, m_dependencies.loop.Now())) {
+      version = *only;
+      aSource = StreamSource::OnlyVersion;
+    }
+  }
   const auto source = kStreamSourceNames.NameOf(aSource);
   m_dependencies.metrics.Count(
     fmt::format("streams_to_resume_total{{source=\"{}\",version=\"{}\"}}",
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -431,6 +431,7 @@
 Gateway::OnProven(base::TimePoint aAt)
 {
   ApplyUpstreamList();
+  m_fleet.RecordListProof(aAt);
   if (!IsStoredConfigCurrent()) {
     m_metrics.Count("unproven_answers_total");
     return;
