An engine copies KV cache only from engines of its own software version

A prefix could be copied from an engine of any version, and what two versions write does not fit together.

Change: holders of another version, or of an unknown one, are no source. Each upstream's version is hashed once, when its entry changes.

Evidence: prefixcopy/AnEngineOfAnotherVersionIsNoCopySource fails without the check. The tests' engines now have a version, as all entries of the platform have; they check what they did.

Conclusion: while two versions serve, prefixes are read once by each.

--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -16,13 +16,6 @@
 //! Makes the draw of an upstream independent of other hashes of the same key.
 constexpr std::uint32_t kDrawSeed = 0x5eed;
 
-//! Whether the upstream can go on with a stream that aVersion began.
-bool
-CanGoOn(VersionId aVersion, const UpstreamEntry& aEntry)
-{
-  return aVersion != VersionId::Unknown && aVersion == VersionIdOf(aEntry);
-}
-
 }
 
 void
@@ -65,7 +58,8 @@
   if (entry.service != aRequest.service) {
     return Suitability::Unlisted;
   }
-  if (aRequest.streamVersion && !CanGoOn(*aRequest.streamVersion, entry)) {
+  if (aRequest.streamVersion &&
+      !FitTogether(*aRequest.streamVersion, aUpstream.version)) {
     return Suitability::OtherVersion;
   }
   if (aUpstream.IsLeaving()) {
@@ -197,7 +191,8 @@
       if (isUsable) {
         holders.push_back({ id,
                             m_prefixes.HeldTokens(*aRequest.work, id),
-                            upstream->entry->zone });
+                            upstream->entry->zone,
+                            upstream->version });
       }
     }
   }
@@ -226,11 +221,14 @@
     static_cast<double>(aRequest.work->promptTokens) - cachedTokens;
   candidate.prefillRate = upstream.prefillRate.TokensPerMs();
   if (!aHolders.empty()) {
-    candidate.copy = ChooseCopySource(
-      *FindService(aRequest.service),
-      aHolders,
-      { aUpstream, entry.zone, cachedTokens, candidate.prefillRate },
-      aRequest.key);
+    candidate.copy = ChooseCopySource(*FindService(aRequest.service),
+                                      aHolders,
+                                      { aUpstream,
+                                        entry.zone,
+                                        cachedTokens,
+                                        candidate.prefillRate,
+                                        upstream.version },
+                                      aRequest.key);
   }
   candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
   candidate.running = upstream.running + remote.running;
--- a/src/fleet/internal/prefixcopy.cpp
+++ b/src/fleet/internal/prefixcopy.cpp
@@ -38,7 +38,8 @@
   };
   const PrefixHolder* best = nullptr;
   for (const auto& holder : aHolders) {
-    if (holder.upstream == aReader.upstream) {
+    if (holder.upstream == aReader.upstream ||
+        !FitTogether(holder.version, aReader.version)) {
       continue;
     }
     if (best == nullptr || rank(holder) > rank(*best)) {
--- a/src/fleet/internal/upstreamtable.cpp
+++ b/src/fleet/internal/upstreamtable.cpp
@@ -61,6 +61,7 @@
   }
   Unlink(id, upstream);
   upstream.entry = aEntry;
+  upstream.version = VersionIdOf(*aEntry);
   upstream.evacuated = aEvacuations.Contains(aEntry->zone);
   Link(id, upstream, aNow);
 }
--- a/src/fleet/prefixcopy.h
+++ b/src/fleet/prefixcopy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleettypes.h"
+#include "fleet/streamtypes.h"
 
 #include <optional>
 #include <string_view>
@@ -14,6 +15,7 @@
   UpstreamId upstream{};
   std::uint32_t heldTokens = 0;
   std::string_view zone;
+  VersionId version = VersionId::Unknown;
 };
 
 //! An engine that would prefill the rest of a prompt.
@@ -23,6 +25,7 @@
   std::string_view zone;
   std::uint32_t heldTokens = 0;
   double tokensPerMs = 1; //!< prefill rate
+  VersionId version = VersionId::Unknown;
 };
 
 //! A copy of KV cache entries from one engine to another before prefill starts.
@@ -48,6 +51,7 @@
 //!
 //! Chooses the holder of the most tokens, among equals one in the reader's
 //! zone, and then by a hash of aKey, which spreads copies over the holders.
+//! Only holders of the reader's software version count.
 //! Returns nothing if the engines have no links between them or if prefill
 //! takes about as long as the copy (kMaxCopyCostRatio). If the reader is
 //! assumed to hold as much, a holder is returned nevertheless, because the
--- a/src/fleet/streamtypes.h
+++ b/src/fleet/streamtypes.h
@@ -42,6 +42,14 @@
                base::HashFields({ aEntry.service, aEntry.softwareVersion }));
 }
 
+//! Whether what one version generated can be used by the other. Of an unknown
+//! version nothing can.
+inline bool
+FitTogether(VersionId aFirst, VersionId aOther)
+{
+  return aFirst != VersionId::Unknown && aFirst == aOther;
+}
+
 //! Which version began a stream, as routers tell each other.
 struct StreamRecord
 {
--- a/src/fleet/tests/prefixcopytests.cpp
+++ b/src/fleet/tests/prefixcopytests.cpp
@@ -14,7 +14,12 @@
 
 constexpr double kTokensPerMs = 50;
 //! An engine that holds nothing of the prompt.
-constexpr CopyRecipient kReader{ UpstreamId(99), "z0", 0, kTokensPerMs };
+constexpr VersionId kVersion{ 1 };
+constexpr CopyRecipient kReader{ UpstreamId(99),
+                                 "z0",
+                                 0,
+                                 kTokensPerMs,
+                                 kVersion };
 
 Service
 LinkedService()
@@ -31,7 +36,7 @@
 PrefixHolder
 Holder(std::uint32_t aId, std::uint32_t aTokens, std::string_view aZone = "z0")
 {
-  return { UpstreamId(aId), aTokens, aZone };
+  return { UpstreamId(aId), aTokens, aZone, kVersion };
 }
 
 //! A router with engines in two zones that can copy from each other.
@@ -54,6 +59,7 @@
       entry.address = { "10.0.0." + std::to_string(i + 1), 80 };
       entry.zone = "z" + std::to_string(i % 2);
       entry.slots = 64;
+      entry.softwareVersion = "v1";
       entries.push_back(entry);
     }
     fleet.Upstreams().Replace(entries, now);
@@ -118,7 +124,7 @@
                                            Holder(2, 5000, "z1"),
                                            Holder(3, 5000) };
   const auto copy = ChooseCopySource(
-    service, holders, { UpstreamId(99), "z0", 500, kTokensPerMs }, 9);
+    service, holders, { UpstreamId(99), "z0", 500, kTokensPerMs, kVersion }, 9);
   cr_assert(copy && copy->from == UpstreamId(3));
   cr_assert(copy->tokens == 4500);
   cr_assert(copy->durationMs < 4500 / kTokensPerMs);
@@ -188,6 +194,20 @@
   }
 }
 
+Test(prefixcopy, AnEngineOfAnotherVersionIsNoCopySource)
+{
+  auto holder = Holder(1, 5000);
+  holder.version = VersionId(2);
+  cr_assert(!ChooseCopySource(LinkedService(), { holder }, kReader, 9));
+  cr_assert(
+    ChooseCopySource(LinkedService(), { holder, Holder(2, 4000) }, kReader, 9)
+      ->from == UpstreamId(2));
+  holder.version = VersionId::Unknown;
+  auto unknown = kReader;
+  unknown.version = VersionId::Unknown;
+  cr_assert(!ChooseCopySource(LinkedService(), { holder }, unknown, 9));
+}
+
 //! A configuration may drop a service whose routes or upstreams remain.
 Test(prefixcopy, AServiceDroppedFromTheConfigurationCopiesNothing)
 {
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -6,6 +6,7 @@
 #include "fleet/prefillqueue.h"
 #include "fleet/prefillrate.h"
 #include "fleet/servicetime.h"
+#include "fleet/streamtypes.h"
 #include "fleet/upstreamhealth.h"
 
 #include <cstddef>
@@ -51,6 +52,7 @@
 struct Upstream
 {
   UpstreamEntryPtr entry;
+  VersionId version = VersionId::Unknown; //!< of entry
   ServiceUpstreams* service = nullptr;
   bool evacuated = false; //!< its availability zone is evacuated
   bool leaving = false;   //!< it stated so in an answer
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -108,7 +108,8 @@
 Exchange::MatchesStreamVersion() const
 {
   return !m_streamVersion ||
-         *m_streamVersion == m_dependencies.fleet.VersionOf(m_attempt);
+         fleet::FitTogether(*m_streamVersion,
+                            m_dependencies.fleet.VersionOf(m_attempt));
 }
 
 //! Records which version generates the stream's events, before the first event
