A resume that can't be in time is refused at once; tests of the placement of resumes

Cause: a known stream is not refused for load, and so was also sent where its first event would come after the caller's deadline.

Change: it is refused with Retry-After if the predicted time is beyond what the caller has left. Tests: a version's engines alone are used; an unknown, gone or other service's version finds none; a resume passes a flood that refuses new streams, and counts for its workspace.

--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -417,7 +417,10 @@
     result.copyFrom = m_upstreams.Find(candidate.copy->from)->entry->address;
     result.copiedTokens = candidate.copy->tokens;
   }
-  if (!admission.admitted && !aRequest.WasAdmitted()) {
+  const bool isInVain =
+    aRequest.streamVersion && !aRequest.admitted &&
+    placed->predictedMs >= static_cast<double>(aRequest.timeLeft.count());
+  if (isInVain || (!admission.admitted && !aRequest.WasAdmitted())) {
     result.outcome = PlaceOutcome::Refused;
     result.retryAfter = admission.retryAfter;
     return result;
--- a/src/fleet/tests/fleetfixture.h
+++ b/src/fleet/tests/fleetfixture.h
@@ -69,6 +69,23 @@
     fleet.UpdateUpstreams(now);
   }
 
+  //! Replaces the upstreams by one engine of each version, u0 and so on.
+  void ListVersions(const std::vector<std::string>& aVersions)
+  {
+    std::vector<UpstreamEntry> entries;
+    for (const auto& version : aVersions) {
+      UpstreamEntry entry;
+      entry.id = "u" + std::to_string(entries.size());
+      entry.service = "engines";
+      entry.slots = 64;
+      entry.zone = "zone-a";
+      entry.softwareVersion = version;
+      entries.push_back(entry);
+    }
+    fleet.Upstreams().Replace(entries, now);
+    fleet.UpdateUpstreams(now);
+  }
+
   //! Lists the engine u0 with this start time.
   void ListEngine(std::uint64_t aStartedAt)
   {
