Soak: engines of several versions, releases, callers that resume streams

Cause: no stand-in had a version, and no caller resumed a stream, so no soak could show the incident.

Two guarantees: all events of a stream, over its requests, are of one version; resumed streams go on at least half as often as new ones begin. Two flawed routers, one that takes all versions for one and one that does not read Resumes.

--- a/src/soak/guarantees.h
+++ b/src/soak/guarantees.h
@@ -29,6 +29,10 @@
   CrashingRequestStops,     //!< a request that crashes upstreams is quarantined
   NoWorkAfterLeavingAnswer, //!< an upstream that said in an answer that it
                             //!< leaves gets nothing more from that router
+  StreamOfOneVersion, //!< a stream's events, over all its requests, are of one
+                      //!< software version
+  StreamsGoOn, //!< resumed streams go on at least half as often as new ones
+               //!< begin
   PauseIsKept, //!< an upstream gets nothing within its Retry-After from the
                //!< router that it refused
   Recovery     //!< after the last fault requests are served again
@@ -46,6 +50,8 @@
                                  "cold-is-spared",
                                  "crashing-request-stops",
                                  "nothing-after-leaving-answer",
+                                 "stream-of-one-version",
+                                 "streams-go-on",
                                  "pause-is-kept",
                                  "recovery");
 inline constexpr std::size_t kGuaranteeCount =
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -20,6 +20,10 @@
 DEFINE_uint32(signal_faults,
               0,
               "number of upstreams that leave or ask for pauses in answers");
+DEFINE_uint32(version_faults,
+              0,
+              "number of releases of software versions and engine crashes; "
+              "callers then resume streams that break");
 DEFINE_uint32(port, 26000, "first of a hundred free ports on loopback");
 DEFINE_string(router, "", "path of the gateway program");
 DEFINE_string(directory, "", "directory for settings, logs and reports");
@@ -45,6 +49,7 @@
       settings.restores = FLAGS_restores;
       settings.zoneFaults = FLAGS_zone_faults;
       settings.signalFaults = FLAGS_signal_faults;
+      settings.versionFaults = FLAGS_version_faults;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
         FLAGS_directory + "/seed-" + std::to_string(settings.seed);
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -21,13 +21,44 @@
 constexpr std::uint32_t kMaxPauseMs = 60;
 constexpr int kTokensPerEvent = 3;
 constexpr int kMaxEvents = 20;
+constexpr const char* kPaths[] = { "safe", "once", "stream", "resumable" };
+constexpr std::size_t kStreamKind = 2;    //!< index of the first stream's path
+constexpr std::size_t kResumableKind = 3; //!< index of the path
+constexpr std::uint32_t kMaxResumes = 3;
+//! One in this many streams loses its connection to the router.
+constexpr std::uint64_t kBreakOneIn = 6;
+constexpr base::Duration kMinResumeTime = 500ms;
+constexpr std::string_view kVersionLine = "event: ";
 
+//! Removes the lines that name versions from the events, and adds the versions
+//! to aVersions.
 std::string
-FormatEvent(const std::string& aId, int aEvent)
+TakeVersions(std::string_view aEvents, std::set<std::string>& aVersions)
 {
-  return fmt::format("id: {}\ndata: {}\n\n",
-                     aEvent,
-                     standins::UpstreamStandin::AnswerText(aId, aEvent));
+  std::string rest;
+  while (!aEvents.empty()) {
+    const auto end = std::min(aEvents.find('\n'), aEvents.size() - 1) + 1;
+    const auto line = aEvents.substr(0, end);
+    if (line.starts_with(kVersionLine) && line.ends_with('\n')) {
+      aVersions.emplace(line.substr(kVersionLine.size()));
+    } else {
+      rest += line;
+    }
+    aEvents.remove_prefix(end);
+  }
+  return rest;
+}
+
+//! Number of complete events.
+int
+CountEvents(std::string_view aEvents)
+{
+  int count = 0;
+  for (auto at = aEvents.find("\n\n"); at != std::string_view::npos;
+       at = aEvents.find("\n\n", at + 2)) {
+    count++;
+  }
+  return count;
 }
 
 }
@@ -60,9 +91,14 @@
 {
   if (!m_busy && !m_stopped && aNow >= m_nextAt) {
     StartCall(aNow);
+  } else if (m_busy && m_breakAfter > 0 &&
+             CountEvents(m_body) >= m_breakAfter) {
+    m_breakAfter = 0;
+    HandleBrokenAnswer();
   } else if (m_busy && aNow - m_startedAt > kCallTimeout) {
     DropConnection();
     CheckStreamPrefix();
+    CountStreamRequest();
     EndCall(CallOutcome::Failed);
   }
 }
@@ -70,13 +106,20 @@
 void
 SoakCaller::StartCall(base::TimePoint aNow)
 {
-  constexpr const char* kPaths[] = { "safe", "once", "stream", "resumable" };
-  const auto kind = m_random() % 4;
-  const bool stream = kind >= 2;
-  m_id = fmt::format("{}-{}-{}", kPaths[kind], m_index, ++m_count);
+  m_kind = m_random() % std::size(kPaths);
+  const bool stream = m_kind >= kStreamKind;
+  m_id = fmt::format("{}-{}-{}", kPaths[m_kind], m_index, ++m_count);
+  m_origin = m_id;
   m_events = stream ? 1 + static_cast<int>(m_random() % kMaxEvents) : 0;
-  m_status = 0;
-  m_body.clear();
+  m_eventsBefore = 0;
+  m_resumes = 0;
+  m_breakAfter = 0;
+  if (m_shared.resumesStreams && m_kind == kResumableKind &&
+      m_random() % kBreakOneIn == 0) {
+    m_breakAfter =
+      1 + static_cast<int>(m_random() % static_cast<unsigned>(m_events));
+  }
+  m_versions.clear();
   m_startedAt = aNow;
   m_busy = true;
   const bool useNewConnection = m_random() % 5 == 0;
@@ -90,25 +133,79 @@
     m_connection = std::make_unique<http::ClientConnection>(
       m_shared.loop, routers[m_router], *this);
   }
-  standins::CallText call;
-  call.method = kind == 0 ? "GET" : "POST";
-  call.path = fmt::format("/{}/x", kPaths[kind]);
-  call.id = m_id;
   const bool useRevokedKey =
     !m_shared.revokedKey.empty() && m_random() % kRevokedKeyOneIn == 0;
-  call.key = useRevokedKey ? m_shared.revokedKey : m_shared.key;
-  call.deadlineMs = kDeadline.count();
-  call.body = kind == 0 ? "" : "body of " + m_id;
+  m_key = useRevokedKey ? m_shared.revokedKey : m_shared.key;
   if (stream) {
+    m_promptParts =
+      fmt::format("{:x}:200,{:x}:100", 1 + m_random() % 5, m_random());
+  }
+  SendCall();
+}
+
+void
+SoakCaller::SendCall()
+{
+  const auto now = m_shared.loop.Now();
+  m_status = 0;
+  m_body.clear();
+  standins::CallText call;
+  call.method = m_kind == 0 ? "GET" : "POST";
+  call.path = fmt::format("/{}/x", kPaths[m_kind]);
+  call.id = m_id;
+  call.key = m_key;
+  call.deadlineMs = (kDeadline - (now - m_startedAt)).count();
+  call.body = m_kind == 0 ? "" : "body of " + m_origin;
+  if (m_events > 0) {
     call.promptTokens = 300;
     call.outputTokens = static_cast<std::uint32_t>(m_events * kTokensPerEvent);
-    call.promptParts =
-      fmt::format("{:x}:200,{:x}:100", 1 + m_random() % 5, m_random());
+    call.promptParts = m_promptParts;
   }
-  m_shared.signals.Sent(m_id, m_router, aNow);
+  if (m_resumes > 0) {
+    call.resumes = m_origin;
+    call.lastEvent = m_eventsBefore;
+  }
+  m_shared.signals.Sent(m_id, m_router, now);
   m_connection->Send(standins::EncodeCall(call));
 }
 
+bool
+SoakCaller::ResumeStream()
+{
+  const auto eventsNow = m_status == 200 ? CountEvents(m_body) : 0;
+  const auto left = kDeadline - (m_shared.loop.Now() - m_startedAt);
+  const auto count = static_cast<std::uint32_t>(m_shared.routers.size());
+  const bool canResume =
+    m_shared.resumesStreams && m_kind == kResumableKind &&
+    m_eventsBefore + eventsNow > 0 && m_eventsBefore + eventsNow < m_events &&
+    m_resumes < kMaxResumes && left >= kMinResumeTime && count > 1;
+  if (!canResume) {
+    return false;
+  }
+  m_eventsBefore += eventsNow;
+  m_resumes++;
+  m_id = fmt::format("{}-r{}", m_origin, m_resumes);
+  DropConnection();
+  m_router = static_cast<std::uint32_t>(
+    (m_router + 1 + m_random() % (count - 1)) % count);
+  m_connection = std::make_unique<http::ClientConnection>(
+    m_shared.loop, m_shared.routers[m_router], *this);
+  SendCall();
+  return true;
+}
+
+//! Counts a request for a stream that may be resumed once it has ended.
+void
+SoakCaller::CountStreamRequest()
+{
+  if (m_kind != kResumableKind) {
+    return;
+  }
+  auto& counts = m_resumes > 0 ? m_shared.resumedStreams : m_shared.newStreams;
+  counts.requests++;
+  counts.started += m_status == 200 && CountEvents(m_body) > 0 ? 1 : 0;
+}
+
 std::string
 SoakCaller::ExpectedBody() const
 {
@@ -116,8 +213,8 @@
     return standins::UpstreamStandin::AnswerText(m_id, 0);
   }
   std::string text;
-  for (int i = 1; i <= m_events; ++i) {
-    text += FormatEvent(m_id, i);
+  for (int i = m_eventsBefore + 1; i <= m_events; ++i) {
+    text += standins::UpstreamStandin::EventText(m_id, i);
   }
   return text;
 }
@@ -152,7 +249,7 @@
 SoakCaller::CheckSuccess()
 {
   m_shared.guarantees.Check(Guarantee::CompleteResponse,
-                            m_body == ExpectedBody(),
+                            TakeVersions(m_body, m_versions) == ExpectedBody(),
                             m_id + " got an unexpected response body");
 }
 
@@ -161,12 +258,17 @@
 void
 SoakCaller::CheckStreamPrefix()
 {
-  if (m_events > 0 && m_status == 200) {
-    m_shared.guarantees.Check(
-      Guarantee::StreamInOrder,
-      ExpectedBody().starts_with(m_body),
-      m_id + " has stream events that are missing, repeated or out of order");
+  if (m_events == 0 || m_status != 200) {
+    return;
   }
+  m_shared.guarantees.Check(
+    Guarantee::StreamInOrder,
+    ExpectedBody().starts_with(TakeVersions(m_body, m_versions)),
+    m_id + " has stream events that are missing, repeated or out of order");
+  m_shared.guarantees.Check(
+    Guarantee::StreamOfOneVersion,
+    m_versions.size() <= 1,
+    m_id + " has stream events of several software versions");
 }
 
 void
@@ -175,6 +277,7 @@
   if (!aReusable) {
     DropConnection();
   }
+  CountStreamRequest();
   if (m_status == 200) {
     CheckSuccess();
     CheckStreamPrefix();
@@ -185,15 +288,27 @@
   if (notRun) {
     m_shared.guarantees.RecordNotRun(m_id);
   }
+  if (ResumeStream()) {
+    return;
+  }
   EndCall(notRun ? CallOutcome::Refused : CallOutcome::Failed);
 }
 
 void
 SoakCaller::OnFailed(http::ClientConnection&, http::ClientFailure)
+{
+  HandleBrokenAnswer();
+}
+
+void
+SoakCaller::HandleBrokenAnswer()
 {
   DropConnection();
   CheckStreamPrefix();
-  EndCall(CallOutcome::Failed);
+  CountStreamRequest();
+  if (!ResumeStream()) {
+    EndCall(CallOutcome::Failed);
+  }
 }
 
 void
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,19 +29,34 @@
 };
 inline constexpr std::size_t kCallOutcomes = 3;
 
+//! Requests for streams, and those of them that brought an event.
+struct StreamCounts
+{
+  std::uint64_t requests = 0;
+  std::uint64_t started = 0;
+
+  double StartedShare() const
+  {
+    return requests == 0 ? 0.0 : static_cast<double>(started) / requests;
+  }
+};
+
 //! State and counters shared by all callers of a run.
 struct CallerShared
 {
   eventloop::EventLoop& loop;
   GuaranteeChecker& guarantees;
   SignalChecker& signals;
-  std::vector<base::Address> routers;
-  std::string key;
-  std::string revokedKey; //!< the revoked previous key; empty if none
+  std::vector<base::Address> routers{};
+  std::string key{};
+  std::string revokedKey{};    //!< the revoked previous key; empty if none
+  bool resumesStreams = false; //!< callers resume streams that break
+  StreamCounts newStreams{};   //!< that may be resumed
+  StreamCounts resumedStreams{};
   std::array<std::uint64_t, kCallOutcomes> outcomes{};
   //! Number of calls by second since the start and by outcome.
-  std::vector<std::array<std::uint32_t, kCallOutcomes>> bySecond;
-  metrics::LatencyHistogram firstByteMs;
+  std::vector<std::array<std::uint32_t, kCallOutcomes>> bySecond{};
+  metrics::LatencyHistogram firstByteMs{};
   base::TimePoint startedAt{};
 };
 
@@ -69,6 +85,12 @@
 
 private:
   void StartCall(base::TimePoint aNow);
+  void SendCall();
+  //! Sends a request that goes on with a broken stream at another router.
+  //! Returns false if the stream can't be resumed.
+  bool ResumeStream();
+  void CountStreamRequest();
+  void HandleBrokenAnswer();
   void EndCall(CallOutcome aEnd);
   void CheckSuccess();
   void CheckStreamPrefix();
@@ -82,7 +104,15 @@
   std::uint32_t m_router = 0; //!< index of the router it is connected to
   std::uint64_t m_count = 0;
   std::string m_id;
-  int m_events = 0; //!< events of the stream; 0 for a plain request
+  int m_events = 0;          //!< events of the stream; 0 for a plain request
+  std::size_t m_kind = 0;    //!< index of the path
+  std::string m_key;         //!< of the stream's requests
+  std::string m_origin;      //!< id of the request that began the stream
+  std::string m_promptParts; //!< of the stream's requests
+  int m_eventsBefore = 0;    //!< events that earlier requests brought
+  std::uint32_t m_resumes = 0;
+  int m_breakAfter = 0; //!< events after which the connection is lost; 0: never
+  std::set<std::string> m_versions; //!< that the stream's events name
   int m_status = 0;
   std::string m_body;
   base::TimePoint m_startedAt{};
--- a/src/soak/soakplan.cpp
+++ b/src/soak/soakplan.cpp
@@ -106,6 +106,26 @@
   SortByStart(aPlan);
 }
 
+constexpr std::uint64_t kVersionFaultSeedOffset = 0x7e55;
+
+//! Adds alternately releases of a version and crashes, each of one engine.
+void
+AddVersionFaults(const SoakSettings& aSettings, std::vector<Fault>& aPlan)
+{
+  std::mt19937_64 random(aSettings.seed ^ kVersionFaultSeedOffset);
+  const auto length = static_cast<std::uint64_t>(aSettings.length.count());
+  const auto engines = (aSettings.upstreams + 1) / 2;
+  for (std::uint32_t i = 0; i < aSettings.versionFaults; ++i) {
+    Fault fault;
+    fault.at = base::Duration(static_cast<std::int64_t>(random() % length));
+    fault.kind =
+      i % 2 == 0 ? FaultKind::ReleaseVersion : FaultKind::CrashEngine;
+    fault.target = 2 * static_cast<std::uint32_t>(random() % engines);
+    aPlan.push_back(fault);
+  }
+  SortByStart(aPlan);
+}
+
 bool
 TargetsRouter(FaultKind aKind)
 {
@@ -137,6 +157,7 @@
   AddRestores(aSettings, plan);
   AddZoneFaults(aSettings, plan);
   AddSignalFaults(aSettings, plan);
+  AddVersionFaults(aSettings, plan);
   return plan;
 }
 
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -31,7 +31,9 @@
   ColdReturn,     //!< replaces an upstream by one that starts cold
   LeaveInAnswers, //!< an upstream says in its answers that it leaves; the store
                   //!< learns of it at the end of the fault
-  AskForPauses    //!< an upstream refuses requests with Retry-After
+  AskForPauses,   //!< an upstream refuses requests with Retry-After
+  ReleaseVersion, //!< replaces an engine by one of a later software version
+  CrashEngine     //!< replaced by one of the same version
 };
 inline constexpr auto kFaultKindNames =
   base::MakeEnumNames<FaultKind>("kill-router",
@@ -54,7 +56,9 @@
                                  "evacuate-zone",
                                  "cold-return",
                                  "leave-in-answers",
-                                 "ask-for-pauses");
+                                 "ask-for-pauses",
+                                 "release-version",
+                                 "crash-engine");
 
 inline constexpr std::uint32_t kSoakZones = 2;
 
@@ -80,6 +84,10 @@
   //! Upstreams that leave or ask for pauses in their answers, added to the
   //! other faults.
   std::uint32_t signalFaults = 0;
+  //! Releases of software versions and crashes of engines, added to the other
+  //! faults. Above 0, engines of two versions serve from the start, and callers
+  //! resume streams that break.
+  std::uint32_t versionFaults = 0;
   base::Duration length{
     20000
   }; //!< fault injection time; a time without faults follows
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -41,6 +41,13 @@
 //! An upstream that asks for pauses refuses one in this many requests.
 constexpr std::uint64_t kRefuseOneIn = 8;
 constexpr base::Duration kPause = 2500ms;
+//! Engines of the first two versions serve from the start. Each later version
+//! is that of two releases.
+constexpr std::uint32_t kFirstVersions = 2;
+//! Resumed streams must go on at least at this ratio of the share of new ones
+//! that begin. Fewer requests than kMinResumes are not judged.
+constexpr double kMinGoOnRatio = 0.5;
+constexpr std::uint64_t kMinResumes = 12;
 constexpr int kFirstRouterHostNumber = 10;
 //! Times from an upstream's crash until its entry in the store expires, and
 //! until another upstream replaces it.
@@ -70,12 +77,14 @@
   , m_port(aPort)
   , m_plan(MakePlan(aSettings))
   , m_store(m_loop, LocalAddress(10))
-  , m_shared{ m_loop, m_guarantees, m_signalChecks, {}, "", "", {}, {}, {}, {} }
+  , m_shared{ m_loop, m_guarantees, m_signalChecks }
   , m_crashingCaller(m_shared)
 {
   m_storeProxy =
     std::make_unique<ChaosProxy>(m_loop, LocalAddress(11), LocalAddress(10));
+  m_shared.resumesStreams = aSettings.versionFaults > 0;
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
+    m_versionOf[i] = 1 + i / 2 % kFirstVersions;
     AddUpstream(i);
   }
   PutConfig();
@@ -208,6 +217,8 @@
   settings.isEngine = aIndex % 2 == 0;
   settings.slots = 16;
   settings.workTime = 8ms;
+  upstream->softwareVersion = VersionOfNew(aIndex);
+  settings.softwareVersion = upstream->softwareVersion;
   const int slot = static_cast<int>(m_upstreams.size());
   settings.listen = LocalAddress(20 + slot);
   upstream->worker =
@@ -241,6 +252,15 @@
   m_upstreams.push_back(std::move(upstream));
 }
 
+//! Software version of a new upstream; empty if the run has one version.
+std::string
+SoakRun::VersionOfNew(std::uint32_t aIndex) const
+{
+  return m_settings.versionFaults == 0
+           ? ""
+           : fmt::format("v{}", m_versionOf.at(aIndex));
+}
+
 UpstreamFault
 SoakRun::ChooseFault(const Upstream& aUpstream,
                      const standins::UpstreamRun& aRun)
@@ -272,7 +292,11 @@
                                      aUpstream.zone,
                                      16,
                                      aDraining ? "draining" : "ready",
-                                     aColdFor };
+                                     aColdFor,
+                                     0,
+                                     aUpstream.softwareVersion.empty()
+                                       ? "v1"
+                                       : aUpstream.softwareVersion };
   WriteToStore(
     [this, id = aUpstream.id, entry] { m_store.PutUpstream(id, entry); });
 }
@@ -427,6 +451,25 @@
   }
 }
 
+void
+SoakRun::BeginVersionFault(const Fault& aFault)
+{
+  auto& upstream = NewestUpstream(aFault.target);
+  if (!HasFreePorts() || upstream.worker->HasCrashed()) {
+    return;
+  }
+  m_signalChecks.UpstreamDisturbed(upstream.id);
+  if (aFault.kind == FaultKind::CrashEngine) {
+    upstream.worker->Crash();
+    return;
+  }
+  m_versionOf[aFault.target] = 1 + kFirstVersions + m_releases++ / 2;
+  AddUpstream(aFault.target);
+  upstream.leftAt = m_loop.Now();
+  upstream.worker->Leave();
+  PutEntry(upstream, true);
+}
+
 void
 SoakRun::EndSignalFault(const Fault& aFault)
 {
@@ -576,6 +619,10 @@
 void
 SoakRun::BeginFault(const Fault& aFault)
 {
+  if (aFault.kind >= FaultKind::ReleaseVersion) {
+    BeginVersionFault(aFault);
+    return;
+  }
   if (aFault.kind >= FaultKind::LeaveInAnswers) {
     BeginSignalFault(aFault);
     return;
@@ -728,10 +775,25 @@
     caller->Stop();
   }
   RunUntil(m_loop.Now() + 1000ms);
+  CheckStreamsGoOn();
   m_guarantees.Finish();
   return m_guarantees.Violations().empty();
 }
 
+void
+SoakRun::CheckStreamsGoOn()
+{
+  const auto& resumed = m_shared.resumedStreams;
+  if (resumed.requests < kMinResumes) {
+    return;
+  }
+  m_guarantees.Check(
+    Guarantee::StreamsGoOn,
+    resumed.StartedShare() >=
+      kMinGoOnRatio * m_shared.newStreams.StartedShare(),
+    fmt::format("{} of {} streams went on", resumed.started, resumed.requests));
+}
+
 //! Stops one router without recent faults, because few of the planned stops
 //! happen far enough from other faults to check GracefulStop.
 void
@@ -764,6 +826,13 @@
                       m_shared.firstByteMs.Quantile(0.5),
                       m_shared.firstByteMs.Quantile(0.95),
                       m_shared.firstByteMs.Quantile(0.99));
+  if (m_shared.resumesStreams) {
+    text += fmt::format("streams begun {} of {}, gone on {} of {}\n",
+                        m_shared.newStreams.started,
+                        m_shared.newStreams.requests,
+                        m_shared.resumedStreams.started,
+                        m_shared.resumedStreams.requests);
+  }
   for (std::size_t i = 0; i < kGuaranteeCount; ++i) {
     const auto guarantee = static_cast<Guarantee>(i);
     text += fmt::format("guarantee {:<28} checked {}\n",
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -50,6 +50,7 @@
     std::string id;
     std::uint32_t index = 0;
     std::string zone;
+    std::string softwareVersion; //!< empty: v1, which its events do not name
     std::unique_ptr<standins::UpstreamStandin> worker;
     std::unique_ptr<ChaosProxy> proxy;
     base::TimePoint leftAt{};    //!< 0: ready in the store
@@ -75,6 +76,8 @@
   void UpdateWarmUpstreams(base::TimePoint aNow);
   void BeginZoneFault(const Fault& aFault);
   void BeginSignalFault(const Fault& aFault);
+  void BeginVersionFault(const Fault& aFault);
+  std::string VersionOfNew(std::uint32_t aIndex) const;
   void EndSignalFault(const Fault& aFault);
   Upstream& NewestUpstream(std::uint32_t aIndex);
   standins::UpstreamFault ChooseFault(const Upstream& aUpstream,
@@ -97,6 +100,7 @@
   void OnRun(const Upstream& aUpstream, const standins::UpstreamRun& aRun);
   void RunUntil(base::TimePoint aUntil);
   void CheckGracefulStop();
+  void CheckStreamsGoOn();
   bool HasNoRecentFault() const;
 
   SoakSettings m_settings;
@@ -123,6 +127,9 @@
   std::optional<base::TimePoint> m_rewriteAt;
   std::uint64_t m_configVersion = 0;
   std::uint32_t m_keyNumber = 0;
+  std::map<std::uint32_t, std::uint32_t>
+    m_versionOf; //!< number of an engine's software version, by index
+  std::uint32_t m_releases = 0;
   ZoneChecker m_zoneChecks{ m_guarantees };
   std::array<int, kSoakZones> m_evacuations{}; //!< active evacuations by zone
   std::map<std::string, base::TimePoint>
--- a/src/soak/tests/flawedcodecs.cpp
+++ b/src/soak/tests/flawedcodecs.cpp
@@ -24,6 +24,9 @@
     request.id = m_lastId;
   }
   m_lastId = id;
+  if (m_flaw == Flaw::ForgetsStreams) {
+    request.resumedRequestId.clear();
+  }
   if (m_flaw == Flaw::IgnoresRepetition) {
     request.target += "?" + id;
   }
@@ -84,6 +87,13 @@
       }
     }
   }
+  if (m_flaw == Flaw::IgnoresVersions) {
+    for (auto& item : aPage.items) {
+      if (auto* upstream = std::get_if<gateway::StoredUpstream>(&item)) {
+        upstream->entry.softwareVersion = "any";
+      }
+    }
+  }
   if (m_flaw != Flaw::IgnoresDraining) {
     return aPage;
   }
--- a/src/soak/tests/flawedcodecs.h
+++ b/src/soak/tests/flawedcodecs.h
@@ -25,7 +25,9 @@
   IgnoresEvacuations,    //!< sends requests to evacuated zones
   IgnoresColdState,      //!< sends the full load to cold upstreams
   IgnoresLeavingAnswers, //!< learns from the store alone who leaves
-  IgnoresRetryAfter      //!< of upstreams' refusals
+  IgnoresRetryAfter,     //!< of upstreams' refusals
+  IgnoresVersions,       //!< of the upstreams' software
+  ForgetsStreams         //!< does not know which streams requests resume
 };
 inline constexpr auto kFlawNames =
   base::MakeEnumNames<Flaw>("crossed-ids",
@@ -40,7 +42,9 @@
                             "misses-evacuations",
                             "takes-cold-for-warm",
                             "misses-leaving-answers",
-                            "misses-retry-after");
+                            "misses-retry-after",
+                            "joins-versions",
+                            "forgets-streams");
 
 class FlawedCallerCodec : public gateway::ICallerCodec
 {
--- a/src/soak/tests/soaktests.cpp
+++ b/src/soak/tests/soaktests.cpp
@@ -115,6 +115,24 @@
   }
 }
 
+Test(soakplan, VersionFaultsDoNotChangeOtherFaults)
+{
+  SoakSettings settings;
+  settings.seed = 5;
+  const auto without = MakePlan(settings);
+  settings.versionFaults = 4;
+  auto with = MakePlan(settings);
+  const auto added = std::erase_if(with, [&](const Fault& aFault) {
+    return aFault.kind >= FaultKind::ReleaseVersion && aFault.target % 2 == 0 &&
+           aFault.target < settings.upstreams;
+  });
+  cr_assert(added == 4);
+  cr_assert(with.size() == without.size());
+  for (std::size_t i = 0; i < with.size(); ++i) {
+    cr_assert(with[i].at == without[i].at && with[i].kind == without[i].kind);
+  }
+}
+
 //! A request sent just within the bound may arrive later; one sent just beyond
 //! it may not, and other routers are not bound.
 Test(guarantees, DetectsWorkAfterALeavingAnswer)
--- a/standins/platformtext.cpp
+++ b/standins/platformtext.cpp
@@ -23,6 +23,10 @@
                         aCall.outputTokens,
                         aCall.promptParts);
   }
+  if (!aCall.resumes.empty()) {
+    text += fmt::format(
+      "Resumes: {}\r\nLast-Event-Id: {}\r\n", aCall.resumes, aCall.lastEvent);
+  }
   if (!aCall.body.empty()) {
     text += fmt::format("Content-Length: {}\r\n", aCall.body.size());
   }
--- a/standins/platformtext.h
+++ b/standins/platformtext.h
@@ -18,6 +18,10 @@
   std::uint32_t promptTokens = 0; //!< 0: not a generation request
   std::uint32_t outputTokens = 0;
   std::string promptParts; //!< "ID:TOKENS,..."
+  //! Of a request that resumes a stream: the id of the request that began it,
+  //! and the number of the last event that the caller has.
+  std::string resumes;
+  int lastEvent = 0;
   std::string body;
 };
 
