Tests of stream messages, of absent versions, and of an engine that restarts mid-stream

The router of our own interface resumes a stream at the engine that runs it, by request id, and cuts it if the engine forgot it: path/StreamOfAnEngineThatRestartedIsCut passes on the code as it was, so no version is joined there.

--- a/src/fleet/internal/streamdirectory.cpp
+++ b/src/fleet/internal/streamdirectory.cpp
@@ -134,7 +134,8 @@
 {
   switch (aMessage.kind) {
     case StreamMessageKind::Store:
-      for (const auto& record : aMessage.records) {
+      for (auto record : aMessage.records) {
+        record.lifetime = std::min(record.lifetime, kMaxStreamRecordLifetime);
         m_records.Put(record, aNow);
       }
       return;
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -238,6 +238,7 @@
   entry.service = "s";
   entry.address = { "10.1.1.1", 80 };
   entry.zone = "z";
+  entry.softwareVersion = "v1.2";
   entry.slots = 64;
   entry.draining = true;
   entry.coldFor = base::Duration(7);
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -50,6 +50,7 @@
 {
   None,
   Cut,
+  Restart, //!< its successor knows nothing of the stream
   Silence,
   ForeignHead,
   ForeignEvent
@@ -76,6 +77,11 @@
     const auto id = aRequest.headers.at("x-request-id");
     response.headers["X-Request-Id"] = id;
     response.headers["Content-Type"] = "text/event-stream";
+    if (!first && m_fault == Fault::Restart) {
+      resumes++;
+      response.status = 404;
+      return response;
+    }
     if (!first) {
       resumes++;
       const auto from = std::stoull(aRequest.query.at("from"));
@@ -196,6 +202,22 @@
   ExpectCompleteAfter(Fault::Cut, 21010, 1);
 }
 
+//! Another incarnation may be of another software version.
+Test(path, StreamOfAnEngineThatRestartedIsCut)
+{
+  ScriptedEngine engine(Fault::Restart);
+  TrafficFixture fixture(
+    21460,
+    "model-engine",
+    [&](const auto& aRequest) { return engine.Handle(aRequest); },
+    false,
+    kLongStallLimitMs);
+  const auto answer = fixture.Call();
+  cr_assert(answer.result != CURLE_OK);
+  cr_assert(answer.body == TokenEvent("r1-1-1", 0) + TokenEvent("r1-1-1", 1));
+  cr_assert(engine.runs == 1 && engine.resumes == 1);
+}
+
 Test(path, StalledConnectionIsReplaced)
 {
   ExpectCompleteAfter(Fault::Silence, 21020, 1);
