A limit learned from refusals leaves no slot of an upstream idle

Cause: each refusal set the limit to .8 of the requests at the refusal, again and again: an upstream of six slots and a queue of two ended below its six slots while calls were refused.

Change: an upstream that refuses while more requests than it has slots are there still gets as many as it has slots. One that refuses below its slots, for memory say, gets less, as before.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -149,7 +149,10 @@
   auto* upstream = m_upstreams.Find(found->second.upstream);
   if (change == SignalChange::Paused && upstream != nullptr) {
     upstream->concurrencyLimit.Refused(
-      RunningAt(found->second.upstream, *upstream), aSignals.retryAfter, aNow);
+      RunningAt(found->second.upstream, *upstream),
+      upstream->entry->slots,
+      aSignals.retryAfter,
+      aNow);
   }
   return change;
 }
--- a/src/fleet/internal/concurrencylimit.cpp
+++ b/src/fleet/internal/concurrencylimit.cpp
@@ -17,12 +17,14 @@
 
 void
 ConcurrencyLimit::Refused(std::uint32_t aRunning,
+                          std::uint32_t aSlots,
                           Duration aPause,
                           TimePoint aNow)
 {
   const double running = aRunning;
   const double reached = IsSet() ? std::min(running, At(aNow)) : running;
-  m_limit = std::max(1.0, kConcurrencyCutRatio * reached);
+  const double least = aRunning > aSlots ? aSlots : 1.0;
+  m_limit = std::max(least, kConcurrencyCutRatio * reached);
   m_pause = std::max(aPause, kReportInterval);
   m_growsFrom = aNow + aPause;
 }
--- a/src/fleet/tests/upstreamsignalstests.cpp
+++ b/src/fleet/tests/upstreamsignalstests.cpp
@@ -269,7 +269,7 @@
 {
   ConcurrencyLimit limit;
   cr_assert(limit.Allows(1000, 0ms));
-  limit.Refused(20, 1000ms, 5000ms);
+  limit.Refused(20, 64, 1000ms, 5000ms);
   cr_assert(limit.Allows(15, 6000ms));
   cr_assert(!limit.Allows(16, 6000ms));
   cr_assert(!limit.Allows(19, 6000ms + 8 * 1000ms));
@@ -280,11 +280,11 @@
 Test(concurrencylimit, ARefusalNeverRaisesIt)
 {
   ConcurrencyLimit limit;
-  limit.Refused(10, 1000ms, 0ms);
-  limit.Refused(50, 1000ms, 1000ms);
+  limit.Refused(10, 64, 1000ms, 0ms);
+  limit.Refused(50, 64, 1000ms, 1000ms);
   cr_assert(!limit.Allows(7, 2000ms));
   for (int i = 0; i < 100; ++i) {
-    limit.Refused(0, 1000ms, 2000ms);
+    limit.Refused(0, 64, 1000ms, 2000ms);
   }
   cr_assert(limit.Allows(0, 3000ms), "one request is always allowed");
 }
@@ -350,3 +350,17 @@
   cr_assert(paused("other") == 0);
   table.Tick(9000ms);
 }
+
+//! A short queue behind slots that are all taken is no reason to leave slots
+//! idle.
+Test(concurrencylimit, AnUpstreamStillGetsAsManyRequestsAsItHasSlots)
+{
+  ConcurrencyLimit limit;
+  for (int i = 0; i < 5; ++i) {
+    limit.Refused(8, 6, 1000ms, 1000ms * i);
+  }
+  cr_assert(limit.Allows(5, 5000ms));
+  cr_assert(!limit.Allows(6, 5000ms));
+  limit.Refused(4, 6, 1000ms, 6000ms); // it takes less than it has slots
+  cr_assert(!limit.Allows(4, 6000ms));
+}
