No stream that may be resumed begins at a version that other routers may not know

Cause: a resume without a record goes on where one version has served. A router whose list is a second old could take a stream that had just begun at a new version, at another router, for one of the version that it knows; its record would have to be lost as well.

Change: for 2.5 s after a service's first upstream of another version is listed, resumable streams begin there only if no other upstream fits; as a list is confirmed within 2.5 s wherever one version counts as certain, that router knows the version by then. Ruled out: waiting for a confirmation that is newer than the request, tried: watches take a second each, so the resume waited in vain or longer than its caller.

Evidence: resumedstream/NoStreamBeginsAtAVersionThatOtherRoutersMayNotKnow, versionhistory/AVersionIsNewUntilAllRoutersKnowIt.

Conclusion: never a guess, at the cost of the first upstream of a release for 2.5 s.

--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -368,7 +368,7 @@
 //! may have been sent: callers pause before they resume, and routers that are
 //! cut off from the store use older lists.
 inline constexpr base::Duration kOnlyVersionMargin = 15000ms;
-//! Greatest number of records at a router: some 10 MB.
+//! Greatest number of records at a router: some 7 MB.
 inline constexpr std::size_t kMaxStreamRecords = 65536;
 //! Records that fit into one packet.
 inline constexpr std::size_t kMaxStreamRecordsPerDatagram = 48;
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -91,8 +91,20 @@
   return isBlocked ? Suitability::Cold : Suitability::Fits;
 }
 
+bool
+Fleet::IsTooNewForStream(const PlaceRequest& aRequest,
+                         const Upstream& aUpstream,
+                         TimePoint aNow) const
+{
+  const auto& route = *aRequest.route;
+  return route.kind == CallKind::Stream && route.resumable &&
+         !aRequest.streamVersion &&
+         m_versions.IsNew(aRequest.service, aUpstream.version, aNow);
+}
+
 //! The upstreams of the request's service that aPolicy considers, out of those
-//! that may get the request. Contains ejected ones only if there are no others.
+//! that may get the request. Contains ejected ones, and ones that are too new
+//! for the stream, only if there are no others.
 //! Sets aResult.suitability. Few upstreams are examined unless most of the
 //! service's upstreams are excluded.
 std::vector<UpstreamId>
@@ -109,7 +121,7 @@
   const auto count =
     service->isEngine ? MaxCandidates(aPolicy) : kPlainCandidates;
   std::vector<UpstreamId> healthy;
-  std::vector<UpstreamId> ejected;
+  std::vector<UpstreamId> lastResort;
   RankedUpstreams ranked(service->ids, aKey);
   while (healthy.size() < count) {
     const auto id = ranked.Next();
@@ -120,10 +132,12 @@
     const auto suitability = SuitabilityOf(aRequest, *id, upstream, aNow);
     aResult.suitability = std::max(aResult.suitability, suitability);
     if (suitability == Suitability::Fits) {
-      (upstream.health.IsEjected(aNow) ? ejected : healthy).push_back(*id);
+      const bool isLastResort = upstream.health.IsEjected(aNow) ||
+                                IsTooNewForStream(aRequest, upstream, aNow);
+      (isLastResort ? lastResort : healthy).push_back(*id);
     }
   }
-  auto& eligible = healthy.empty() ? ejected : healthy;
+  auto& eligible = healthy.empty() ? lastResort : healthy;
   eligible.resize(std::min(eligible.size(), count));
   std::sort(eligible.begin(), eligible.end());
   return eligible;
--- a/src/fleet/internal/versionhistory.cpp
+++ b/src/fleet/internal/versionhistory.cpp
@@ -7,17 +7,27 @@
 namespace hemlockgauge::fleet {
 
 void
-VersionHistory::Count(const UpstreamEntryPtr& aEntry, bool aIsListed)
+VersionHistory::Add(const UpstreamEntryPtr& aEntry, TimePoint aNow)
 {
   if (!aEntry || !aEntry->usable) {
     return;
   }
   auto& listed = m_services[aEntry->service].listed;
-  const auto version = VersionIdOf(*aEntry);
-  if (aIsListed) {
-    listed[version]++;
-  } else if (--listed[version] == 0) {
-    listed.erase(version);
+  const auto [it, isNew] =
+    listed.try_emplace(VersionIdOf(*aEntry), ListedVersion{ 0, aNow });
+  it->second.upstreams++;
+}
+
+void
+VersionHistory::Remove(const UpstreamEntryPtr& aEntry)
+{
+  if (!aEntry || !aEntry->usable) {
+    return;
+  }
+  auto& listed = m_services[aEntry->service].listed;
+  const auto found = listed.find(VersionIdOf(*aEntry));
+  if (--found->second.upstreams == 0) {
+    listed.erase(found);
   }
 }
 
@@ -26,7 +36,7 @@
 void
 VersionHistory::Follow(ServiceVersions& aVersions, TimePoint aNow)
 {
-  for (const auto& [version, count] : aVersions.listed) {
+  for (const auto& [version, listed] : aVersions.listed) {
     if (version != aVersions.only) {
       aVersions.only = version;
       aVersions.onlySince = aNow;
@@ -41,8 +51,8 @@
 VersionHistory::Apply(const std::vector<EntryUpdate>& aUpdates, TimePoint aNow)
 {
   for (const auto& [before, after] : aUpdates) {
-    Count(before, false);
-    Count(after, true);
+    Add(after, aNow); // first, so that a version keeps its time
+    Remove(before);
   }
   for (auto& [service, versions] : m_services) {
     Follow(versions, aNow);
@@ -75,4 +85,19 @@
   return isCertain ? std::optional(versions.only) : std::nullopt;
 }
 
+bool
+VersionHistory::IsNew(std::string_view aService,
+                      VersionId aVersion,
+                      TimePoint aNow) const
+{
+  const auto found = m_services.find(aService);
+  if (found == m_services.end() || found->second.listed.size() < 2) {
+    return false;
+  }
+  const auto& listed = found->second.listed;
+  const auto version = listed.find(aVersion);
+  return version != listed.end() &&
+         aNow - version->second.since < kMaxListProofGap;
+}
+
 }
--- a/src/fleet/tests/resumedstreamtests.cpp
+++ b/src/fleet/tests/resumedstreamtests.cpp
@@ -136,3 +136,40 @@
   const auto after = fixture.Place(fixture.MakeRequest(3, "flood")).rate;
   cr_assert(after.admitted > before.admitted);
 }
+
+//! Another router may not know the version yet, and would take a stream that it
+//! cannot ask about for one of the version that it knows.
+Test(resumedstream, NoStreamBeginsAtAVersionThatOtherRoutersMayNotKnow)
+{
+  FleetFixture fixture;
+  fixture.route.resumable = true;
+  fixture.ListVersions({ "v1", "v1" });
+  fixture.now += 10000ms;
+  fixture.ListVersions({ "v1", "v1", "v2" });
+  std::uint64_t prefix = 0; // engines keep the prefixes that they have
+  const auto countNew = [&] {
+    int placed = 0;
+    for (int i = 0; i < 30; ++i) {
+      const auto place = fixture.Place(fixture.MakeRequest(++prefix));
+      placed += place.softwareVersion == "v2" ? 1 : 0;
+      fixture.fleet.EndAttempt(
+        place.attempt, AttemptOutcome::Answered, fixture.now);
+    }
+    return placed;
+  };
+  cr_assert(countNew() == 0);
+  fixture.now += kMaxListProofGap;
+  cr_assert(countNew() > 0);
+}
+
+//! A service never stops for it.
+Test(resumedstream, AStreamBeginsAtANewVersionIfThereIsNoOther)
+{
+  FleetFixture fixture;
+  fixture.route.resumable = true;
+  fixture.ListVersions({ "v1" });
+  fixture.now += 10000ms;
+  fixture.ListVersions({ "v2" });
+  cr_assert(fixture.Place(fixture.MakeRequest(1)).outcome ==
+            PlaceOutcome::Placed);
+}
--- a/src/fleet/tests/versionhistorytests.cpp
+++ b/src/fleet/tests/versionhistorytests.cpp
@@ -1,3 +1,4 @@
+#include "fleet/fleetconstants.h"
 #include "fleet/versionhistory.h"
 
 #include <criterion/criterion.h>
@@ -100,3 +101,22 @@
   fixture.ProveFor(kWindow + 5000ms);
   cr_assert(!fixture.IsCertain());
 }
+
+//! A version counts as new only beside another one, until all routers know it.
+Test(versionhistory, AVersionIsNewUntilAllRoutersKnowIt)
+{
+  HistoryFixture fixture;
+  const auto isNew = [&](const char* aVersion) {
+    return fixture.history.IsNew(
+      "engine", VersionIdOf(*Entry(aVersion)), fixture.now);
+  };
+  cr_assert(!isNew("v1"));
+  fixture.ProveFor(10000ms);
+  fixture.history.Apply({ { nullptr, Entry("v2") } }, fixture.now);
+  cr_assert(isNew("v2") && !isNew("v1"));
+  fixture.now += kMaxListProofGap - 1ms;
+  fixture.history.Apply({ { Entry("v2"), Entry("v2") } }, fixture.now);
+  cr_assert(isNew("v2"));
+  fixture.now += 1ms;
+  cr_assert(!isNew("v2"));
+}
--- a/src/fleet/versionhistory.h
+++ b/src/fleet/versionhistory.h
@@ -14,6 +14,10 @@
 
 //! Tells whether a service's upstreams have all had the same software version
 //! for some time, according to a list that the store has confirmed throughout.
+//!
+//! Two routers' lists differ by at most kMaxListProofGap while both are
+//! confirmed. If no router lets streams begin at a version that is new to it,
+//! no stream has begun at a version that another router does not know.
 class VersionHistory
 {
 public:
@@ -22,21 +26,34 @@
   //! Records that the store confirmed the list as of aAt. After a longer time
   //! without, upstreams may have come and gone unseen.
   void RecordProof(TimePoint aAt);
-  //! Returns the version of all upstreams that served within the last aWindow;
-  //! empty if there was more than one, or may have been.
+  //! Returns the version of all upstreams at which streams may have begun
+  //! within the last aWindow; empty if there was more than one, or may have
+  //! been.
   std::optional<VersionId> OnlyVersion(std::string_view aService,
                                        Duration aWindow,
                                        TimePoint aNow) const;
+  //! Whether upstreams of this version joined those of another one less than
+  //! kMaxListProofGap ago.
+  bool IsNew(std::string_view aService,
+             VersionId aVersion,
+             TimePoint aNow) const;
 
 private:
+  struct ListedVersion
+  {
+    std::size_t upstreams = 0;
+    TimePoint since{};
+  };
+
   struct ServiceVersions
   {
-    std::map<VersionId, std::size_t> listed; //!< upstreams by version
-    VersionId only = VersionId::Unknown;     //!< the only one since onlySince
+    std::map<VersionId, ListedVersion> listed;
+    VersionId only = VersionId::Unknown; //!< the only one since onlySince
     TimePoint onlySince{};
   };
 
-  void Count(const UpstreamEntryPtr& aEntry, bool aIsListed);
+  void Add(const UpstreamEntryPtr& aEntry, TimePoint aNow);
+  void Remove(const UpstreamEntryPtr& aEntry);
   static void Follow(ServiceVersions& aVersions, TimePoint aNow);
 
   std::map<std::string, ServiceVersions, std::less<>> m_services;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -116,6 +116,9 @@
   void FindStreamVersion();
   void ResumeWith(StreamSource aSource,
                   const fleet::StreamLookupResult& aLookup);
+  void LogStreamVersion(fleet::VersionId aVersion,
+                        StreamSource aSource,
+                        const fleet::StreamLookupResult& aLookup);
   bool MatchesStreamVersion() const;
   void RecordStreamVersion();
   void PlaceInitial();
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -83,47 +83,53 @@
   ResumeWith(aResult.record ? StreamSource::OtherRouter : unfound, aResult);
 }
 
-//! Resumes the stream if the version that began it is known, else refuses the
-//! request.
+//! Resumes the stream if its version is known, from its record or because there
+//! was only one, else refuses the request.
 void
 Exchange::ResumeWith(StreamSource aSource,
                      const fleet::StreamLookupResult& aLookup)
 {
   auto version = aLookup.record ? aLookup.record->version : VersionId::Unknown;
   if (version == VersionId::Unknown) {
-    if (const auto only = m_dependencies.fleet.OnlyVersion(
-          *m_route, m_service, m_dependencies.loop.Now())) {
-      version = *only;
-      aSource = StreamSource::OnlyVersion;
-    }
+    const auto only = m_dependencies.fleet.OnlyVersion(
+      *m_route, m_service, m_dependencies.loop.Now());
+    version = only.value_or(VersionId::Unknown);
+    aSource = only ? StreamSource::OnlyVersion : aSource;
+  }
+  LogStreamVersion(version, aSource, aLookup);
+  if (version != VersionId::Unknown) {
+    m_streamVersion = version;
+    PlaceInitial();
+    return;
   }
+  //! NOTE another router may reach those that did not answer this one.
+  const bool mayBeKnownElsewhere = aSource == StreamSource::Unanswered;
+  SendLocalReply(Refusal::UnknownStream,
+                 Verdict::NotRun,
+                 mayBeKnownElsewhere ? kRetryElsewhereDelay : base::Duration{});
+}
+
+void
+Exchange::LogStreamVersion(VersionId aVersion,
+                           StreamSource aSource,
+                           const fleet::StreamLookupResult& aLookup)
+{
   const auto source = kStreamSourceNames.NameOf(aSource);
   m_dependencies.metrics.Count(
     fmt::format("streams_to_resume_total{{source=\"{}\",version=\"{}\"}}",
                 source,
-                version == VersionId::Unknown ? "unknown" : "known"));
+                aVersion == VersionId::Unknown ? "unknown" : "known"));
   LogLine("stream-version")
     .Add("request", m_request.id)
     .Add("resumes", m_request.resumedRequestId)
     .Add("last_event", m_request.lastEventId.value_or(""))
     .Add("source", source)
-    .Add("version", m_dependencies.fleet.NameOfVersion(m_service, version))
+    .Add("version", m_dependencies.fleet.NameOfVersion(m_service, aVersion))
     .Add("age_ms", aLookup.record ? aLookup.record->age.count() : 0)
     .Add("asked", static_cast<std::uint64_t>(aLookup.asked))
     .Add("answered", static_cast<std::uint64_t>(aLookup.answered))
-    .Add("took_ms", aLookup.took.count())
+    .Add("waited_ms", TimeSinceArrival().count())
     .Info();
-  if (version == VersionId::Unknown) {
-    //! NOTE another router may reach those that did not answer this one.
-    const bool mayBeKnownElsewhere = aSource == StreamSource::Unanswered;
-    SendLocalReply(Refusal::UnknownStream,
-                   Verdict::NotRun,
-                   mayBeKnownElsewhere ? kRetryElsewhereDelay
-                                       : base::Duration{});
-    return;
-  }
-  m_streamVersion = version;
-  PlaceInitial();
 }
 
 //! Whether the current attempt's events belong to the version that began the
