Events that may be of another version are not counted as passed on

Callers would see: a stream with a missing event. Found by reading the diff.

Cause: whether the upstream's entry had changed since the request was sent was checked after the stream filter had taken the first event, so the next attempt resumed after an event that the caller never got.

Change: the check comes first.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -114,11 +114,14 @@
   //! Id of the request that began the stream.
   const std::string& StreamOrigin() const;
   void FindStreamVersion();
+  //! Resumes the stream at the version in aLookup, or at the only one that has
+  //! served, or refuses the request.
   void ResumeWith(StreamSource aSource,
                   const fleet::StreamLookupResult& aLookup);
   void LogStreamVersion(fleet::VersionId aVersion,
                         StreamSource aSource,
                         const fleet::StreamLookupResult& aLookup);
+  //! Whether events of the current attempt fit those that the caller has.
   bool MatchesStreamVersion() const;
   void RecordStreamVersion();
   void PlaceInitial();
@@ -134,6 +137,7 @@
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
+  void BreakAttempt(const std::string& aWhy);
   void SendHead();
   void HandleCompleteResponse();
   void FinishResponse(const std::string& aWhy);
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -83,8 +83,6 @@
   ResumeWith(aResult.record ? StreamSource::OtherRouter : unfound, aResult);
 }
 
-//! Resumes the stream if its version is known, from its record or because there
-//! was only one, else refuses the request.
 void
 Exchange::ResumeWith(StreamSource aSource,
                      const fleet::StreamLookupResult& aLookup)
@@ -132,8 +130,7 @@
     .Info();
 }
 
-//! Whether the current attempt's events belong to the version that began the
-//! stream. The upstream's entry may have changed since the request was sent.
+//! NOTE the upstream's entry may have changed since the request was sent.
 bool
 Exchange::MatchesStreamVersion() const
 {
@@ -163,27 +160,32 @@
     StreamOrigin(), *m_streamVersion, lifetime);
 }
 
+//! Gives up the current attempt because of what its upstream sent.
+void
+Exchange::BreakAttempt(const std::string& aWhy)
+{
+  EndAttempt(AttemptOutcome::Broken);
+  DiscardUpstream();
+  AttemptFailed(Verdict::MayHaveRun, aWhy);
+}
+
 void
 Exchange::RelayStreamBytes(std::string_view aBytes)
 {
   m_dependencies.fleet.RecordFirstToken(m_attempt, m_dependencies.loop.Now());
+  if (!m_hasPassedEvents && !MatchesStreamVersion()) {
+    BreakAttempt("upstream may be of another version");
+    return;
+  }
   std::string out;
   if (!m_streamFilter.Consume(aBytes, out)) {
-    EndAttempt(AttemptOutcome::Broken);
-    DiscardUpstream();
-    AttemptFailed(Verdict::MayHaveRun, "event id out of order");
+    BreakAttempt("event id out of order");
     return;
   }
   if (out.empty()) {
     return;
   }
   if (!m_hasPassedEvents) {
-    if (!MatchesStreamVersion()) {
-      EndAttempt(AttemptOutcome::Broken);
-      DiscardUpstream();
-      AttemptFailed(Verdict::MayHaveRun, "upstream may be of another version");
-      return;
-    }
     m_hasPassedEvents = true;
     RecordStreamVersion();
   }
