A router's exchanges end before the stream directory that they use

A stop that aborts requests does the same.

Change: the directory is declared, and so destroyed, on the right side of the exchanges.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,7 +118,6 @@
         HandleCheckResult(aUpstream, aResult);
       })
   , m_connections(aLoop, m_limits, *this)
-  , m_storeChangeLog(aIncarnation, m_fleet.Upstreams())
   , m_membership(aSettings.peerListen,
                  base::HashName(aSettings.zone),
                  SeedPeerAddresses(aSettings))
@@ -128,6 +127,7 @@
                      [this](const auto& aMessage, const auto& aTo) {
                        m_peerLink->Send(aMessage, aTo);
                      })
+  , m_storeChangeLog(aIncarnation, m_fleet.Upstreams())
   , m_intakeLoggedAt(aLoop.Now())
   , m_startedAt(aLoop.Now())
   , m_lastTick(m_startedAt)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -159,6 +159,10 @@
   UpstreamChecks m_checks;
   base::CallerLimits m_limits;
   http::ConnectionSet m_connections;
+  fleet::Membership m_membership;
+  StreamVersions m_streamVersions;
+  std::uint64_t m_streamMembersPlan = 0; //!< plan that m_streamVersions follows
+  //! After what exchanges use until they are destroyed.
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
   fleet::StoreChangeLog m_storeChangeLog;
   //! When this router last got a response from the store itself.
@@ -178,10 +182,7 @@
     m_openSource; //!< the source that m_storeUpdateSource follows
   std::unique_ptr<IStoreUpdateSource> m_storeUpdateSource;
   std::unique_ptr<StoreUpdateServer> m_storeUpdateServer;
-  fleet::Membership m_membership;
   std::unique_ptr<PeerLink> m_peerLink;
-  StreamVersions m_streamVersions;
-  std::uint64_t m_streamMembersPlan = 0; //!< plan that m_streamVersions follows
   fleet::ExchangeClock m_exchangeClock;
   fleet::ExchangePlan m_plan;    //!< in use since the last own report
   fleet::PeerReport m_ownReport; //!< the last one sent
