--- a/src/fleet/internal/streamdirectory.cpp
+++ b/src/fleet/internal/streamdirectory.cpp
@@ -211,7 +211,7 @@
     }));
   result.took = aNow - aLookup->second.beganAt;
   m_lookups.erase(aLookup);
-  m_results.push_back(std::move(result));
+  m_results.push_back(result);
 }
 
 void
