A stream's record that a router has is called here, not own

Cause: read as a newcomer, own meant a stream that began at this router, but the record may be a copy that another router sent.

--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -118,7 +118,7 @@
 //! How a router knows which version began a stream that is to be resumed.
 enum class StreamSource : std::uint8_t
 {
-  Own,         //!< it has the stream's record
+  Here,        //!< it has the stream's record, its own or a copy
   OtherRouter, //!< another router told it
   OnlyVersion, //!< there was no other version when the stream began
   Unknown,     //!< all routers that were asked don't know the stream
@@ -126,7 +126,7 @@
   NotNamed     //!< the request does not name the stream
 };
 inline constexpr auto kStreamSourceNames =
-  base::MakeEnumNames<StreamSource>("own",
+  base::MakeEnumNames<StreamSource>("here",
                                     "other-router",
                                     "only-version",
                                     "unknown",
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -67,7 +67,7 @@
   fleet::StreamLookupResult known;
   known.record = m_dependencies.streams.Find(StreamOrigin());
   if (known.record) {
-    ResumeWith(StreamSource::Own, known);
+    ResumeWith(StreamSource::Here, known);
     return;
   }
   m_dependencies.streams.Ask(StreamOrigin(), *this);
