A test that fails: retries of a flood from lost engines crowd out other workspaces

Lost engines run nothing, so they look idle, and an idle engine admits what lies beyond the share and the throttle. Change: the model of loads has engines that accept no connections, and retries as a gateway does; the decision that a retry keeps its admission is a function. No logic changed.

--- a/src/fleet/internal/retrypolicy.cpp
+++ b/src/fleet/internal/retrypolicy.cpp
@@ -54,6 +54,12 @@
                                                 : FinalAnswer(aFailed);
 }
 
+bool
+KeepsAdmission(const FailedAttempt&)
+{
+  return true;
+}
+
 void
 RetryBudget::Configure(double aRatio, double aSlack, Duration aWindow)
 {
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -50,6 +50,9 @@
 AfterFailure
 DecideAfterFailure(const FailedAttempt& aFailed, bool aBudgetAllows);
 
+//! Whether a retry goes to another upstream without being admitted again.
+bool KeepsAdmission(const FailedAttempt& aFailed);
+
 //! Limits the retries of this router to each service. All routers together may
 //! retry a ratio of the requests plus a slack per sliding window.
 //!
--- a/src/fleet/tests/loadmodel.cpp
+++ b/src/fleet/tests/loadmodel.cpp
@@ -1,10 +1,12 @@
 #include "loadmodel.h"
 
 #include "fleet/fleetconstants.h"
+#include "fleet/retrypolicy.h"
 #include "modelfleet.h"
 
 #include <algorithm>
 #include <cmath>
+#include <memory>
 #include <random>
 
 namespace hemlockgauge::fleet {
@@ -17,6 +19,7 @@
 constexpr double kTokenMs = 12.0;
 constexpr std::uint32_t kEngineCacheTokens = 180000;
 constexpr std::uint32_t kEngineSlots = 64;
+constexpr Duration kModelDeadline{ 6000 };
 
 TimePoint
 ToTimePoint(double aMillis)
@@ -97,6 +100,22 @@
 
 namespace {
 
+//! Time in which a connection is refused: a round trip.
+constexpr Duration kRefusalTime{ 2 };
+
+//! A request on its way to an engine.
+struct ModelCall
+{
+  Fleet* fleet = nullptr;
+  std::size_t kind = 0;
+  int workspace = 0;
+  Work work;
+  PlaceRequest request;
+  TimePoint arrivedAt{};
+  bool isCounted = false;
+  FailedAttempt failed; //!< as of the last failure
+};
+
 class LoadSimulation
 {
 public:
@@ -107,6 +126,9 @@
 private:
   void ScheduleArrival(std::size_t aKind);
   void HandleArrival(std::size_t aKind);
+  void Place(const std::shared_ptr<ModelCall>& aCall);
+  void Retry(const std::shared_ptr<ModelCall>& aCall);
+  void Run(const ModelCall& aCall, const PlaceResult& aPlace);
   int DrawWorkspace();
   double Draw() { return m_uniform(m_random); }
 
@@ -198,52 +220,107 @@
   const auto& kind = m_load.kinds[aKind];
   const int workspace = DrawWorkspace();
   const auto prefix = static_cast<std::uint64_t>(Draw() * kind.prefixCount);
-  Work work;
+  const auto call = std::make_shared<ModelCall>();
+  call->kind = aKind;
+  call->workspace = workspace;
+  auto& work = call->work;
   work.promptTokens = kind.headTokens + kind.sharedTokens + kind.uniqueTokens;
   work.outputTokens = kind.outputTokens;
   const auto head = prefix % static_cast<std::uint64_t>(kind.headCount);
   work.prompt = { { aKind * 100000 + 50000 + head, kind.headTokens },
                   { aKind * 100000 + prefix + 1, kind.sharedTokens },
                   { ++m_lastUniquePart, kind.uniqueTokens } };
-  PlaceRequest request;
+  auto& request = call->request;
   request.route = &m_routes[aKind];
   request.work = &work;
   request.service = "engines";
   request.workspace = WorkspaceIdOf("w" + std::to_string(workspace));
   request.key = base::HashName("request" + std::to_string(m_lastUniquePart));
-  request.timeLeft = 6000ms;
+  request.timeLeft = kModelDeadline;
   const auto now = m_fleet.Now();
-  auto& fleet = m_fleet.At(
+  call->arrivedAt = now;
+  call->fleet = &m_fleet.At(
     static_cast<std::size_t>(Draw() * static_cast<double>(m_fleet.Size())));
-  fleet.CountArrival(request, now);
-  const auto place = fleet.Place(request, now);
-  const bool isCounted = m_fleet.SinceStart() >= m_load.warmUp;
-  auto& outcome = m_result.workspaces[static_cast<std::size_t>(workspace)];
-  if (isCounted) {
+  call->fleet->CountArrival(request, now);
+  call->isCounted = m_fleet.SinceStart() >= m_load.warmUp;
+  if (call->isCounted) {
+    auto& outcome = m_result.workspaces[static_cast<std::size_t>(workspace)];
     outcome.requestedCost += work.Cost();
     outcome.requests++;
   }
+  Place(call);
+}
+
+void
+LoadSimulation::Place(const std::shared_ptr<ModelCall>& aCall)
+{
+  const auto place = aCall->fleet->Place(aCall->request, m_fleet.Now());
   if (place.outcome != PlaceOutcome::Placed) {
     return;
   }
-  const auto first = m_engines.at(place.upstreamId).Prefill(work, now);
-  const auto latency = first - now;
-  if (isCounted) {
+  const int engine = std::stoi(place.upstreamId.substr(1));
+  if (!m_load.isDown(engine, m_fleet.SinceStart())) {
+    Run(*aCall, place);
+    return;
+  }
+  aCall->request.triedUpstreams.push_back(place.upstream);
+  m_fleet.Schedule(m_fleet.Now() + kRefusalTime,
+                   [this, aCall, attempt = place.attempt] {
+                     aCall->fleet->EndAttempt(
+                       attempt, AttemptOutcome::Unreachable, m_fleet.Now());
+                     Retry(aCall);
+                   });
+}
+
+//! Retries as a gateway does after an engine refused the connection.
+void
+LoadSimulation::Retry(const std::shared_ptr<ModelCall>& aCall)
+{
+  auto& failed = aCall->failed;
+  failed.kind = CallKind::Stream;
+  failed.attemptsNotRun++;
+  failed.neverSent = true;
+  failed.waited = m_fleet.Now() - aCall->arrivedAt;
+  failed.target = aCall->request.route->target;
+  failed.timeLeft = kModelDeadline - failed.waited;
+  if (DecideAfterFailure(failed, false) != AfterFailure::Retry) {
+    return;
+  }
+  aCall->request.waited = failed.waited;
+  aCall->request.timeLeft = failed.timeLeft;
+  aCall->request.admitted = KeepsAdmission(failed);
+  Place(aCall);
+}
+
+//! Runs a request at the engine that it was placed at.
+void
+LoadSimulation::Run(const ModelCall& aCall, const PlaceResult& aPlace)
+{
+  const auto& work = aCall.work;
+  const auto first =
+    m_engines.at(aPlace.upstreamId).Prefill(work, m_fleet.Now());
+  const auto latency = first - aCall.arrivedAt;
+  if (aCall.isCounted) {
+    auto& outcome =
+      m_result.workspaces[static_cast<std::size_t>(aCall.workspace)];
     outcome.admittedCost += work.Cost();
     outcome.admitted++;
-    outcome.admittedInsideShare += place.insideShare ? 1 : 0;
-    outcome.admittedFarBehind += !place.insideShare && place.farBehind ? 1 : 0;
-    outcome.inTimeCost += latency <= kind.target ? work.Cost() : 0.0;
+    outcome.admittedInsideShare += aPlace.insideShare ? 1 : 0;
+    outcome.admittedFarBehind +=
+      !aPlace.insideShare && aPlace.farBehind ? 1 : 0;
+    const bool inTime = latency <= m_load.kinds[aCall.kind].target;
+    outcome.inTimeCost += inTime ? work.Cost() : 0.0;
     outcome.firstTokenMs.push_back(static_cast<double>(latency.count()));
   }
-  const auto attempt = place.attempt;
-  m_fleet.Schedule(first, [this, &fleet, attempt] {
-    fleet.RecordTokens(attempt, m_fleet.Now());
+  auto* fleet = aCall.fleet;
+  const auto attempt = aPlace.attempt;
+  m_fleet.Schedule(first, [this, fleet, attempt] {
+    fleet->RecordTokens(attempt, m_fleet.Now());
   });
   const auto end =
-    first + Duration(static_cast<std::int64_t>(kTokenMs * kind.outputTokens));
-  m_fleet.Schedule(end, [this, &fleet, attempt] {
-    fleet.EndAttempt(attempt, AttemptOutcome::Answered, m_fleet.Now());
+    first + Duration(static_cast<std::int64_t>(kTokenMs * work.outputTokens));
+  m_fleet.Schedule(end, [this, fleet, attempt] {
+    fleet->EndAttempt(attempt, AttemptOutcome::Answered, m_fleet.Now());
   });
 }
 
--- a/src/fleet/tests/loadmodel.h
+++ b/src/fleet/tests/loadmodel.h
@@ -69,6 +69,11 @@
   std::function<double(int, Duration)> demandFactor = [](int, Duration) {
     return 1.0;
   };
+  //! Whether an engine accepts no connections, by its index and the time since
+  //! the start. It stays listed.
+  std::function<bool(int, Duration)> isDown = [](int, Duration) {
+    return false;
+  };
 };
 
 //! Outcome of a workspace's requests. Costs are in tokens.
--- a/src/fleet/tests/loadtests.cpp
+++ b/src/fleet/tests/loadtests.cpp
@@ -97,3 +97,29 @@
             "%.0f tokens/s",
             tokensPerSecond);
 }
+
+//! A quarter of the engines accept no connections while a workspace floods.
+//! They run nothing and so looked idle: requests beyond the share were sent
+//! there, and their retries filled the other engines without being admitted
+//! there. The workspaces within their shares got less than half.
+Test(load, RetriesFromLostEnginesOfAFloodDoNotCrowdOutOtherWorkspaces)
+{
+  auto load = LargeDeploymentLoad(0.7);
+  load.demandFactor = [](int aWorkspace, Duration aSince) {
+    return aWorkspace == 3 && aSince > 3000ms ? 60.0 : 1.0;
+  };
+  load.isDown = [](int aEngine, Duration aSince) {
+    return aEngine % 4 == 0 && aSince > 5000ms && aSince < 10000ms;
+  };
+  load.warmUp = 5000ms;
+  load.length = 11000ms;
+  const auto result = SimulateLoad(load, kSeed);
+  const auto& flood = result.workspaces[3];
+  for (const auto& outcome : result.workspaces) {
+    const double owed = std::min(outcome.requestedCost, flood.admittedCost);
+    const double served =
+      &outcome == &flood ? outcome.admittedCost : outcome.inTimeCost;
+    cr_assert(
+      served > 0.5 * owed, "served %.2f of what was owed", served / owed);
+  }
+}
