A request that no upstream ran is admitted again before its retry

Change: KeepsAdmission: only a request that may have run, or whose answer has begun, keeps its admission. The admitted cost of an attempt that ran nowhere is taken back from the workspace's rate. Ruled out: not counting an engine with a failed connection as idle (each of 68 routers learns it anew for each of 35 engines).

--- a/src/fleet/fairshare.h
+++ b/src/fleet/fairshare.h
@@ -35,6 +35,12 @@
                    double aCost,
                    double aPrefillTokens,
                    TimePoint aNow);
+  //! Takes back an AddAdmitted of aAge ago: no upstream ran the request.
+  void RemoveAdmitted(WorkspaceId aWorkspace,
+                      double aCost,
+                      double aPrefillTokens,
+                      Duration aAge,
+                      TimePoint aNow);
   //! Returns the rates as of aNow and drops entries with negligible rates.
   const WorkspaceRates& Rates(TimePoint aNow);
   //! Prompt tokens per second that upstreams have to prefill for admitted
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -246,6 +246,20 @@
   }
 }
 
+//! Uncounts an admitted request that no upstream ran. Otherwise its workspace
+//! would seem to be served what it is not.
+void
+Fleet::TakeBackAdmission(const Attempt& aAttempt, TimePoint aNow)
+{
+  if (aAttempt.admittedCost > 0) {
+    m_demandMeter.RemoveAdmitted(aAttempt.workspace,
+                                 aAttempt.admittedCost,
+                                 aAttempt.admittedPrefill,
+                                 aNow - aAttempt.sentAt,
+                                 aNow);
+  }
+}
+
 bool
 Fleet::EndAttempt(AttemptId aAttempt, AttemptOutcome aEnd, TimePoint aNow)
 {
@@ -257,6 +271,9 @@
   m_attempts.erase(found);
   auto* upstream = m_upstreams.Find(attempt.upstream);
   EndPrefill(upstream, aAttempt, attempt);
+  if (aEnd == AttemptOutcome::Refused || aEnd == AttemptOutcome::Unreachable) {
+    TakeBackAdmission(attempt, aNow);
+  }
   RecordEvidence(attempt, aEnd, aNow);
   if (upstream == nullptr) {
     return false;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -345,6 +345,11 @@
     TimePoint lastTokenAt{};
     bool hasProvenParts = false; //!< see UncheckedRun::HasProvenParts
 
+    //! Counted as admitted when it was sent; 0 if it was not.
+    double admittedCost = 0;
+    double admittedPrefill = 0;
+    WorkspaceId workspace{};
+
     quarantine::UncheckedRun ToUncheckedRun() const;
   };
 
@@ -426,6 +431,7 @@
                         UpstreamId aUpstream,
                         quarantine::CheckResult aResult,
                         TimePoint aNow);
+  void TakeBackAdmission(const Attempt& aAttempt, TimePoint aNow);
   void EndPrefill(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt);
 
   FleetSettings m_settings;
--- a/src/fleet/internal/fairshare.cpp
+++ b/src/fleet/internal/fairshare.cpp
@@ -73,6 +73,22 @@
   m_prefillRate += aPrefillTokens * kMillisPerSecond / kTimeConstantMs;
 }
 
+void
+DemandMeter::RemoveAdmitted(WorkspaceId aWorkspace,
+                            double aCost,
+                            double aPrefillTokens,
+                            Duration aAge,
+                            TimePoint aNow)
+{
+  Decay(aNow);
+  const double factor =
+    std::exp(-static_cast<double>(aAge.count()) / kTimeConstantMs) *
+    kMillisPerSecond / kTimeConstantMs;
+  auto& rate = m_rates[aWorkspace];
+  rate.admitted = std::max(0.0, rate.admitted - aCost * factor);
+  m_prefillRate = std::max(0.0, m_prefillRate - aPrefillTokens * factor);
+}
+
 const WorkspaceRates&
 DemandMeter::Rates(TimePoint aNow)
 {
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -475,6 +475,9 @@
       aRequest.workspace, work.Cost(), prefillTokens, aNow);
     m_fleetRates[aRequest.workspace].admitted +=
       work.Cost() * 1000.0 / static_cast<double>(kRateTimeConstant.count());
+    attempt.admittedCost = work.Cost();
+    attempt.admittedPrefill = prefillTokens;
+    attempt.workspace = aRequest.workspace;
   }
   m_attempts.emplace(id, attempt);
   return id;
--- a/src/fleet/internal/retrypolicy.cpp
+++ b/src/fleet/internal/retrypolicy.cpp
@@ -55,9 +55,9 @@
 }
 
 bool
-KeepsAdmission(const FailedAttempt&)
+KeepsAdmission(const FailedAttempt& aFailed)
 {
-  return true;
+  return aFailed.attemptsRun > 0 || aFailed.answerBegun;
 }
 
 void
--- a/src/fleet/retrypolicy.h
+++ b/src/fleet/retrypolicy.h
@@ -50,8 +50,12 @@
 AfterFailure
 DecideAfterFailure(const FailedAttempt& aFailed, bool aBudgetAllows);
 
-//! Whether a retry goes to another upstream without being admitted again.
-bool KeepsAdmission(const FailedAttempt& aFailed);
+//! Whether a retry goes to another upstream without being admitted again: only
+//! if the request may have run. Upstreams that accept no connections look idle
+//! and admit everything, so a request that none of them received must not take
+//! precedence over new ones elsewhere.
+bool
+KeepsAdmission(const FailedAttempt& aFailed);
 
 //! Limits the retries of this router to each service. All routers together may
 //! retry a ratio of the requests plus a slack per sliding window.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -309,7 +309,7 @@
     .Info();
   if (next == fleet::AfterFailure::Retry) {
     m_streamFilter.Resume();
-    if (PlaceRetry()) {
+    if (PlaceRetry(failed)) {
       return;
     }
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -125,7 +125,7 @@
   bool MatchesStreamVersion() const;
   void RecordStreamVersion();
   void PlaceInitial();
-  bool PlaceRetry();
+  bool PlaceRetry(const fleet::FailedAttempt& aFailed);
   fleet::PlaceRequest MakePlaceRequest() const;
   void CountNoUpstream(const fleet::PlaceResult& aPlace);
   void SendInitial(const fleet::PlaceResult& aPlace);
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -111,7 +111,7 @@
 //! Chooses an upstream for a retry and sends the request to it. Returns false
 //! if there is none.
 bool
-Exchange::PlaceRetry()
+Exchange::PlaceRetry(const fleet::FailedAttempt& aFailed)
 {
   const auto* routes = m_dependencies.fleet.Routes();
   if (routes->Config() != m_config) {
@@ -140,7 +140,7 @@
     }
   }
   auto request = MakePlaceRequest();
-  request.admitted = true;
+  request.admitted = fleet::KeepsAdmission(aFailed);
   const auto now = m_dependencies.loop.Now();
   const auto place = m_dependencies.fleet.Place(request, now);
   if (place.outcome == fleet::PlaceOutcome::Quarantined) {
