The time to a first token is learned as a fixed part and a rate

Cause: engines of one deployment add 110 ms to every first token. The constant of 12 ms made short prompts look slow to prefill and long ones fast, for placement, admission and Retry-After alike; at a router, which sees an engine's first token once in seconds, the rate of each engine followed slowly besides. Change: FirstTokenTime fits both parts for a service, EngineSlowness compares each engine with it. Used only where even the fastest recent first tokens take over 40 ms; elsewhere the learned rate and the constant stay. The fixed part is no wait for others. What is admitted over the fleet keeps its own, slowly learned rate.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -53,7 +53,8 @@
     status.unreadTokens =
       upstream.prefills.UnreadTokens(aNow) + remote.unreadTokens;
     status.running = upstream.running + remote.running;
-    status.prefillRate = upstream.prefillRate.TokensPerMs();
+    status.prefillRate = upstream.TokensPerMs();
+    status.fixedFirstTokenMs = upstream.FixedFirstTokenMs();
     status.failureRatio = upstream.health.FailureRatio(aNow);
     all.push_back(status);
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -320,10 +320,11 @@
     Duration coldFor{};
     Duration pausedFor{}; //!< it wants no requests from this router
     bool ejected = false;
-    double unreadTokens = 0;   //!< still to be prefilled, of all routers
-    std::uint32_t running = 0; //!< requests of all routers
-    double prefillRate = 0;    //!< prefill speed in tokens per ms
-    double failureRatio = 0;   //!< of its answers, 0 to 1
+    double unreadTokens = 0;      //!< still to be prefilled, of all routers
+    std::uint32_t running = 0;    //!< requests of all routers
+    double prefillRate = 0;       //!< prefill speed in tokens per ms
+    double fixedFirstTokenMs = 0; //!< of a first token, besides prefill
+    double failureRatio = 0;      //!< of its answers, 0 to 1
   };
   std::vector<UpstreamStatus> Status(TimePoint aNow) const;
 
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -41,6 +41,31 @@
 //! Fixed time that an engine adds to each first token, in ms: one engine step
 //! and the network round trip.
 inline constexpr double kFirstTokenOverheadMs = 12.0;
+//! Number of first tokens after which a service's earlier ones count a third:
+//! some seconds at a router.
+inline constexpr double kFirstTokenMemory = 200.0;
+//! Weight of each of the two first tokens that are assumed for a service.
+inline constexpr double kAssumedFirstTokens = 3.0;
+//! Prompt of the longer one of them, in tokens.
+inline constexpr double kAssumedPromptTokens = 4000.0;
+//! A service has a notable fixed time if each first token of the current and
+//! the previous window took at least this long, in ms: a few engine steps.
+inline constexpr double kNotableFixedFirstTokenMs = 40.0;
+//! First tokens in such a window: some of them waited for no other request.
+inline constexpr int kLeastFirstTokenWindow = 30;
+//! A first token counts with at most this many times the predicted time: longer
+//! ones show a fault or a queue that this router did not know of.
+inline constexpr double kFirstTokenOutlierRatio = 3.0;
+//! Bounds of the learned fixed time to a first token, in ms.
+inline constexpr double kMinFixedFirstTokenMs = 2.0;
+inline constexpr double kMaxFixedFirstTokenMs = 1000.0;
+//! Least weight of a new first token in an engine's slowness.
+inline constexpr double kEngineSlownessGain = 0.15;
+//! Weight of the mean engine in an engine's slowness, in first tokens.
+inline constexpr double kEngineSlownessPrior = 2.0;
+//! Bounds of an engine's slowness.
+inline constexpr double kMinEngineSlowness = 0.2;
+inline constexpr double kMaxEngineSlowness = 6.0;
 //! Service time assumed for a plain service that has not answered yet, in ms.
 inline constexpr double kInitialServiceMs = 40.0;
 //! Weight of a new sample in the moving averages of service times.
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -233,7 +233,9 @@
   const auto cachedTokens = m_prefixes.HeldTokens(*aRequest.work, aUpstream);
   candidate.missingTokens =
     static_cast<double>(aRequest.work->promptTokens) - cachedTokens;
-  candidate.prefillRate = upstream.prefillRate.TokensPerMs();
+  candidate.prefillRate =
+    candidate.isEngine ? upstream.TokensPerMs() : kInitialPrefillRate;
+  candidate.fixedMs = upstream.FixedFirstTokenMs();
   if (!aHolders.empty()) {
     candidate.copy = ChooseCopySource(*FindService(aRequest.service),
                                       aHolders,
@@ -308,6 +310,9 @@
   input.ownPrefillMs = aCandidate.isEngine ? aRequest.work->UnsharedTokens() /
                                                aCandidate.prefillRate
                                            : 0.0;
+  //! NOTE an engine step is not counted as its own; all limits allow for it.
+  input.ownPrefillMs +=
+    std::max(aCandidate.fixedMs - kFirstTokenOverheadMs, 0.0);
   input.unseenMs = aUnseen.ms;
   input.waited = aRequest.waited;
   input.target = aRequest.route->target;
@@ -458,8 +463,12 @@
   }
   const auto id = m_nextAttempt++;
   const double queueMs = aCandidate.unreadTokens / aCandidate.prefillRate;
-  upstream.prefills.Add(
-    id, prefillTokens, queueMs, prefillTokens / aCandidate.prefillRate, aNow);
+  upstream.prefills.Add(id,
+                        prefillTokens,
+                        queueMs,
+                        prefillTokens / aCandidate.prefillRate,
+                        aNow,
+                        aCandidate.fixedMs - kFirstTokenOverheadMs);
   for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
     const bool reports = m_prefixes.RecordOwnUse(work.prompt[i].id, aUpstream);
     if (reports && m_ownUses.size() < kMaxReportedUses) {
--- a/src/fleet/internal/placement.cpp
+++ b/src/fleet/internal/placement.cpp
@@ -119,7 +119,7 @@
     const double slotWaitMs =
       excessRequests > 0 ? excessRequests * kFirstTokenOverheadMs : 0.0;
     const double copyMs = copy ? copy->durationMs : 0.0;
-    return kFirstTokenOverheadMs + copyMs + prefillMs + slotWaitMs;
+    return fixedMs + copyMs + prefillMs + slotWaitMs;
   }
   return serviceMs * Rounds();
 }
--- a/src/fleet/internal/prefillqueue.cpp
+++ b/src/fleet/internal/prefillqueue.cpp
@@ -34,7 +34,8 @@
                   double aTokens,
                   double aAheadMs,
                   double aPrefillMs,
-                  TimePoint aNow)
+                  TimePoint aNow,
+                  double aFixedMs)
 {
   if (aTokens <= 0 || aPrefillMs <= 0) {
     return;
@@ -45,7 +46,7 @@
       aTokens,
       now + aAheadMs,
       aPrefillMs,
-      now + kOverdueFactor * (aAheadMs + aPrefillMs) + kOverdueMs });
+      now + kOverdueFactor * (aAheadMs + aPrefillMs + aFixedMs) + kOverdueMs });
 }
 
 void
--- a/src/fleet/internal/upstreamtable.cpp
+++ b/src/fleet/internal/upstreamtable.cpp
@@ -267,7 +267,11 @@
 void
 UpstreamTable::LearnPrefill(Upstream& aUpstream, double aTokens, double aMillis)
 {
-  aUpstream.prefillRate.Learn(aTokens, aMillis);
+  auto& firstToken = aUpstream.service->firstToken;
+  const double predictedMs = firstToken.PredictMs(aTokens);
+  aUpstream.prefillRate.Learn(aTokens, aMillis, aUpstream.FixedFirstTokenMs());
+  firstToken.Learn(aTokens, aMillis / aUpstream.slowness.Factor());
+  aUpstream.slowness.Learn(predictedMs, aMillis);
   if (aUpstream.counted.upstreams == 0 || !aUpstream.IsEngine()) {
     return;
   }
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/enumnames.h"
+#include "fleet/fleetconstants.h"
 #include "fleet/fleettypes.h"
 #include "fleet/loadspread.h"
 #include "fleet/prefixcopy.h"
@@ -20,7 +21,9 @@
   double missingTokens = 0;       //!< of this request, to be prefilled there
   std::optional<PrefixCopy> copy; //!< replaces part of the prefill
   double prefillRate = 1;         //!< prefilled tokens per ms
-  std::uint32_t running = 0;      //!< requests, of all routers
+  //! Time of a first token besides copy and prefill, in ms.
+  double fixedMs = kFirstTokenOverheadMs;
+  std::uint32_t running = 0; //!< requests, of all routers
   std::uint32_t slots = 1;
   double serviceMs = 0;    //!< mean service time of a plain upstream's request
   double failureRatio = 0; //!< recent failures, see UpstreamHealth
--- a/src/fleet/prefillqueue.h
+++ b/src/fleet/prefillqueue.h
@@ -16,12 +16,13 @@
 public:
   //! Adds a prompt of aTokens that was sent to the engine. aAheadMs: predicted
   //! time until its prefill starts; aPrefillMs: predicted duration of the
-  //! prefill.
+  //! prefill; aFixedMs: predicted time from its end to the first token.
   void Add(std::uint64_t aAttempt,
            double aTokens,
            double aAheadMs,
            double aPrefillMs,
-           TimePoint aNow);
+           TimePoint aNow,
+           double aFixedMs = 0);
   //! Removes a prompt whose first token arrived or whose attempt ended.
   void Remove(std::uint64_t aAttempt);
   //! Estimated tokens whose prefill is not finished. A prompt that is overdue
--- a/src/fleet/prefillrate.h
+++ b/src/fleet/prefillrate.h
@@ -15,13 +15,16 @@
   double TokensPerMs() const { return m_tokensPerMs; }
 
   //! Adds a sample. aTokens: tokens prefilled up to a request's first token,
-  //! its own and those of other requests; aMillis: latency of that first token.
-  void Learn(double aTokens, double aMillis)
+  //! its own and those of other requests; aMillis: latency of that first token;
+  //! aFixedMs: part of it that does not depend on the tokens.
+  void Learn(double aTokens,
+             double aMillis,
+             double aFixedMs = kFirstTokenOverheadMs)
   {
     if (aTokens < kMinPrefillSampleTokens) {
       return;
     }
-    const double prefillMs = std::max(aMillis - kFirstTokenOverheadMs, 1.0);
+    const double prefillMs = std::max(aMillis - aFixedMs, 1.0);
     const double sample =
       std::clamp(aTokens / prefillMs, kMinPrefillRate, kMaxPrefillRate);
     m_tokensPerMs = 1.0 / ((1.0 - kPrefillRateGain) / m_tokensPerMs +
--- a/src/fleet/upstream.h
+++ b/src/fleet/upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/concurrencylimit.h"
+#include "fleet/firsttokentime.h"
 #include "fleet/fleetconstants.h"
 #include "fleet/fleettypes.h"
 #include "fleet/prefillqueue.h"
@@ -35,6 +36,7 @@
   //! Of them, those that wanted no requests from this router at the last Tick.
   std::size_t paused = 0;
   UpstreamCapacity capacity;
+  FirstTokenTime firstToken; //!< of its engines
   //! The settings changed since the capacity was counted.
   bool isCapacityStale = false;
 
@@ -60,7 +62,9 @@
   //! Until then it wants no requests from this router.
   TimePoint pausedUntil{ TimePoint::min() / 2 };
   ConcurrencyLimit concurrencyLimit;
+  //! Follows slowly; bounds what is admitted over the fleet.
   PrefillRate prefillRate;
+  EngineSlowness slowness;
   UpstreamServiceTime serviceTime;
   UpstreamHealth health;
   PrefillQueue prefills;     //!< of requests from this router
@@ -68,6 +72,20 @@
   //! Its part of its service's capacity; empty if it accepts no requests.
   UpstreamCapacity counted;
 
+  //! Predicted prefill speed, in tokens per ms.
+  double TokensPerMs() const
+  {
+    const auto& time = service->firstToken;
+    return time.HasNotableFixedTime() ? time.TokensPerMs() / slowness.Factor()
+                                      : prefillRate.TokensPerMs();
+  }
+  //! Predicted time of a first token besides prefill, in ms.
+  double FixedFirstTokenMs() const
+  {
+    const auto& time = service->firstToken;
+    return time.HasNotableFixedTime() ? time.FixedMs() * slowness.Factor()
+                                      : kFirstTokenOverheadMs;
+  }
   bool IsEngine() const { return service->isEngine; }
   bool IsCold(TimePoint aNow) const
   {
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -66,7 +66,10 @@
 
   void BeginRequest(UpstreamId aUpstream);
   void EndRequest(UpstreamId aUpstream);
-  //! Learns an engine's prefill speed, see PrefillRate::Learn.
+  //! Learns the speed of an engine and its service from a first token, see
+  //! PrefillRate::Learn and FirstTokenTime::Learn. aWasUndelayed: the engine
+  //! was not known to have other prompts to prefill, and most of its slots were
+  //! free.
   void LearnPrefill(Upstream& aUpstream, double aTokens, double aMillis);
   //! Records a failed request; see UpstreamHealth::Failed. An upstream is not
   //! ejected if too many of its service are. Returns true if this ejects it.
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -69,6 +69,7 @@
                         "evacuated={} "
                         "cold_ms={} paused_ms={} ejected={} "
                         "unread_tokens={:.0f} running={} read_rate={:.1f} "
+                        "first_token_fixed_ms={:.0f} "
                         "failure_part={:.2f}\n",
                         upstream.id,
                         upstream.service,
@@ -82,6 +83,7 @@
                         upstream.unreadTokens,
                         upstream.running,
                         upstream.prefillRate,
+                        upstream.fixedFirstTokenMs,
                         upstream.failureRatio);
   }
   for (const auto& evacuation : m_fleet.Evacuated().InForce()) {
