--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -38,6 +38,10 @@
 inline constexpr auto kCallKindNames =
   base::MakeEnumNames<CallKind>("idempotent", "at-most-once", "stream");
 
+//! Priority of requests whose route and workspace have none; 0 is the highest.
+inline constexpr std::uint32_t kDefaultPriority = 1;
+inline constexpr std::uint32_t kMaxPriority = 255; //!< the lowest
+
 //! A service that gets a weighted part of a route's requests.
 struct ServiceWeight
 {
@@ -57,6 +61,8 @@
   std::uint32_t maxAttempts = 1;
   bool isPublic = false;  //!< requests need no key
   bool resumable = false; //!< a stream may be resumed at another upstream
+  //! Order of waiting requests of workspaces with the same entitlement.
+  std::uint32_t priority = kDefaultPriority;
   std::vector<ServiceWeight> split;
   //! Regions in which its requests may run; empty: all.
   std::vector<std::string> allowedRegions;
@@ -104,6 +110,16 @@
   //! Regions in which a workspace's requests may run. A workspace without an
   //! entry may run in all regions.
   std::unordered_map<std::string, std::vector<std::string>> regionsOfWorkspace;
+  //! Priorities that take precedence over the route's. A workspace without an
+  //! entry has the route's.
+  std::unordered_map<std::string, std::uint32_t> priorityOfWorkspace;
+
+  std::uint32_t PriorityOf(const Route& aRoute,
+                           const std::string& aWorkspace) const
+  {
+    const auto found = priorityOfWorkspace.find(aWorkspace);
+    return found == priorityOfWorkspace.end() ? aRoute.priority : found->second;
+  }
 };
 
 using ConfigPtr = std::shared_ptr<const FleetConfig>;
