Requests wait in the router while the engines' queues are full

Cause: a request that was refused only because the engines' queues were momentarily full was lost if its caller's retry was refused too, and an engine's queue gives no precedence (docs/design/hard-load.md, part 4).

Change: Fleet::Place sets mayWaitUntil if an engine request is refused by the predicted wait alone. Demand is counted once, at arrival. Limits: [waiting] max_requests and max_bytes, 0 by default. EventLoop::AddTask runs a timer only while a request waits.

--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -111,10 +111,17 @@
   }
 }
 
+ACE_Event_Handler&
+EventLoop::AddTask(std::function<void()> aCallback)
+{
+  return *m_timers.emplace_back(
+    std::make_unique<timer::PeriodicHandler>(std::move(aCallback)));
+}
+
 void
-EventLoop::ScheduleOnce(ACE_Event_Handler& aTimer, base::TimePoint aAt)
+EventLoop::ScheduleOnce(ACE_Event_Handler& aTask, base::TimePoint aAt)
 {
-  if (m_timerQueue.schedule(&aTimer, nullptr, ToAce(aAt)) == -1) {
+  if (m_timerQueue.schedule(&aTask, nullptr, ToAce(aAt)) == -1) {
     throw Error(ErrorCode::Internal, "failed to schedule a timer");
   }
 }
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -46,6 +46,11 @@
   //! not wake the process up.
   void ScheduleSelfTimed(base::TimePoint aFirst,
                          std::function<base::TimePoint()> aCallback);
+  //! Adds a task that runs once after each call of ScheduleOnce.
+  ACE_Event_Handler& AddTask(std::function<void()> aCallback);
+  //! Runs a task of AddTask at aAt. Must not be called while the task is
+  //! scheduled, except by the task itself.
+  void ScheduleOnce(ACE_Event_Handler& aTask, base::TimePoint aAt);
   //! The time is read after each poll and stays the same until the next one.
   base::TimePoint Now() const override { return m_now; }
 
@@ -83,7 +88,6 @@
     std::uint32_t generation = 0;
   };
 
-  void ScheduleOnce(ACE_Event_Handler& aTimer, base::TimePoint aAt);
   int PollTimeoutMs() const;
   void RunDeferred();
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,6 +3,7 @@
 #include "fleet/admission.h"
 #include "fleet/callrates.h"
 #include "fleet/callthrottle.h"
+#include "fleet/entitlementclass.h"
 #include "fleet/evacuations.h"
 #include "fleet/fairshare.h"
 #include "fleet/fleettypes.h"
@@ -111,6 +112,9 @@
   base::Address address;
   UpstreamId upstream{};
   Duration retryAfter{};
+  //! Set if the request was refused only because the engines' queues are full:
+  //! until when it may wait in the router and be placed again, see GiveUpAt.
+  std::optional<TimePoint> mayWaitUntil;
   //! Best suitability over all upstreams; Fits if any upstream is eligible.
   Suitability suitability = Suitability::Unlisted;
   double predictedMs = 0;   //!< until the first token or the answer
@@ -150,6 +154,14 @@
   {
     return IsEntitled() || insideNominalShare;
   }
+  EntitlementClass Entitlement() const
+  {
+    if (IsEntitled()) {
+      return EntitlementClass::Entitled;
+    }
+    return insideNominalShare ? EntitlementClass::Nominal
+                              : EntitlementClass::Beyond;
+  }
 };
 
 //! How an attempt to run a request at an upstream ended.
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/fleetconstants.h"
 #include "fleet/rankedupstreams.h"
+#include "fleet/waitingqueue.h"
 
 #include <algorithm>
 
@@ -421,6 +422,12 @@
   if (isInVain || (!admission.admitted && !aRequest.WasAdmitted())) {
     result.outcome = PlaceOutcome::Refused;
     result.retryAfter = admission.retryAfter;
+    const bool isThrottled =
+      !result.IsNominallyEntitled() && !result.passesThrottle;
+    if (candidate.isEngine && !isInVain && !isThrottled) {
+      result.mayWaitUntil = GiveUpAt(
+        placed->predictedMs, aRequest.waited, aRequest.route->target, aNow);
+    }
     return result;
   }
   const auto id = candidate.upstream;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,12 +37,6 @@
 constexpr base::Duration kIntakeLogInterval = 1000ms;
 //! A longer gap between two fast ticks is logged as a stall of the process.
 constexpr base::Duration kStallLogThreshold = 1000ms;
-//! How long new requests are still accepted after a stop began: the load
-//! balancer sends new connections until two readiness probes have failed.
-constexpr base::Duration kAcceptTimeAfterStop = 2700ms;
-//! Requests that still run this long before the process is killed are aborted,
-//! so that their number can be logged.
-constexpr base::Duration kAbortTimeBeforeKill = 400ms;
 //! Maximum number of caller connections: half of the file descriptors, as the
 //! rest is needed for upstreams. Callers keep idle connections for seconds, so
 //! a caller that sends many times its usual load would otherwise take them all.
@@ -127,6 +121,7 @@
                      [this](const auto& aMessage, const auto& aTo) {
                        m_peerLink->Send(aMessage, aTo);
                      })
+  , m_exchangeQueue(aLoop, aSettings.waiting)
   , m_storeChangeLog(aIncarnation, m_fleet.Upstreams())
   , m_intakeLoggedAt(aLoop.Now())
   , m_startedAt(aLoop.Now())
@@ -202,10 +197,10 @@
   if (m_stopBeganAt || m_connections.Size() > kMaxKeepAliveConnections) {
     aConnection.CloseAfterAnswer();
   }
-  const ExchangeDependencies dependencies{ m_loop,           m_fleet,
-                                           m_codecs.callers, m_codecs.upstreams,
-                                           m_pool,           m_metrics,
-                                           m_logBudget,      m_streamVersions };
+  const ExchangeDependencies dependencies{
+    m_loop,    m_fleet,     m_codecs.callers, m_codecs.upstreams, m_pool,
+    m_metrics, m_logBudget, m_streamVersions, m_exchangeQueue
+  };
   m_intake.read++;
   auto exchange = std::make_unique<Exchange>(dependencies, *this, aConnection);
   auto* key = exchange.get();
@@ -262,12 +257,6 @@
   m_exchanges.erase(found);
 }
 
-bool
-Gateway::IsClosing() const
-{
-  return m_stopBeganAt && m_loop.Now() - *m_stopBeganAt > kAcceptTimeAfterStop;
-}
-
 bool
 Gateway::IsReady() const
 {
@@ -288,6 +277,7 @@
   m_settings.stopGracePeriod = aSettings.stopGracePeriod;
   m_logBudget = base::LogRateLimiter(aSettings.loggedPerSecond);
   m_fleet.Reconfigure(MakeFleetSettings(aSettings, 0));
+  m_exchangeQueue.Configure(aSettings.waiting);
   LogLine("settings-reloaded")
     .Add("restart_needed", needsRestart ? "yes" : "no")
     .Add("revocation_bound_ms", aSettings.revocationBound.count())
@@ -295,49 +285,6 @@
     .Info();
 }
 
-void
-Gateway::BeginStop()
-{
-  if (m_stopBeganAt) {
-    return;
-  }
-  m_stopBeganAt = m_loop.Now();
-  m_streamVersions.HandOver();
-  LogLine("stop-began")
-    .Add("running", static_cast<std::uint64_t>(m_exchanges.size()))
-    .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
-    .Info();
-}
-
-//! Continues a graceful stop. New requests are accepted until the load balancer
-//! has noticed, and their responses close the connection. Then the listener and
-//! idle connections are closed. Running requests continue until they end or the
-//! process is about to be killed.
-void
-Gateway::ContinueStop(base::TimePoint aNow)
-{
-  if (!m_stopBeganAt || m_stopped) {
-    return;
-  }
-  if (IsClosing()) {
-    m_listener->Close();
-    m_connections.CloseIdle();
-  }
-  const bool allClosed = IsClosing() && m_connections.Size() == 0;
-  const bool killIsNear =
-    aNow - *m_stopBeganAt > m_settings.stopGracePeriod - kAbortTimeBeforeKill;
-  if (!allClosed && !killIsNear) {
-    return;
-  }
-  m_stopped = true;
-  m_streamVersions.HandOver();
-  m_requestsAborted = m_exchanges.size();
-  LogLine("stopped")
-    .Add("requests_cut", static_cast<std::uint64_t>(m_requestsAborted))
-    .Info();
-  m_loop.Stop();
-}
-
 void
 Gateway::TickFast()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "fleet/storechangelog.h"
 #include "fleet/storeera.h"
 #include "gateway/callerintake.h"
+#include "gateway/exchangequeue.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/internal/exchange.h"
@@ -162,6 +163,7 @@
   http::ConnectionSet m_connections;
   fleet::Membership m_membership;
   StreamVersions m_streamVersions;
+  ExchangeQueue m_exchangeQueue;
   std::uint64_t m_streamMembersPlan = 0; //!< plan that m_streamVersions follows
   //! After what exchanges use until they are destroyed.
   std::map<Exchange*, std::unique_ptr<Exchange>> m_exchanges;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -18,6 +18,8 @@
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxLoggedPerSecond = 1e6;
 constexpr double kMaxProcessorShare = 1024;
+constexpr std::uint32_t kMaxWaitingRequests = 1000000;
+constexpr std::uint32_t kMaxWaitingBytes = 1U << 30U; // 1 GiB
 
 //! Reads a time in milliseconds, at most an hour.
 base::Duration
@@ -118,6 +120,16 @@
   aReader.RejectUnknownKeys();
 }
 
+void
+ReadWaiting(SectionReader aReader, GatewaySettings& aSettings)
+{
+  aSettings.waiting.requests =
+    aReader.NumberOr("max_requests", 0, kMaxWaitingRequests, 0);
+  aSettings.waiting.bytes =
+    aReader.NumberOr("max_bytes", 0, kMaxWaitingBytes, 0);
+  aReader.RejectUnknownKeys();
+}
+
 //! Reads lines of the form "zone = ZONE:REGION".
 void
 ReadRegions(SectionReader aReader, GatewaySettings& aSettings)
@@ -178,6 +190,8 @@
       ReadPeers(reader, settings);
     } else if (section.name == "cold_upstreams") {
       ReadColdLimit(reader, settings);
+    } else if (section.name == "waiting") {
+      ReadWaiting(reader, settings);
     } else if (section.name == "regions") {
       ReadRegions(reader, settings);
     } else {
@@ -185,7 +199,7 @@
                   aFile + ":" + std::to_string(section.entries.front().line) +
                     ": [" + section.name +
                     "]: expected [gateway], [store], [retries], [peers], "
-                    "[cold_upstreams] or [regions]");
+                    "[cold_upstreams], [waiting] or [regions]");
     }
   }
   if (!hasGateway || !hasStore) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -4,6 +4,7 @@
 #include "base/basetypes.h"
 #include "fleet/fleet.h"
 #include "fleet/fleetconstants.h"
+#include "fleet/waitingqueue.h"
 
 #include <map>
 #include <string>
@@ -40,6 +41,9 @@
   double retrySlack = 20;  //!< retries of the fleet beyond the ratio
   base::Duration retryWindow{ 10000 };
   fleet::ColdLimit coldLimit;
+  //! Limits of the requests that wait for an upstream. A workspace may use a
+  //! quarter of each, so limits below 4 let no request wait.
+  fleet::WaitingLimits waiting;
   //! Region of each availability zone.
   std::map<std::string, std::string> regionOfZone;
   fleet::PlacementKind placement = fleet::PlacementKind::PrefixAffinity;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -50,6 +50,7 @@
 Exchange::~Exchange()
 {
   m_dependencies.streams.Cancel(*this);
+  m_dependencies.queue.Remove(*this);
   DiscardUpstream();
 }
 
@@ -357,6 +358,7 @@
   if (m_finished) {
     return;
   }
+  EndWait(WaitEnd::Gone);
   EndAttempt(AttemptOutcome::CallerGone);
   DiscardUpstream();
   Finish("caller-gone", 0, "");
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -4,10 +4,12 @@
 #include "fleet/fleet.h"
 #include "gateway/eventstreamfilter.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/iexchangequeue.h"
 #include "gateway/istreamversions.h"
 #include "http/clientconnection.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,6 +46,7 @@
   metrics::Metrics& metrics;
   base::LogRateLimiter& logBudget;
   IStreamVersions& streams;
+  IExchangeQueue& queue;
 };
 
 //! The owner of the exchanges.
@@ -66,6 +69,7 @@
 class Exchange
   : public http::IClientEvents
   , public IStreamVersionReader
+  , public IWaitingExchange
 {
 public:
   Exchange(const ExchangeDependencies& aDependencies,
@@ -101,7 +105,17 @@
 
   void OnStreamVersion(const fleet::StreamLookupResult& aResult) override;
 
+  void OnTurn() override;
+  void OnWaitEnded(WaitEnd aEnd) override;
+
 private:
+  //! A request that waits for room at an engine.
+  struct WaitState
+  {
+    base::TimePoint beganAt{};
+    fleet::PlaceResult refusal; //!< the latest one
+  };
+
   // Filters. Each returns false if it has sent a response.
   bool Decode(http::RequestHead&& aHead, std::string&& aBody);
   bool FindRoute();
@@ -125,6 +139,12 @@
   bool MatchesStreamVersion() const;
   void RecordStreamVersion();
   void PlaceInitial();
+  void Place(const fleet::PlaceRequest& aRequest);
+  bool WaitForRoom(const fleet::PlaceResult& aPlace);
+  std::size_t HeldBytes() const;
+  void EndWait(WaitEnd aEnd);
+  base::Duration WaitedInQueue() const;
+  bool UpdateRoute();
   bool PlaceRetry(const fleet::FailedAttempt& aFailed);
   fleet::PlaceRequest MakePlaceRequest() const;
   void CountNoUpstream(const fleet::PlaceResult& aPlace);
@@ -176,6 +196,9 @@
 
   fleet::RequestFingerprint m_fingerprint{};
 
+  std::unique_ptr<WaitState> m_wait; //!< null if it does not wait
+  base::Duration m_waitedInQueue{};  //!< in a wait that has ended
+
   fleet::AttemptId m_attempt = 0; //!< the running attempt; 0 if none
   std::string m_upstreamId;
   std::string m_upstreamVersion; //!< of its software; empty if unknown
--- a/src/gateway/internal/exchangeend.cpp
+++ b/src/gateway/internal/exchangeend.cpp
@@ -46,6 +46,7 @@
 Exchange::Finish(const char* aOutcome, int aStatus, const std::string& aWhy)
 {
   m_dependencies.streams.Cancel(*this);
+  EndWait(WaitEnd::Refused);
   const auto now = m_dependencies.loop.Now();
   const auto firstByteAt =
     m_firstByteAt == base::TimePoint{} ? now : m_firstByteAt;
@@ -96,6 +97,7 @@
     .Add("first_ms", (aFirstByteAt - m_arrivedAt).count())
     .Add("total_ms", (m_dependencies.loop.Now() - m_arrivedAt).count())
     .Add("events", static_cast<std::uint64_t>(m_streamFilter.EventCount()))
+    .Add("waited_in_queue_ms", m_waitedInQueue.count())
     .Add("attempts", static_cast<std::uint64_t>(m_triedUpstreams.size()));
   if (!aWhy.empty()) {
     line.Add("why", aWhy);
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -61,13 +61,25 @@
   m_dependencies.fleet.CountArrival(request, now);
   m_dependencies.metrics.Count("requests_resuming_total",
                                LastEventId().has_value() ? 1 : 0);
-  const auto place = m_dependencies.fleet.Place(request, now);
+  Place(request);
+}
+
+//! Chooses the first upstream, and lets the request wait or refuses it if there
+//! is none.
+void
+Exchange::Place(const fleet::PlaceRequest& aRequest)
+{
+  const auto place =
+    m_dependencies.fleet.Place(aRequest, m_dependencies.loop.Now());
   switch (place.outcome) {
     case fleet::PlaceOutcome::Placed:
       LogPlacement("placed", place);
       SendInitial(place);
       return;
     case fleet::PlaceOutcome::Refused:
+      if (WaitForRoom(place)) {
+        return;
+      }
       LogPlacement("refused", place);
       SendLocalReply(Refusal::Overload, Verdict::NotRun, place.retryAfter);
       return;
@@ -100,6 +112,7 @@
 Exchange::SendInitial(const fleet::PlaceResult& aPlace)
 {
   if (!m_caller->HasPeerGone()) {
+    EndWait(WaitEnd::Placed);
     Send(aPlace);
     return;
   }
@@ -108,10 +121,10 @@
   OnCallerGone(); // the closing of the connection is handled next
 }
 
-//! Chooses an upstream for a retry and sends the request to it. Returns false
-//! if there is none.
+//! Applies a configuration that is newer than the request. Returns false if the
+//! request has no route or its key was withdrawn since.
 bool
-Exchange::PlaceRetry(const fleet::FailedAttempt& aFailed)
+Exchange::UpdateRoute()
 {
   const auto* routes = m_dependencies.fleet.Routes();
   if (routes->Config() != m_config) {
@@ -139,6 +152,17 @@
       return false;
     }
   }
+  return true;
+}
+
+//! Chooses an upstream for a retry and sends the request to it. Returns false
+//! if there is none.
+bool
+Exchange::PlaceRetry(const fleet::FailedAttempt& aFailed)
+{
+  if (!UpdateRoute()) {
+    return false;
+  }
   auto request = MakePlaceRequest();
   request.admitted = fleet::KeepsAdmission(aFailed);
   const auto now = m_dependencies.loop.Now();
@@ -178,6 +202,7 @@
     .Add("parts", quarantine::PartsText(m_request.work.SharedParts()))
     .Add("most_output_tokens", m_request.work.outputTokens)
     .Add("waited_ms", TimeSinceArrival().count())
+    .Add("waited_in_queue_ms", WaitedInQueue().count())
     .Add("busy_ms", m_dependencies.loop.BusyFor().count())
     .Add("router_busy", aPlace.routerBusy ? "yes" : "no")
     .Add("crashes", static_cast<std::uint64_t>(aPlace.crashes))
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -15,6 +15,7 @@
     m_metrics.Set(aName, aValue);
   };
   set("running", static_cast<double>(m_exchanges.size()));
+  set("requests_waiting", static_cast<double>(m_exchangeQueue.Size()));
   set("callers", static_cast<double>(m_connections.Size()));
   set("upstream_connections", static_cast<double>(m_pool.OpenCount()));
   set("upstream_connections_opened", static_cast<double>(m_pool.TotalOpened()));
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -373,6 +373,20 @@
     !ParseErrorText(kSettings + "[cold_upstreams]\nslack = -1\n").empty());
 }
 
+//! Guards against requests that wait without a setting that allows it.
+Test(settings, WaitingLimitsAreReadAndAreZeroByDefault)
+{
+  const auto none = ParseGatewaySettings("f.ini", kSettings);
+  cr_assert(none.waiting.requests == 0 && none.waiting.bytes == 0);
+  const auto settings = ParseGatewaySettings(
+    "f.ini", kSettings + "[waiting]\nmax_requests = 64\nmax_bytes = 500000\n");
+  cr_assert(settings.waiting.requests == 64);
+  cr_assert(settings.waiting.bytes == 500000);
+  cr_assert(
+    !ParseErrorText(kSettings + "[waiting]\nmax_requests = -1\n").empty());
+  cr_assert(!ParseErrorText(kSettings + "[waiting]\nmax = 1\n").empty());
+}
+
 Test(settings, InvalidFileIsRejectedWithFileLineAndKey)
 {
   cr_assert(ParseErrorText(kSettings).empty());
