--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -247,6 +247,18 @@
 //! Greatest number of attempts of a request that no upstream has run.
 inline constexpr std::uint32_t kMaxNotRunAttempts = 3;
 
+// ---- retry times of refused callers
+
+//! Resolution of the schedule of retry times: the least Retry-After. Upstreams
+//! hold requests that arrive within this time in their queues.
+inline constexpr base::Duration kReturnBucket = kMinRetryAfter;
+//! Number of buckets: 6 s, which is the latest Retry-After of callers that have
+//! 20 s left. Deadlines are shorter.
+inline constexpr std::size_t kReturnBuckets = 300;
+//! Ratio of a bucket's room that requests beyond their workspace's fair share
+//! may fill. The rest is kept for entitled requests that are refused later.
+inline constexpr double kOtherReturnsRatio = 0.5;
+
 // ---- exchange between routers
 
 //! Interval between reports of a router.
