--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -4,6 +4,7 @@
 #include "base/enumnames.h"
 #include "base/verdict.h"
 #include "fleet/fleettypes.h"
+#include "fleet/statedload.h"
 #include "http/httptypes.h"
 
 #include <cstdint>
@@ -74,6 +75,10 @@
   //! Of a refusal: the upstream wants no requests from this router for so long;
   //! 0 if not given.
   Duration retryAfter{};
+  //! Load of the upstream; empty if not stated or malformed.
+  std::optional<fleet::StatedLoad> load;
+  //! The stated load as received, if it is malformed.
+  std::optional<std::string> malformedLoad;
   std::vector<http::HeaderField> forwardedHeaders; //!< forwarded unchanged
 
   bool IsSuccess() const { return status >= 200 && status < 300; }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -74,6 +74,7 @@
   auto response = m_dependencies.upstreams.Decode(std::move(aHead));
   const bool ranNothing = response.notRun || response.misdirected;
   RecordSignals(response);
+  RecordLoad(response);
   if (!response.requestId.empty() && response.requestId != m_request.id) {
     m_dependencies.metrics.Count("foreign_answers_total");
     return HeadAction::Skip;
@@ -130,6 +131,27 @@
     .Info();
 }
 
+//! Counts and logs a malformed statement of the upstream's load. A misdirected
+//! request was answered by another upstream.
+void
+Exchange::RecordLoad(const UpstreamResponse& aResponse)
+{
+  if (aResponse.misdirected || !aResponse.malformedLoad) {
+    return;
+  }
+  m_dependencies.metrics.Count("answers_with_bad_load_total");
+  if (!m_isLogged) {
+    return;
+  }
+  LogLine("upstream-bad-load")
+    .Add("upstream", m_upstreamId)
+    .Add("request", m_request.id)
+    .Add("status", aResponse.status)
+    .Add("load", *aResponse.malformedLoad)
+    .Add("why", "malformed")
+    .Warn();
+}
+
 void
 Exchange::OnAnswerBody(http::ClientConnection&, std::string_view aBytes)
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -153,6 +153,7 @@
   void LogPlacement(const char* aEvent, const fleet::PlaceResult& aPlace);
 
   void RecordSignals(const UpstreamResponse& aResponse);
+  void RecordLoad(const UpstreamResponse& aResponse);
   bool IsStream() const;
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
