Stated loads and spread retries are wired, and a waiting request keeps its throttle credit

Cause: the modules had no user; a waiting request drew the credit of its workspace's throttle at each attempt, every 10 ms. A request that waits passes the throttle once. Both settings and [waiting] are off unless a deployment's settings ask for them. Metrics upstreams_with_stated_load and scheduled_retry_cost.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -27,6 +27,8 @@
 {
   m_settings.coldLimit = aSettings.coldLimit;
   m_settings.regionOfZone = aSettings.regionOfZone;
+  m_settings.usesStatedLoads = aSettings.usesStatedLoads;
+  m_settings.spreadsRetries = aSettings.spreadsRetries;
   m_warmUp.Configure(aSettings.coldLimit);
   m_list.Configure(aSettings.entryTtl);
   m_freshness.Configure(aSettings.revocationBound);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -15,8 +15,10 @@
 #include "fleet/placement.h"
 #include "fleet/prefixmap.h"
 #include "fleet/retrypolicy.h"
+#include "fleet/returnschedule.h"
 #include "fleet/routetable.h"
 #include "fleet/servicetime.h"
+#include "fleet/statedloads.h"
 #include "fleet/streamtypes.h"
 #include "fleet/suitability.h"
 #include "fleet/upstreamlist.h"
@@ -54,6 +56,8 @@
   double retrySlack = 20;
   Duration retryWindow{ 10000 };
   ColdLimit coldLimit{};
+  bool usesStatedLoads = false; //!< for placement, see StatedLoads
+  bool spreadsRetries = false;  //!< of refused requests, see ReturnSchedule
   //! Regions by availability zone. A zone without an entry is in no region.
   std::map<std::string, std::string> regionOfZone{};
 };
@@ -74,6 +78,8 @@
   std::vector<UpstreamId>
     triedUpstreams;      //!< upstreams that it was sent to already
   bool admitted = false; //!< admitted before; needs only an upstream
+  //! Its workspace's throttle let it pass before it began to wait.
+  bool passedThrottle = false;
   //! Version that began the stream which the request goes on with; empty if it
   //! begins one. No upstream fits a stream of an unknown version.
   std::optional<VersionId> streamVersion;
@@ -274,6 +280,13 @@
                              const AnswerSignals& aSignals,
                              TimePoint aNow);
   const UpstreamSignals& Signals() const { return m_signals; }
+  //! Records the load that an attempt's upstream stated in an answer. Must be
+  //! called before EndAttempt. Returns false if it can't be true.
+  bool RecordLoad(AttemptId aAttempt, const StatedLoad& aLoad, TimePoint aNow);
+  const StatedLoads& Stated() const { return m_statedLoads; }
+  //! Cost of the refused requests, in tokens and calls, that were told to retry
+  //! at a time still to come.
+  ScheduledCost ScheduledRetries(TimePoint aNow) const;
   //! Records the end of an attempt. Returns true if it ejects the upstream.
   bool EndAttempt(AttemptId aAttempt, AttemptOutcome aEnd, TimePoint aNow);
   RetryBudget& Retries() { return m_retries; }
@@ -445,6 +458,15 @@
                         quarantine::CheckResult aResult,
                         TimePoint aNow);
   void TakeBackAdmission(const Attempt& aAttempt, TimePoint aNow);
+  void ApplyStatedLoad(Candidate& aCandidate,
+                       const Upstream& aUpstream,
+                       std::uint32_t aPeersRunning,
+                       TimePoint aNow) const;
+  Duration RetryAfterOf(const PlaceRequest& aRequest,
+                        const PlaceResult& aResult,
+                        Duration aEarliest,
+                        TimePoint aNow);
+  void UpdateRetryRoom(TimePoint aNow);
   void EndPrefill(Upstream* aUpstream, AttemptId aId, Attempt& aAttempt);
 
   FleetSettings m_settings;
@@ -490,7 +512,9 @@
   VersionHistory m_versions;
   UpstreamSignals m_signals;
   TimePoint m_signalsSweptAt{};
-  std::vector<Evacuation> m_appliedEvacuations; //!< to m_upstreams
+  StatedLoads m_statedLoads;
+  std::map<std::string, ReturnSchedule> m_retryTimes; //!< by service
+  std::vector<Evacuation> m_appliedEvacuations;       //!< to m_upstreams
   std::map<std::string, ServiceTime> m_serviceTimes;
   std::unordered_map<AttemptId, Attempt> m_attempts;
   AttemptId m_nextAttempt = 1;
--- a/src/fleet/internal/fleetlimits.cpp
+++ b/src/fleet/internal/fleetlimits.cpp
@@ -102,6 +102,8 @@
   }
   m_warmUp.Forget(aNow);
   SweepSignals(aNow);
+  m_statedLoads.Forget(aNow);
+  UpdateRetryRoom(aNow);
   UpdateFairShares();
   UpdateCallThrottle(aNow);
 }
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -250,6 +250,7 @@
   candidate.missingTokens -= candidate.copy ? candidate.copy->tokens : 0.0;
   candidate.running = upstream.running + remote.running;
   candidate.slots = std::max(entry.slots, 1U);
+  ApplyStatedLoad(candidate, upstream, remote.running, aNow);
   candidate.serviceMs = upstream.serviceTime.MeanMs(meanTime);
   candidate.failureRatio = upstream.health.FailureRatio(aNow);
   candidate.sameZone = entry.zone == m_settings.zone;
@@ -349,7 +350,7 @@
     m_othersWait && admittedRate < kFarBehindRatio * m_maxAdmittedRate;
   result.starved = isGeneration && IsStarved(aRequest.workspace);
   result.passesThrottle = !isGeneration || aRequest.WasAdmitted() ||
-                          result.starved ||
+                          aRequest.passedThrottle || result.starved ||
                           m_workspaceThrottle.TryAdmit(aRequest.workspace);
   result.passesCallThrottle =
     isGeneration || aRequest.WasAdmitted() ||
@@ -421,7 +422,8 @@
     placed->predictedMs >= static_cast<double>(aRequest.timeLeft.count());
   if (isInVain || (!admission.admitted && !aRequest.WasAdmitted())) {
     result.outcome = PlaceOutcome::Refused;
-    result.retryAfter = admission.retryAfter;
+    result.retryAfter =
+      RetryAfterOf(aRequest, result, admission.retryAfter, aNow);
     const bool isThrottled =
       !result.IsNominallyEntitled() && !result.passesThrottle;
     if (candidate.isEngine && !isInVain && !isThrottled) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,6 +60,8 @@
   settings.retrySlack = aSettings.retrySlack;
   settings.retryWindow = aSettings.retryWindow;
   settings.coldLimit = aSettings.coldLimit;
+  settings.usesStatedLoads = aSettings.usesStatedLoads == Switch::On;
+  settings.spreadsRetries = aSettings.spreadsRetries == Switch::On;
   settings.regionOfZone = aSettings.regionOfZone;
   return settings;
 }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -130,6 +130,16 @@
   aReader.RejectUnknownKeys();
 }
 
+void
+ReadOverload(SectionReader aReader, GatewaySettings& aSettings)
+{
+  aSettings.usesStatedLoads = ReadNamedValue(
+    aReader, "use_stated_load", kSwitchNames, aSettings.usesStatedLoads);
+  aSettings.spreadsRetries = ReadNamedValue(
+    aReader, "spread_retries", kSwitchNames, aSettings.spreadsRetries);
+  aReader.RejectUnknownKeys();
+}
+
 //! Reads lines of the form "zone = ZONE:REGION".
 void
 ReadRegions(SectionReader aReader, GatewaySettings& aSettings)
@@ -192,6 +202,8 @@
       ReadColdLimit(reader, settings);
     } else if (section.name == "waiting") {
       ReadWaiting(reader, settings);
+    } else if (section.name == "overload") {
+      ReadOverload(reader, settings);
     } else if (section.name == "regions") {
       ReadRegions(reader, settings);
     } else {
@@ -199,7 +211,7 @@
                   aFile + ":" + std::to_string(section.entries.front().line) +
                     ": [" + section.name +
                     "]: expected [gateway], [store], [retries], [peers], "
-                    "[cold_upstreams], [waiting] or [regions]");
+                    "[cold_upstreams], [waiting], [overload] or [regions]");
     }
   }
   if (!hasGateway || !hasStore) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
+#include "base/enumnames.h"
 #include "fleet/fleet.h"
 #include "fleet/fleetconstants.h"
 #include "fleet/waitingqueue.h"
@@ -13,6 +14,14 @@
 
 namespace hemlockgauge::gateway {
 
+//! Whether an optional part is in use.
+enum class Switch : std::uint8_t
+{
+  Off,
+  On
+};
+inline constexpr auto kSwitchNames = base::MakeEnumNames<Switch>("off", "on");
+
 //! Settings of a gateway, read from its INI file.
 struct GatewaySettings
 {
@@ -44,6 +53,8 @@
   //! Limits of the requests that wait for an upstream. A workspace may use a
   //! quarter of each, so limits below 4 let no request wait.
   fleet::WaitingLimits waiting;
+  Switch usesStatedLoads = Switch::Off; //!< see fleet::StatedLoads
+  Switch spreadsRetries = Switch::Off;  //!< see fleet::ReturnSchedule
   //! Region of each availability zone.
   std::map<std::string, std::string> regionOfZone;
   fleet::PlacementKind placement = fleet::PlacementKind::PrefixAffinity;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -136,7 +136,13 @@
 void
 Exchange::RecordLoad(const UpstreamResponse& aResponse)
 {
-  if (aResponse.misdirected || !aResponse.malformedLoad) {
+  if (aResponse.misdirected) {
+    return;
+  }
+  const bool isRejected =
+    aResponse.load && !m_dependencies.fleet.RecordLoad(
+                        m_attempt, *aResponse.load, base::MonotonicNow());
+  if (!aResponse.malformedLoad && !isRejected) {
     return;
   }
   m_dependencies.metrics.Count("answers_with_bad_load_total");
@@ -147,8 +153,8 @@
     .Add("upstream", m_upstreamId)
     .Add("request", m_request.id)
     .Add("status", aResponse.status)
-    .Add("load", *aResponse.malformedLoad)
-    .Add("why", "malformed")
+    .Add("load", aResponse.malformedLoad.value_or(""))
+    .Add("why", isRejected ? "out-of-range" : "malformed")
     .Warn();
 }
 
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -50,6 +50,7 @@
   request.triedUpstreams = m_triedUpstreams;
   request.streamVersion = m_streamVersion;
   request.busyFor = m_dependencies.loop.BusyFor();
+  request.passedThrottle = m_wait && m_wait->refusal.passesThrottle;
   return request;
 }
 
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -16,6 +16,10 @@
   };
   set("running", static_cast<double>(m_exchanges.size()));
   set("requests_waiting", static_cast<double>(m_exchangeQueue.Size()));
+  set("upstreams_with_stated_load",
+      static_cast<double>(m_fleet.Stated().Size()));
+  const auto retries = m_fleet.ScheduledRetries(m_loop.Now());
+  set("scheduled_retry_cost", retries.entitled + retries.others);
   set("callers", static_cast<double>(m_connections.Size()));
   set("upstream_connections", static_cast<double>(m_pool.OpenCount()));
   set("upstream_connections_opened", static_cast<double>(m_pool.TotalOpened()));
