Comments that had outlived their code: first tokens, stated loads, room for retries

Cause: read as a newcomer; one comment described a parameter that is gone, one left out what is recorded. Change: comments alone.

--- a/src/fleet/internal/fleetoverload.cpp
+++ b/src/fleet/internal/fleetoverload.cpp
@@ -68,6 +68,7 @@
 
 //! Sets the room for retries to the rate that this router admits now: retries
 //! may take the place of new requests, which are refused in their turn.
+//! Rates are kept by workspace, so each engine service gets the rate of all.
 void
 Fleet::UpdateRetryRoom(TimePoint aNow)
 {
--- a/src/fleet/upstreamtable.h
+++ b/src/fleet/upstreamtable.h
@@ -67,9 +67,7 @@
   void BeginRequest(UpstreamId aUpstream);
   void EndRequest(UpstreamId aUpstream);
   //! Learns the speed of an engine and its service from a first token, see
-  //! PrefillRate::Learn and FirstTokenTime::Learn. aWasUndelayed: the engine
-  //! was not known to have other prompts to prefill, and most of its slots were
-  //! free.
+  //! PrefillRate::Learn and FirstTokenTime::Learn.
   void LearnPrefill(Upstream& aUpstream, double aTokens, double aMillis);
   //! Records a failed request; see UpstreamHealth::Failed. An upstream is not
   //! ejected if too many of its service are. Returns true if this ejects it.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -131,7 +131,8 @@
     .Info();
 }
 
-//! Counts and logs a malformed statement of the upstream's load. A misdirected
+//! Records the load that the upstream states, and counts and logs one that is
+//! malformed or can't be true. A misdirected
 //! request was answered by another upstream.
 void
 Exchange::RecordLoad(const UpstreamResponse& aResponse)
