--- a/review/build.sh
+++ b/review/build.sh
@@ -23,7 +23,7 @@
 for pid in "${pids[@]}"; do
   wait "$pid"
 done
-for program in upgradedworkers withdrawnkey; do
+for program in withdrawnkey upgradedworkers setbackclock; do
   g++ "${flags[@]}" "review/standins/$program.cpp" "${objects[@]}" \
     -o "$out/review-$program" "${libraries[@]}" -lhttp_parser -lpthread
 done
