--- a/src/gateway/eventstreamfilter.h
+++ b/src/gateway/eventstreamfilter.h
@@ -20,6 +20,7 @@
   void Resume();
   //! Whether bytes of an incomplete event are held back.
   bool HasPartialEvent() const { return !m_pending.empty(); }
+  std::size_t PendingBytes() const { return m_pending.capacity(); }
   //! Id of the last event passed on, as the upstream wrote it.
   const std::optional<std::string>& LastId() const { return m_lastId; }
   //! Number of events passed on.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,13 +107,13 @@
   , m_codecs(aCodecs)
   , m_fleet(MakeFleetSettings(aSettings, aIncarnation))
   , m_logBudget(aSettings.loggedPerSecond)
-  , m_pool(aLoop)
+  , m_pool(aLoop, &m_buffers)
   , m_checks(
       m_pool,
       [this](base::UpstreamId aUpstream, quarantine::CheckResult aResult) {
         HandleCheckResult(aUpstream, aResult);
       })
-  , m_connections(aLoop, m_limits, *this)
+  , m_connections(aLoop, m_limits, *this, &m_buffers)
   , m_membership(aSettings.peerListen,
                  base::HashName(aSettings.zone),
                  SeedPeerAddresses(aSettings))
@@ -201,7 +201,7 @@
   }
   const ExchangeDependencies dependencies{
     m_loop,    m_fleet,     m_codecs.callers, m_codecs.upstreams, m_pool,
-    m_metrics, m_logBudget, m_streamVersions, m_exchangeQueue
+    m_metrics, m_logBudget, m_streamVersions, m_exchangeQueue,    m_buffers
   };
   m_intake.read++;
   auto exchange = std::make_unique<Exchange>(dependencies, *this, aConnection);
@@ -384,6 +384,7 @@
     LogLine("requests-unlogged").Add("count", unlogged).Info();
   }
   LogIntake(now);
+  LogBuffers();
   m_pool.Sweep(now);
   if (const auto expired = m_fleet.Upstreams().Tick(now); !expired.empty()) {
     HandleEntryNotices(expired);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,6 +77,8 @@
   //! keys are recent enough, and it is not stopping.
   bool IsReady() const;
   bool IsStopped() const { return m_stopped; }
+  //! What the connections and requests buffer.
+  const base::BufferBudget& Buffers() const { return m_buffers; }
   //! Number of requests that the stop aborted.
   std::size_t RequestsAborted() const { return m_requestsAborted; }
 
@@ -109,6 +111,7 @@
   void Accept(const ACE_SOCK_Stream& aStream);
   void UpdateListenerPause();
   void LogIntake(base::TimePoint aNow);
+  void LogBuffers();
   //! Does what is due now, see NextTickAt.
   void TickFast();
   //! Whether something is in progress that takes part in every step of the
@@ -157,6 +160,8 @@
   metrics::Metrics m_metrics;
   fleet::Fleet m_fleet;
   base::LogRateLimiter m_logBudget;
+  base::BufferBudget m_buffers;
+  std::size_t m_loggedBufferPeak = 0;
   UpstreamPool m_pool;
   UpstreamChecks m_checks;
   base::CallerLimits m_limits;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -43,6 +43,8 @@
   , m_arrivedAt(aDependencies.loop.Now() -
                 aDependencies.loop.LastIterationTime() / 2)
   , m_deadlineAt(base::TimePoint::max())
+  , m_requestShare(&aDependencies.buffers, base::BufferUse::Request)
+  , m_responseShare(&aDependencies.buffers, base::BufferUse::UpstreamInput)
   , m_isLogged(aDependencies.logBudget.Take(m_arrivedAt))
 {
 }
@@ -176,6 +178,7 @@
   if (m_isBuffering &&
       m_bufferedBody.size() + aBytes.size() <= kMaxBufferedBody) {
     m_bufferedBody += aBytes;
+    CountResponseBuffers();
     return;
   }
   if (m_headSent && m_isBuffering) {
@@ -186,6 +189,14 @@
   m_caller->Write(aBytes);
   m_bufferedBody.clear();
   m_isBuffering = false;
+  CountResponseBuffers();
+}
+
+void
+Exchange::CountResponseBuffers()
+{
+  m_responseShare.Set(m_bufferedBody.capacity() +
+                      m_streamFilter.PendingBytes());
 }
 
 void
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/bufferbudget.h"
 #include "base/logratelimiter.h"
 #include "fleet/fleet.h"
 #include "gateway/eventstreamfilter.h"
@@ -47,6 +48,7 @@
   base::LogRateLimiter& logBudget;
   IStreamVersions& streams;
   IExchangeQueue& queue;
+  base::BufferBudget& buffers;
 };
 
 //! The owner of the exchanges.
@@ -176,6 +178,7 @@
               const std::string& aWhy,
               base::TimePoint aFirstByteAt);
   void DiscardUpstream();
+  void CountResponseBuffers();
   bool IsConnecting() const;
   base::Duration TimeLeft(base::TimePoint aNow) const;
   base::Duration TimeSinceArrival() const;
@@ -219,6 +222,8 @@
   EventStreamFilter m_streamFilter;
   std::string
     m_bufferedBody; //!< of a response that is buffered until it is complete
+  base::BufferShare m_requestShare;
+  base::BufferShare m_responseShare;
   bool m_endedByClose = false; //!< nothing but a close ended the response
   bool m_isBuffering = true;   //!< the response's body is still being buffered
   //! The caller has events of the current attempt.
--- a/src/gateway/internal/exchangeend.cpp
+++ b/src/gateway/internal/exchangeend.cpp
@@ -58,6 +58,8 @@
     "request_first_byte_ms",
     static_cast<double>((firstByteAt - m_arrivedAt).count()));
   m_finished = true;
+  m_requestShare.Set(0);
+  m_responseShare.Set(0);
   m_caller->context = nullptr;
   m_caller = nullptr;
   m_owner.OnFinished(*this);
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -56,6 +56,7 @@
   }
   m_request.hasBody = hasBody;
   m_request.body = std::move(aBody);
+  m_requestShare.Set(m_request.body.capacity());
   if (m_request.deadline) {
     m_deadlineAt = m_arrivedAt + *m_request.deadline;
   }
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -182,6 +182,7 @@
     BreakAttempt("event id out of order");
     return;
   }
+  CountResponseBuffers();
   if (out.empty()) {
     return;
   }
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include "base/logline.h"
+#include "base/processmemory.h"
 #include "eventloop/eventloop.h"
 #include "gateway/storeupdateserver.h"
 
@@ -8,6 +10,37 @@
 //! The gateway's pages for the load balancer and for operators.
 namespace hemlockgauge::gateway {
 
+namespace {
+
+//! A new peak of the buffered bytes is logged if it exceeds the one logged last
+//! by this many bytes.
+constexpr std::size_t kBufferPeakStep = 4194304;
+
+}
+
+//! Logs what the router buffers when it has never buffered as much. A process
+//! that is ended for its memory writes no line at its end.
+void
+Gateway::LogBuffers()
+{
+  const auto peak = m_buffers.Peak();
+  if (peak < m_loggedBufferPeak + kBufferPeakStep) {
+    return;
+  }
+  m_loggedBufferPeak = peak;
+  base::LogLine line("buffer-peak");
+  line.Add("peak_bytes", static_cast<std::uint64_t>(peak))
+    .Add("resident_bytes", static_cast<std::uint64_t>(base::ResidentBytes()));
+  for (std::size_t i = 0; i < base::kBufferUseCount; ++i) {
+    const auto use = static_cast<base::BufferUse>(i);
+    line.Add(base::kBufferUseNames.NameOf(use),
+             static_cast<std::uint64_t>(m_buffers.Held(use)));
+  }
+  line.Add("running", static_cast<std::uint64_t>(m_exchanges.size()))
+    .Add("connections", static_cast<std::uint64_t>(m_connections.Size()))
+    .Warn();
+}
+
 void
 Gateway::PublishGauges(base::TimePoint aNow)
 {
@@ -42,6 +75,14 @@
       static_cast<double>(m_fleet.Signals().LeavingCount()));
   set("upstreams_paused",
       static_cast<double>(m_fleet.Signals().PausedCount(aNow)));
+  for (std::size_t i = 0; i < base::kBufferUseCount; ++i) {
+    const auto use = static_cast<base::BufferUse>(i);
+    m_metrics.Set(fmt::format("buffered_bytes{{use=\"{}\"}}",
+                              base::kBufferUseNames.NameOf(use)),
+                  static_cast<double>(m_buffers.Held(use)));
+  }
+  set("buffered_bytes_peak", static_cast<double>(m_buffers.Peak()));
+  set("resident_bytes", static_cast<double>(base::ResidentBytes()));
   const auto& streams = m_streamVersions.Records();
   set("stream_records", static_cast<double>(streams.Size()));
   set("stream_records_evicted", static_cast<double>(streams.Evicted()));
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -29,8 +29,10 @@
 
 }
 
-UpstreamPool::UpstreamPool(eventloop::EventLoop& aLoop)
+UpstreamPool::UpstreamPool(eventloop::EventLoop& aLoop,
+                           base::BufferBudget* aBudget)
   : m_loop(aLoop)
+  , m_budget(aBudget)
 {
 }
 
@@ -52,8 +54,8 @@
     connection.Close();
     Remove(connection);
   }
-  auto created =
-    std::make_unique<http::ClientConnection>(m_loop, aAddress, aEvents);
+  auto created = std::make_unique<http::ClientConnection>(
+    m_loop, aAddress, aEvents, m_budget);
   auto& connection = *created;
   m_connections[&connection] = { std::move(created), aUpstream };
   m_totalOpened++;
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -22,7 +22,9 @@
 class UpstreamPool : public http::IClientEvents
 {
 public:
-  explicit UpstreamPool(eventloop::EventLoop& aLoop);
+  //! aBudget counts what the connections buffer.
+  explicit UpstreamPool(eventloop::EventLoop& aLoop,
+                        base::BufferBudget* aBudget = nullptr);
   ~UpstreamPool() override;
 
   //! Returns an idle connection or a new one, whose events go to aEvents until
@@ -65,6 +67,7 @@
   void Remove(http::ClientConnection& aConnection);
 
   eventloop::EventLoop& m_loop;
+  base::BufferBudget* m_budget;
   std::map<http::ClientConnection*, PooledConnection> m_connections;
   std::map<base::UpstreamId, std::vector<http::ClientConnection*>> m_idle;
   std::uint64_t m_totalOpened = 0;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -53,11 +53,13 @@
 
 ClientConnection::ClientConnection(eventloop::EventLoop& aLoop,
                                    const base::Address& aAddress,
-                                   IClientEvents& aEvents)
+                                   IClientEvents& aEvents,
+                                   base::BufferBudget* aBudget)
   : m_loop(aLoop)
   , m_address(aAddress)
   , m_events(&aEvents)
   , m_since(aLoop.Now())
+  , m_outputShare(aBudget, base::BufferUse::UpstreamOutput)
 {
   Connect();
 }
@@ -98,6 +100,7 @@
     m_registered = false;
   }
   m_stream.close();
+  m_outputShare.Set(0);
   m_state = State::Closed;
 }
 
@@ -106,6 +109,7 @@
 {
   requests++;
   m_outBuffer = std::move(aRequest);
+  m_outputShare.Set(m_outBuffer.capacity());
   m_sentBytes = 0;
   m_isHead = aIsHead;
   m_requestBytesSent = false;
@@ -195,6 +199,7 @@
   }
   if (m_sentBytes == m_outBuffer.size() && !m_outBuffer.empty()) {
     std::string().swap(m_outBuffer);
+    m_outputShare.Set(0);
     m_sentBytes = 0;
   }
   UpdateWatchedEvents();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/basetypes.h"
+#include "base/bufferbudget.h"
 #include "base/enumnames.h"
 #include "eventloop/iiohandler.h"
 #include "http/httptypes.h"
@@ -69,7 +70,8 @@
 public:
   ClientConnection(eventloop::EventLoop& aLoop,
                    const base::Address& aAddress,
-                   IClientEvents& aEvents);
+                   IClientEvents& aEvents,
+                   base::BufferBudget* aBudget = nullptr);
   ~ClientConnection() override;
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -149,6 +151,7 @@
   State m_state = State::Connecting;
   base::TimePoint m_since{};
   std::string m_outBuffer;
+  base::BufferShare m_outputShare;
   std::size_t m_sentBytes = 0;
   std::uint32_t m_watchedEvents = 0;
   bool m_registered = false;
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -8,10 +8,12 @@
 
 ConnectionSet::ConnectionSet(eventloop::EventLoop& aLoop,
                              const base::CallerLimits& aLimits,
-                             IServerEvents& aEvents)
+                             IServerEvents& aEvents,
+                             base::BufferBudget* aBudget)
   : m_loop(aLoop)
   , m_limits(aLimits)
   , m_events(aEvents)
+  , m_budget(aBudget)
 {
 }
 
@@ -20,8 +22,8 @@
 void
 ConnectionSet::Add(const ACE_SOCK_Stream& aStream, bool aReadNow)
 {
-  auto connection =
-    std::make_unique<ServerConnection>(m_loop, aStream, m_limits, m_events);
+  auto connection = std::make_unique<ServerConnection>(
+    m_loop, aStream, m_limits, m_events, m_budget);
   auto* key = connection.get();
   m_connections[key] = std::move(connection);
   if (aReadNow) {
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -24,7 +24,8 @@
 public:
   ConnectionSet(eventloop::EventLoop& aLoop,
                 const base::CallerLimits& aLimits,
-                IServerEvents& aEvents);
+                IServerEvents& aEvents,
+                base::BufferBudget* aBudget = nullptr);
   ~ConnectionSet();
   ConnectionSet(const ConnectionSet&) = delete;
   ConnectionSet& operator=(const ConnectionSet&) = delete;
@@ -51,6 +52,7 @@
   eventloop::EventLoop& m_loop;
   const base::CallerLimits& m_limits;
   IServerEvents& m_events;
+  base::BufferBudget* m_budget;
   std::map<ServerConnection*, std::unique_ptr<ServerConnection>> m_connections;
 };
 
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -47,6 +47,8 @@
   bool HasEnded() const { return m_ended; }
   bool HasHead() const { return m_hasHead; }
   Fault GetFault() const { return m_fault; }
+  //! Bytes of the head that is being read.
+  std::size_t HeadBytesHeld() const { return m_hasHead ? 0 : m_headBytes; }
   void SetMaxHeadBytes(std::size_t aBytes) { m_maxHeadBytes = aBytes; }
 
 private:
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -60,12 +60,15 @@
 ServerConnection::ServerConnection(eventloop::EventLoop& aLoop,
                                    const ACE_SOCK_Stream& aStream,
                                    const base::CallerLimits& aLimits,
-                                   IServerEvents& aEvents)
+                                   IServerEvents& aEvents,
+                                   base::BufferBudget* aBudget)
   : m_loop(aLoop)
   , m_stream(aStream)
   , m_limits(aLimits)
   , m_events(aEvents)
   , m_since(aLoop.Now())
+  , m_inputShare(aBudget, base::BufferUse::CallerInput)
+  , m_outputShare(aBudget, base::BufferUse::CallerOutput)
 {
 }
 
@@ -84,6 +87,14 @@
   UpdateWatchedEvents();
 }
 
+void
+ServerConnection::CountBuffers()
+{
+  m_inputShare.Set(m_inBuffer.capacity() + m_body.capacity() +
+                   m_reader.HeadBytesHeld());
+  m_outputShare.Set(m_outBuffer.capacity());
+}
+
 //! Whether the last answer is complete and the pending flush will close the
 //! connection. Such a connection need not be registered with the event loop.
 bool
@@ -167,6 +178,7 @@
   if (m_state == State::Idle || m_state == State::Reading) {
     Parse();
   }
+  CountBuffers();
   UpdateWatchedEvents();
 }
 
@@ -251,6 +263,7 @@
   } else {
     m_outBuffer += aBytes;
   }
+  CountBuffers();
   ScheduleFlush();
 }
 
@@ -310,6 +323,7 @@
       m_events.OnDrained(*this);
     }
   }
+  CountBuffers();
   UpdateWatchedEvents();
 }
 
@@ -358,6 +372,8 @@
   m_loop.RemoveBeforeClose(m_stream.get_handle());
   m_stream.close();
   m_state = State::Closed;
+  m_inputShare.Set(0);
+  m_outputShare.Set(0);
 }
 
 void
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/basetypes.h"
+#include "base/bufferbudget.h"
 #include "base/callerlimits.h"
 #include "eventloop/iiohandler.h"
 #include "http/httptypes.h"
@@ -49,7 +50,8 @@
   ServerConnection(eventloop::EventLoop& aLoop,
                    const ACE_SOCK_Stream& aStream,
                    const base::CallerLimits& aLimits,
-                   IServerEvents& aEvents);
+                   IServerEvents& aEvents,
+                   base::BufferBudget* aBudget = nullptr);
   //! Starts reading when data arrives. Call this or StartReading once.
   void Start() { UpdateWatchedEvents(); }
   //! Reads at once what has already arrived. Under load this saves one system
@@ -127,6 +129,7 @@
   void Close();
   void HandlePeerGone();
   void UpdateWatchedEvents();
+  void CountBuffers();
   bool ClosesWithFlush() const;
 
   eventloop::EventLoop& m_loop;
@@ -141,6 +144,8 @@
   std::string m_body;
   std::string m_inBuffer; //!< received but not yet parsed
   std::string m_outBuffer;
+  base::BufferShare m_inputShare;
+  base::BufferShare m_outputShare;
   std::size_t m_sentBytes = 0;
   Framing m_framing = Framing::None;
   std::uint32_t m_watchedEvents = 0;
