Tests that fail: responses without an end fill a router's memory

What callers saw: requests that had been passed on ended without an answer, as their router ended by itself.

--- a/src/soak/guarantees.h
+++ b/src/soak/guarantees.h
@@ -39,7 +39,9 @@
                //!< begin
   PauseIsKept, //!< an upstream gets nothing within its Retry-After from the
                //!< router that it refused
-  Recovery     //!< after the last fault requests are served again
+  MemoryWithinLimit, //!< a router's resident memory stays within its limit
+  EndsOnlyWhenTold,  //!< a router ends only by a signal that the run sent
+  Recovery           //!< after the last fault requests are served again
 };
 inline constexpr auto kGuaranteeNames =
   base::MakeEnumNames<Guarantee>("own-whole-answer",
@@ -59,6 +61,8 @@
                                  "stream-of-one-version",
                                  "streams-go-on",
                                  "pause-is-kept",
+                                 "memory-within-limit",
+                                 "ends-only-when-told",
                                  "recovery");
 inline constexpr std::size_t kGuaranteeCount =
   static_cast<std::size_t>(Guarantee::Recovery) + 1;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -27,6 +27,12 @@
 DEFINE_bool(crashing_part,
             false,
             "send requests whose prompts have a part that crashes engines");
+DEFINE_bool(endless,
+            false,
+            "send responses without an end, and let callers read slowly");
+DEFINE_uint32(memory_limit_mb,
+              0,
+              "resident memory at which a router is killed; 0: no limit");
 DEFINE_uint32(port, 26000, "first of a hundred free ports on loopback");
 DEFINE_string(router, "", "path of the gateway program");
 DEFINE_string(directory, "", "directory for settings, logs and reports");
@@ -54,6 +60,8 @@
       settings.signalFaults = FLAGS_signal_faults;
       settings.versionFaults = FLAGS_version_faults;
       settings.hasCrashingPart = FLAGS_crashing_part;
+      settings.hasEndlessResponses = FLAGS_endless;
+      settings.memoryLimit = std::size_t{ FLAGS_memory_limit_mb } << 20U;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
         FLAGS_directory + "/seed-" + std::to_string(settings.seed);
--- a/src/soak/routerprocess.cpp
+++ b/src/soak/routerprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -59,6 +60,16 @@
   }
 }
 
+std::size_t
+RouterProcess::ResidentBytes() const
+{
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 bool
 RouterProcess::HasEnded(int& aExitStatus)
 {
--- a/src/soak/routerprocess.h
+++ b/src/soak/routerprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 
@@ -22,6 +23,8 @@
   //! Returns whether the process has ended since the last call. aExitStatus is
   //! set to the exit status, or to the negated signal number.
   bool HasEnded(int& aExitStatus);
+  //! Resident memory in bytes; 0 if it is not running.
+  std::size_t ResidentBytes() const;
   bool IsRunning() const { return m_pid > 0; }
 
 private:
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -29,6 +29,12 @@
 constexpr std::uint32_t kMaxResumes = 3;
 //! One in this many streams loses its connection to the router.
 constexpr std::uint64_t kBreakOneIn = 6;
+//! One in this many requests of slow callers is read only after
+//! kSlowReadDelay.
+constexpr std::uint64_t kSlowReadOneIn = 4;
+constexpr base::Duration kSlowReadDelay = 2500ms;
+//! A caller gives up on a response with a longer body: none is that long.
+constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 constexpr base::Duration kMinResumeTime = 500ms;
 constexpr std::string_view kVersionLine = "event: ";
 
@@ -91,12 +97,21 @@
 void
 SoakCaller::Tick(base::TimePoint aNow)
 {
+  if (m_readFrom > base::TimePoint{} && aNow >= m_readFrom) {
+    m_readFrom = {};
+    if (m_connection) {
+      m_connection->SetReading(true);
+    }
+  }
   if (!m_busy && !m_stopped && aNow >= m_nextAt) {
     StartCall(aNow);
   } else if (m_busy && m_breakAfter > 0 &&
              CountEvents(m_body) >= m_breakAfter) {
     m_breakAfter = 0;
     HandleBrokenAnswer();
+  } else if (m_busy && m_body.size() > kMaxBodyBytes) {
+    DropConnection();
+    EndCall(CallOutcome::Failed);
   } else if (m_busy && aNow - m_startedAt > kCallTimeout) {
     DropConnection();
     CheckStreamPrefix();
@@ -169,6 +184,10 @@
   }
   m_shared.signals.Sent(m_id, m_router, now);
   m_connection->Send(standins::EncodeCall(call));
+  if (m_shared.readsSlowly && m_random() % kSlowReadOneIn == 0) {
+    m_readFrom = now + kSlowReadDelay;
+    m_connection->SetReading(false);
+  }
 }
 
 bool
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -60,6 +60,7 @@
   std::string key{};
   std::string revokedKey{};    //!< the revoked previous key; empty if none
   bool resumesStreams = false; //!< callers resume streams that break
+  bool readsSlowly = false;    //!< some callers begin to read late
   StreamCounts newStreams{};   //!< that may be resumed
   StreamCounts resumedStreams{};
   StreamCounts sharingStreams{}; //!< new ones with kSharedPart
@@ -129,6 +130,7 @@
   std::string m_body;
   base::TimePoint m_startedAt{};
   base::TimePoint m_nextAt{};
+  base::TimePoint m_readFrom{}; //!< when a slow caller begins to read
   bool m_busy = false;
   bool m_stopped = false;
 };
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -3,6 +3,7 @@
 #include "base/basetypes.h"
 #include "base/enumnames.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -90,6 +91,10 @@
   std::uint32_t versionFaults = 0;
   //! Whether requests are sent whose prompts have a part that crashes engines.
   bool hasCrashingPart = false;
+  //! Whether some responses have no end, and some callers read slowly.
+  bool hasEndlessResponses = false;
+  //! Resident memory at which a router is killed, in bytes; 0: no limit.
+  std::size_t memoryLimit = 0;
   base::Duration length{
     20000
   }; //!< fault injection time; a time without faults follows
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -38,6 +38,8 @@
 constexpr double kMinServedRatio = 0.8;
 //! An upstream misbehaves on one in this many requests.
 constexpr std::uint64_t kMisbehaveOneIn = 25;
+//! One in this many responses has no end, if there are any.
+constexpr std::uint64_t kEndlessOneIn = 12;
 //! An upstream that asks for pauses refuses one in this many requests.
 constexpr std::uint64_t kRefuseOneIn = 8;
 constexpr base::Duration kPause = 2500ms;
@@ -81,6 +83,7 @@
   m_storeProxy =
     std::make_unique<ChaosProxy>(m_loop, LocalAddress(11), LocalAddress(10));
   m_shared.resumesStreams = aSettings.versionFaults > 0;
+  m_shared.readsSlowly = aSettings.hasEndlessResponses;
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
     m_versionOf[i] = 1 + i / 2 % kFirstVersions;
     AddUpstream(i);
@@ -272,6 +275,13 @@
   if (aUpstream.asksForPauses && draw % kRefuseOneIn == 0) {
     return UpstreamFault::Shed;
   }
+  if (m_settings.hasEndlessResponses && draw % kEndlessOneIn == 0) {
+    constexpr auto kFirst =
+      static_cast<std::uint32_t>(UpstreamFault::EndlessHead);
+    constexpr auto kCount =
+      static_cast<std::uint32_t>(UpstreamFault::EndlessForeign) + 1 - kFirst;
+    return static_cast<UpstreamFault>(kFirst + draw / kEndlessOneIn % kCount);
+  }
   if (draw % kMisbehaveOneIn != 0) {
     return UpstreamFault::None;
   }
@@ -286,8 +296,10 @@
 {
   const bool engine = aUpstream.index % 2 == 0;
   const int slot = std::stoi(aUpstream.id.substr(aUpstream.id.rfind('-') + 1));
+  // A proxy would pass on bytes without an end too slowly to fill a memory.
+  const int port = m_settings.hasEndlessResponses ? 20 + slot : 60 + slot;
   const standins::StoredEntry entry{ engine ? "engine" : "plain",
-                                     LocalAddress(60 + slot),
+                                     LocalAddress(port),
                                      aUpstream.zone,
                                      16,
                                      aDraining ? "draining" : "ready",
@@ -412,6 +424,7 @@
   switch (aFault.kind) {
     case FaultKind::KillRouter:
       router.faultFreeStop = false; // the kill ends a planned stop early
+      router.toldToEnd = true;
       router.process->Signal(SIGKILL);
       return;
     case FaultKind::PauseRouter:
@@ -420,6 +433,7 @@
     case FaultKind::StopRouter:
       router.faultFreeStop = HasNoRecentFault();
       router.stopping = true;
+      router.toldToEnd = true;
       router.process->Signal(SIGTERM);
       return;
     default:
@@ -688,7 +702,12 @@
   for (std::size_t i = 0; i < m_routers.size(); ++i) {
     auto& router = m_routers[i];
     int exit = 0;
+    EnforceMemoryLimit(i);
     if (router.process->HasEnded(exit)) {
+      m_guarantees.Check(Guarantee::EndsOnlyWhenTold,
+                         router.toldToEnd,
+                         fmt::format("r{} ended with status {}", i, exit));
+      router.toldToEnd = false;
       if (router.stopping && router.faultFreeStop) {
         m_guarantees.Check(
           Guarantee::GracefulStop,
@@ -706,6 +725,26 @@
   }
 }
 
+//! Kills a router that exceeds its memory limit, as the platform does.
+void
+SoakRun::EnforceMemoryLimit(std::size_t aRouter)
+{
+  auto& process = *m_routers[aRouter].process;
+  if (m_settings.memoryLimit == 0 || !process.IsRunning()) {
+    return;
+  }
+  const auto resident = process.ResidentBytes();
+  const bool isWithin = resident <= m_settings.memoryLimit;
+  m_guarantees.Check(Guarantee::MemoryWithinLimit,
+                     isWithin,
+                     fmt::format("r{} used {} bytes", aRouter, resident));
+  if (!isWithin) {
+    m_routers[aRouter].toldToEnd = true;
+    m_routers[aRouter].faultFreeStop = false;
+    process.Signal(SIGKILL);
+  }
+}
+
 void
 SoakRun::Tick()
 {
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -64,6 +64,7 @@
     std::unique_ptr<RouterProcess> process;
     base::TimePoint startAt{}; //!< time of the next start; 0 if none is due
     bool stopping = false;
+    bool toldToEnd = false;     //!< got a signal that ends it
     bool faultFreeStop = false; //!< no recent fault when the stop was requested
   };
 
@@ -93,6 +94,7 @@
   void BeginUpstreamFault(const Fault& aFault);
   void BeginStoreFault(const Fault& aFault);
   void RestartRouters(base::TimePoint aNow);
+  void EnforceMemoryLimit(std::size_t aRouter);
   bool HasFreePorts() const { return m_upstreams.size() < kMaxUpstreams; }
   void OnCrashingRun(CrashCause aCause);
   void HandleCrashes(base::TimePoint aNow);
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view kLeavingField = "Server-Leaving";
 constexpr int kTokensPerEvent = 3;
 constexpr int kMaxEvents = 64;
+//! Bytes without end are sent whenever fewer than this are waiting to be sent.
+constexpr std::size_t kEndlessBytesAhead = 262144;
+constexpr std::size_t kEndlessPieceBytes = 16384;
 constexpr std::array<std::string_view, 6> kRouterOnlyFields{
   "Hemlockgauge-Retention",
   "Hemlockgauge-Pin-Ms",
@@ -47,6 +50,28 @@
   return std::clamp(output / kTokensPerEvent, 1, kMaxEvents);
 }
 
+bool
+IsEndless(UpstreamFault aFault)
+{
+  return aFault >= UpstreamFault::EndlessHead;
+}
+
+//! What a response of this fault consists of, over and over.
+std::string
+EndlessPiece(UpstreamFault aFault)
+{
+  const std::string_view unit = aFault == UpstreamFault::EndlessHead
+                                  ? "X-Filler: filler\r\n"
+                                : aFault == UpstreamFault::EndlessInterim
+                                  ? "HTTP/1.1 102 Processing\r\n\r\n"
+                                  : "filler ";
+  std::string piece;
+  while (piece.size() < kEndlessPieceBytes) {
+    piece += unit;
+  }
+  return piece;
+}
+
 //! Whether a stream with this fault has neither a length nor chunks.
 bool
 EndsByClose(UpstreamFault aFault)
@@ -286,7 +311,59 @@
       aWork.connection->EndAnswer();
       return true;
     default:
-      return aWork.events > 0 ? AdvanceStream(aWork) : AdvancePlain(aWork);
+      break;
+  }
+  if (IsEndless(aWork.fault)) {
+    AdvanceEndless(aWork);
+    return false;
+  }
+  return aWork.events > 0 ? AdvanceStream(aWork) : AdvancePlain(aWork);
+}
+
+void
+UpstreamStandin::BeginEndless(const Work& aWork)
+{
+  auto& connection = *aWork.connection;
+  std::string fields;
+  switch (aWork.fault) {
+    case UpstreamFault::EndlessHead:
+      // The line end that follows is that of the field, not of the head.
+      connection.BeginAnswer("HTTP/1.1 200 OK\r\nX-Filler: filler",
+                             Framing::UntilClose);
+      return;
+    case UpstreamFault::EndlessInterim:
+      connection.BeginAnswer("HTTP/1.1 102 Processing\r\n",
+                             Framing::UntilClose);
+      return;
+    case UpstreamFault::EndlessRefusal:
+      http::AppendStatusLine(fields, 503, "Unavailable");
+      http::AppendField(fields, "Hemlockgauge-Not-Executed", "1");
+      http::AppendField(fields, kAttemptIdField, aWork.run->requestId);
+      connection.BeginAnswer(fields, Framing::Chunked);
+      return;
+    case UpstreamFault::EndlessForeign:
+      http::AppendStatusLine(fields, 200, "OK");
+      http::AppendField(fields, kAttemptIdField, "other");
+      http::AppendField(fields, "Hemlockgauge-Response-Seal", "x");
+      connection.BeginAnswer(fields, Framing::Chunked);
+      return;
+    default:
+      connection.BeginAnswer(ResponseHead(aWork, 200), Framing::Chunked);
+  }
+}
+
+//! Sends as fast as the peer reads, until it closes the connection.
+void
+UpstreamStandin::AdvanceEndless(Work& aWork)
+{
+  if (!aWork.headSent) {
+    aWork.headSent = true;
+    BeginEndless(aWork);
+  }
+  aWork.nextAt = m_loop.Now();
+  const auto piece = EndlessPiece(aWork.fault);
+  while (aWork.connection->UnsentBytes() < kEndlessBytesAhead) {
+    aWork.connection->Write(piece);
   }
 }
 
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -38,8 +38,14 @@
   NoResponseSeal,  //!< a successful answer without Response-Seal
   Rubbish,         //!< bytes that are not an HTTP response
   Crash,           //!< the upstream and all its connections end
-  CrashAfterEvent  //!< crashes after an event of a stream without a length; its
+  CrashAfterEvent, //!< crashes after an event of a stream without a length; its
                    //!< connection closes as at the end of an answer
+  // The following send bytes until the peer closes the connection.
+  EndlessHead,    //!< header fields
+  EndlessInterim, //!< interim responses
+  EndlessBody,    //!< a body; of a stream, one event
+  EndlessRefusal, //!< the body of a response that says "not run"
+  EndlessForeign  //!< the body of another request's response
 };
 inline constexpr auto kUpstreamFaultNames =
   base::MakeEnumNames<UpstreamFault>("none",
@@ -55,7 +61,12 @@
                                      "no-proof",
                                      "rubbish",
                                      "crash",
-                                     "crash-after-event");
+                                     "crash-after-event",
+                                     "endless-head",
+                                     "endless-interim",
+                                     "endless-body",
+                                     "endless-refusal",
+                                     "endless-foreign");
 
 //! One execution of a request, as observed by the upstream.
 struct UpstreamRun
@@ -180,6 +191,8 @@
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
   bool AdvanceStream(Work& aWork);
+  void AdvanceEndless(Work& aWork);
+  void BeginEndless(const Work& aWork);
   void SendResponse(http::ServerConnection& aConnection,
                     int aStatus,
                     const std::string& aExtraHead,
