A plain response waits for a caller that reads slowly

What callers saw: requests that had been passed on ended without an answer, as their router ended by itself. Cause: RelayStreamBytes paused the upstream while its caller had not read; OnAnswerBody did not, so a plain response without an end filled the memory. Change: both write through WriteToCaller, which pauses at 256 KiB unsent. Ruled out: cutting such a response, as a slow caller may still read it. Conclusion: what one caller leaves unread is bounded.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -31,6 +31,9 @@
 //! hundred round trips within a region.
 constexpr base::Duration kConnectTimeout = 300ms;
 constexpr int kMinServerErrorStatus = 500;
+//! Reading from the upstream is paused while more bytes than this are waiting
+//! to be sent to a slow caller.
+constexpr std::size_t kMaxUnsentToCaller = 262144;
 
 }
 
@@ -186,7 +189,7 @@
   }
   SendHead();
   m_caller->Write(m_bufferedBody);
-  m_caller->Write(aBytes);
+  WriteToCaller(aBytes);
   m_bufferedBody.clear();
   m_isBuffering = false;
   CountResponseBuffers();
@@ -199,6 +202,15 @@
                       m_streamFilter.PendingBytes());
 }
 
+void
+Exchange::WriteToCaller(std::string_view aBytes)
+{
+  m_caller->Write(aBytes);
+  if (m_caller->UnsentBytes() > kMaxUnsentToCaller && m_upstream != nullptr) {
+    m_upstream->SetReading(false);
+  }
+}
+
 void
 Exchange::OnCallerDrained()
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -162,6 +162,7 @@
   void RelayStreamBytes(std::string_view aBytes);
   void BreakAttempt(const std::string& aWhy);
   void SendHead();
+  void WriteToCaller(std::string_view aBytes);
   void HandleCompleteResponse();
   void FinishResponse(const std::string& aWhy);
   void EndAttempt(fleet::AttemptOutcome aEnd);
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -20,14 +20,6 @@
 using fleet::AttemptOutcome;
 using fleet::VersionId;
 
-namespace {
-
-//! Reading from the upstream is paused while more bytes than this are waiting
-//! to be sent to a slow caller.
-constexpr std::size_t kMaxUnsentToCaller = 262144;
-
-}
-
 bool
 Exchange::IsStream() const
 {
@@ -191,10 +183,7 @@
     RecordStreamVersion();
   }
   SendHead();
-  m_caller->Write(out);
-  if (m_caller->UnsentBytes() > kMaxUnsentToCaller && m_upstream != nullptr) {
-    m_upstream->SetReading(false);
-  }
+  WriteToCaller(out);
 }
 
 }
