--- a/src/gateway/internal/eventstreamfilter.cpp
+++ b/src/gateway/internal/eventstreamfilter.cpp
@@ -82,6 +82,10 @@
   while (!aBytes.empty()) {
     const auto end = FindEventEnd(aBytes);
     if (end == std::string_view::npos) {
+      if (aBytes.size() > kMaxEventBytes) {
+        m_fault = EventStreamFault::TooLong;
+        return false;
+      }
       m_pending = aBytes;
       return true;
     }
@@ -104,6 +108,7 @@
         return true; // repeated by the resumed run
       }
       if (*number != *m_lastNumericId + 1) {
+        m_fault = EventStreamFault::OutOfOrder;
         return false;
       }
     }
@@ -120,6 +125,7 @@
 EventStreamFilter::Resume()
 {
   m_pending.clear();
+  m_fault = EventStreamFault::None;
   m_resumed = true;
 }
 
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -171,7 +171,8 @@
   }
   std::string out;
   if (!m_streamFilter.Consume(aBytes, out)) {
-    BreakAttempt("event id out of order");
+    BreakAttempt(
+      std::string(kEventStreamFaultNames.NameOf(m_streamFilter.Fault())));
     return;
   }
   CountResponseBuffers();
