A refusal is acted on without waiting for the end of its body

What callers saw: 504 at their deadline, though the upstream had said in its head that it ran nothing. Cause: OnAnswerEnd was the only place that acted on a refusal, so one whose body did not end held its request and its upstream was not counted as failing. Change: the head is acted on at the end of the event loop's iteration; a body that came with it is read by then and the connection is kept, else it is closed. Ruled out: acting inside OnAnswerHead, which would close each connection that refuses with a body. Conclusion: a refusal costs one round trip, whatever follows its head.

--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -81,6 +81,8 @@
   std::optional<std::string> malformedLoad;
   std::vector<http::HeaderField> forwardedHeaders; //!< forwarded unchanged
 
+  //! Whether the request ran nowhere and may be sent to another upstream.
+  bool IsRefusal() const { return notRun || misdirected; }
   bool IsSuccess() const { return status >= 200 && status < 300; }
 };
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -77,7 +77,7 @@
 {
   m_mayHaveReachedUpstream = true;
   auto response = m_dependencies.upstreams.Decode(std::move(aHead));
-  const bool ranNothing = response.notRun || response.misdirected;
+  const bool ranNothing = response.IsRefusal();
   RecordSignals(response);
   RecordLoad(response);
   if (!response.requestId.empty() && response.requestId != m_request.id) {
@@ -97,9 +97,36 @@
   if (m_response.keepAlive > base::Duration{}) {
     aConnection.keepAlive = m_response.keepAlive;
   }
+  if (m_response.IsRefusal()) {
+    ScheduleRefusal();
+  }
   return HeadAction::Accept;
 }
 
+//! Acts on a refusal at the end of the event loop's iteration. A body that
+//! arrives with the head is read by then, so that the connection can be kept;
+//! a later one is not awaited, as it may have no end.
+void
+Exchange::ScheduleRefusal()
+{
+  m_dependencies.loop.Defer([this, refused = m_attempt] {
+    if (m_upstream == nullptr || m_attempt != refused) {
+      return;
+    }
+    DiscardUpstream();
+    HandleRefusal();
+  });
+}
+
+void
+Exchange::HandleRefusal()
+{
+  EndAttempt(AttemptOutcome::Refused);
+  AttemptFailed(Verdict::NotRun,
+                m_response.misdirected ? "address belongs to another upstream"
+                                       : "upstream did not run the request");
+}
+
 //! Records what the upstream states about itself in the head of a response,
 //! also if the response answers another request. A misdirected request was
 //! answered by another upstream.
@@ -168,7 +195,7 @@
 Exchange::OnAnswerBody(http::ClientConnection&, std::string_view aBytes)
 {
   m_bytesReceived += aBytes.size();
-  if (m_response.notRun || m_response.misdirected) {
+  if (m_response.IsRefusal()) {
     return;
   }
   if (m_firstByteAt == base::TimePoint{}) {
@@ -240,11 +267,8 @@
   } else {
     m_dependencies.pool.Discard(aConnection);
   }
-  if (m_response.notRun || m_response.misdirected) {
-    EndAttempt(AttemptOutcome::Refused);
-    AttemptFailed(Verdict::NotRun,
-                  m_response.misdirected ? "address belongs to another upstream"
-                                         : "upstream did not run the request");
+  if (m_response.IsRefusal()) {
+    HandleRefusal();
     return;
   }
   if (IsStream() && m_streamFilter.HasPartialEvent()) {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -164,6 +164,8 @@
   void SendHead();
   void WriteToCaller(std::string_view aBytes);
   void HandleCompleteResponse();
+  void ScheduleRefusal();
+  void HandleRefusal();
   void FinishResponse(const std::string& aWhy);
   void EndAttempt(fleet::AttemptOutcome aEnd);
   void AttemptFailed(base::Verdict aVerdict, const std::string& aWhy);
