Responses that are skipped have a limit of bytes

What callers saw: requests to an upstream that sends interim responses, or another request's response, without an end were answered with 504 at their deadline. Cause: ClientConnection skipped up to three foreign responses, whatever their length, and interim ones without any limit. Change: 256 KiB of skipped bytes for each request, then the response is bad and the request goes on elsewhere if it may. Ruled out: a count of interim responses, since one that has no end is one. A stand-in that refuses does not report a run any more: the soak took such a run for one that was denied.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -20,6 +20,8 @@
 constexpr int kFirstFinalStatus = 200;
 //! Responses to other requests that are skipped before the exchange fails.
 constexpr int kMaxSkippedAnswers = 3;
+//! Bytes of such responses and of interim ones that are skipped.
+constexpr std::size_t kMaxSkippedBytes = 262144;
 
 }
 
@@ -115,6 +117,7 @@
   m_requestBytesSent = false;
   m_isSkipping = false;
   m_skippedAnswers = 0;
+  m_skippedBytes = 0;
   m_isRejected = false;
   m_reader.Next(aIsHead);
   if (m_state == State::Idle) {
@@ -233,7 +236,9 @@
     if (m_state != State::Busy) {
       return; // the event receiver closed it
     }
-    if (m_isRejected || m_reader.GetFault() != Fault::None) {
+    m_skippedBytes += m_isSkipping ? consumed : 0;
+    if (m_isRejected || m_reader.GetFault() != Fault::None ||
+        m_skippedBytes > kMaxSkippedBytes) {
       Fail(ClientFailure::BadAnswer);
       return;
     }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -163,6 +163,7 @@
   bool m_isSkipping = false;
   bool m_isRejected = false;
   int m_skippedAnswers = 0;
+  std::size_t m_skippedBytes = 0;
 };
 
 }
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -168,7 +168,9 @@
   }
   m_activeWork.push_back(work);
   m_runs.push_back(std::move(run));
-  m_observer(*work.run);
+  if (fault != UpstreamFault::EndlessRefusal) { // which runs nothing
+    m_observer(*work.run);
+  }
 }
 
 void
