No resumable stream begins at a version that another router may not know

A new version got resumable streams at once where no other upstream fitted, though a router whose list was confirmed 2.5 s ago is certain of the old one. And both ages were taken from the event loop's time: a process that stood still within an iteration took a stale list for a confirmed one, and a version that it had just heard of for an old one. Change: within its first 2.5 s a new version is no last resort (Suitability too-new, Retry-After the rest of that time), also if it replaced all others; a version that was listed within 15 s is not new, so that entries that come back after an outage of the store stop nothing. Ages come from the clock. Ruled out: waiting for a confirmation of the list that is younger than the resume (built and tried: up to two seconds a resume, a route of 1 s refused each of them).

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -392,9 +392,9 @@
                             TimePoint aNow) const;
   //! Whether a stream that may be resumed should not begin at the upstream yet,
   //! see VersionHistory.
-  bool IsTooNewForStream(const PlaceRequest& aRequest,
-                         const Upstream& aUpstream,
-                         TimePoint aNow) const;
+  Duration TooNewForStreamFor(const PlaceRequest& aRequest,
+                              const Upstream& aUpstream,
+                              TimePoint aNow) const;
   std::vector<UpstreamId> EligibleUpstreams(const PlaceRequest& aRequest,
                                             const PlacementPolicy& aPolicy,
                                             std::uint64_t aKey,
--- a/src/fleet/internal/fleetplacement.cpp
+++ b/src/fleet/internal/fleetplacement.cpp
@@ -89,23 +89,31 @@
   const bool isBlocked =
     aUpstream.IsCold(aNow) &&
     !m_warmUp.MaySend(aId, aUpstream.service->coldRequestsPerSecond, aNow);
-  return isBlocked ? Suitability::Cold : Suitability::Fits;
+  if (isBlocked) {
+    return Suitability::Cold;
+  }
+  return TooNewForStreamFor(aRequest, aUpstream, aNow) > Duration{}
+           ? Suitability::TooNew
+           : Suitability::Fits;
 }
 
-bool
-Fleet::IsTooNewForStream(const PlaceRequest& aRequest,
-                         const Upstream& aUpstream,
-                         TimePoint aNow) const
+//! For how long a stream that may be resumed must not begin at the upstream: a
+//! router that does not know its version yet could take another one for the
+//! only one, and go on with the stream there.
+Duration
+Fleet::TooNewForStreamFor(const PlaceRequest& aRequest,
+                          const Upstream& aUpstream,
+                          TimePoint aNow) const
 {
   const auto& route = *aRequest.route;
-  return route.kind == CallKind::Stream && route.resumable &&
-         !aRequest.streamVersion &&
-         m_versions.IsNew(aRequest.service, aUpstream.version, aNow);
+  const bool begins = route.kind == CallKind::Stream && route.resumable &&
+                      !aRequest.streamVersion;
+  return begins ? m_versions.NewFor(aRequest.service, aUpstream.version, aNow)
+                : Duration{};
 }
 
 //! The upstreams of the request's service that aPolicy considers, out of those
-//! that may get the request. Contains ejected ones, and ones that are too new
-//! for the stream, only if there are no others.
+//! that may get the request. Contains ejected ones only if there are no others.
 //! Sets aResult.suitability. Few upstreams are examined unless most of the
 //! service's upstreams are excluded.
 std::vector<UpstreamId>
@@ -133,9 +141,7 @@
     const auto suitability = SuitabilityOf(aRequest, *id, upstream, aNow);
     aResult.suitability = std::max(aResult.suitability, suitability);
     if (suitability == Suitability::Fits) {
-      const bool isLastResort = upstream.health.IsEjected(aNow) ||
-                                IsTooNewForStream(aRequest, upstream, aNow);
-      (isLastResort ? lastResort : healthy).push_back(*id);
+      (upstream.health.IsEjected(aNow) ? lastResort : healthy).push_back(*id);
     }
   }
   auto& eligible = healthy.empty() ? lastResort : healthy;
@@ -166,6 +172,9 @@
       case Suitability::Paused:
         least = std::min(least, upstream.pausedUntil - aNow);
         break;
+      case Suitability::TooNew:
+        least = std::min(least, TooNewForStreamFor(aRequest, upstream, aNow));
+        break;
       default:
         break;
     }
--- a/src/fleet/internal/suitability.cpp
+++ b/src/fleet/internal/suitability.cpp
@@ -40,6 +40,7 @@
       return std::clamp(
         aUntilEligible, kMinRetryAfter, kMaxNoUpstreamRetryAfter);
     case Suitability::Paused:
+    case Suitability::TooNew:
       return std::max(aUntilEligible, kMinRetryAfter);
     case Suitability::OtherRegion:
     case Suitability::Evacuated:
--- a/src/fleet/suitability.h
+++ b/src/fleet/suitability.h
@@ -28,6 +28,7 @@
   Paused,       //!< wants no requests from this router for a time
   Full,         //!< has as many requests as it takes, see ConcurrencyLimit
   Tried,        //!< already tried for the same request
+  TooNew,       //!< streams don't begin at its version yet, see VersionHistory
   Fits
 };
 inline constexpr auto kSuitabilityNames =
@@ -40,6 +41,7 @@
                                    "paused",
                                    "full",
                                    "tried",
+                                   "too-new",
                                    "fits");
 
 //! Whether other upstreams may copy prefixes from this one. This includes one
@@ -50,6 +52,7 @@
 {
   return aSuitability == Suitability::Fits ||
          aSuitability == Suitability::Tried ||
+         aSuitability == Suitability::TooNew ||
          aSuitability == Suitability::Full || aSuitability == Suitability::Cold;
 }
 
@@ -63,7 +66,7 @@
 
 //! Returns when a request that found no upstream should be retried.
 //! aSuitability: the greatest over all upstreams; aUntilEligible: time until
-//! the first cold or paused upstream is neither.
+//! the first cold, paused or too new upstream is none of these.
 Duration
 NoUpstreamRetryAfter(Suitability aSuitability, Duration aUntilEligible);
 
--- a/src/fleet/versionhistory.h
+++ b/src/fleet/versionhistory.h
@@ -32,28 +32,31 @@
   std::optional<VersionId> OnlyVersion(std::string_view aService,
                                        Duration aWindow,
                                        TimePoint aNow) const;
-  //! Whether upstreams of this version joined those of another one less than
-  //! kMaxListProofGap ago.
-  bool IsNew(std::string_view aService,
-             VersionId aVersion,
-             TimePoint aNow) const;
+  //! How much longer another router may not know this version: it joined, or
+  //! replaced, another version less than kMaxListProofGap ago. 0 if all know
+  //! it.
+  Duration NewFor(std::string_view aService,
+                  VersionId aVersion,
+                  TimePoint aNow) const;
 
 private:
+  //! A version that is listed, or was within the last kOnlyVersionMargin.
   struct ListedVersion
   {
     std::size_t upstreams = 0;
     TimePoint since{};
+    TimePoint unlistedAt{}; //!< if upstreams is 0
   };
 
   struct ServiceVersions
   {
-    std::map<VersionId, ListedVersion> listed;
+    std::map<VersionId, ListedVersion> versions;
     VersionId only = VersionId::Unknown; //!< the only one since onlySince
     TimePoint onlySince{};
   };
 
   void Add(const UpstreamEntryPtr& aEntry, TimePoint aNow);
-  void Remove(const UpstreamEntryPtr& aEntry);
+  void Remove(const UpstreamEntryPtr& aEntry, TimePoint aNow);
   static void Follow(ServiceVersions& aVersions, TimePoint aNow);
 
   std::map<std::string, ServiceVersions, std::less<>> m_services;
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/exchange.h"
 
 #include "base/logline.h"
+#include "base/monotonicclock.h"
 #include "eventloop/eventloop.h"
 #include "fleet/fleetconstants.h"
 #include "http/serverconnection.h"
@@ -81,8 +82,9 @@
 {
   auto version = aLookup.record ? aLookup.record->version : VersionId::Unknown;
   if (version == VersionId::Unknown) {
+    //! NOTE the process may have stood still since the loop's time.
     const auto only = m_dependencies.fleet.OnlyVersion(
-      *m_route, m_service, m_dependencies.loop.Now());
+      *m_route, m_service, base::MonotonicNow());
     version = only.value_or(VersionId::Unknown);
     aSource = only ? StreamSource::OnlyVersion : aSource;
   }
--- a/src/gateway/internal/gatewaysync.cpp
+++ b/src/gateway/internal/gatewaysync.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/logline.h"
+#include "base/monotonicclock.h"
 #include "eventloop/eventloop.h"
 #include "fleet/sourceoptions.h"
 #include "gateway/istorecodec.h"
@@ -272,7 +273,8 @@
   }
   m_upstreamListChanged = false;
   m_metrics.Count("upstream_list_follows_total");
-  const auto updates = m_fleet.UpdateUpstreams(m_loop.Now());
+  //! NOTE the process may have stood still since the loop's time.
+  const auto updates = m_fleet.UpdateUpstreams(base::MonotonicNow());
   m_metrics.Count("upstream_entries_changed_total", updates.size());
   m_storeChangeLog.LogUpstreams(updates);
 }
