A Host field without a name is a bad request, and no search is endless

Cause: RouteTable::Match shortened its key by a search from size - 2; with an empty host the key "/" wrapped around to the end and never got shorter. The Host field had no syntax beyond "not empty". Match walks the slashes of the path, which always ends. Ruled out: the check alone, as the table is also built from configurations. AHostWithoutANameMatchesNothing would not end before; base, routetable and path tests pass.

--- a/src/base/tests/basetests.cpp
+++ b/src/base/tests/basetests.cpp
@@ -1,6 +1,7 @@
 #include "base/address.h"
 #include "base/boundedsink.h"
 #include "base/error.h"
+#include "base/hostfield.h"
 #include "base/logline.h"
 #include "base/logratelimiter.h"
 #include "base/verdict.h"
@@ -25,6 +26,27 @@
   }
 }
 
+Test(base, HostFieldHasANameAndMayHaveAPort)
+{
+  cr_assert(ParseHostField("a.example") == "a.example");
+  cr_assert(ParseHostField("a.example:80") == "a.example");
+  cr_assert(ParseHostField("a.example:") == "a.example");
+  cr_assert(ParseHostField("[::1]:80") == "[::1]");
+  for (const char* bad : { "",
+                           ":8443",
+                           "a b",
+                           "a/b",
+                           "a:8x",
+                           "a:1:2",
+                           "::1",
+                           "[]",
+                           "[::1",
+                           "[::1]x",
+                           "[a/b]" }) {
+    cr_assert(!ParseHostField(bad), "%s", bad);
+  }
+}
+
 Test(base, LogLineQuotesValuesAndRemovesNewlines)
 {
   const LogLine line =
--- a/src/fleet/routetable.cpp
+++ b/src/fleet/routetable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/routetable.h"
 
+#include "base/hostfield.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -7,11 +9,11 @@
 
 namespace {
 
-//! Returns the host in lower case without its port.
+//! Returns the host in lower case without its port; empty if it is malformed.
 std::string
 HostKey(std::string_view aHost)
 {
-  std::string key(aHost.substr(0, aHost.find(':')));
+  std::string key(base::ParseHostField(aHost).value_or(""));
   std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aChar) {
     return static_cast<char>(std::tolower(aChar));
   });
@@ -33,22 +35,18 @@
 RouteTable::Match(std::string_view aHost, std::string_view aPath) const
 {
   auto key = HostKey(aHost);
-  const auto hostSize = key.size();
-  const auto end = aPath.rfind('/');
-  if (end == std::string_view::npos) {
+  if (key.empty()) {
     return nullptr;
   }
-  key += aPath.substr(0, end + 1);
-  while (key.size() > hostSize) {
+  const auto hostSize = key.size();
+  key += aPath;
+  for (auto slash = aPath.rfind('/'); slash != std::string_view::npos;) {
+    key.resize(hostSize + slash + 1);
     const auto found = m_routes.find(key);
     if (found != m_routes.end()) {
       return found->second;
     }
-    const auto slash = key.rfind('/', key.size() - 2);
-    if (slash == std::string::npos || slash < hostSize) {
-      return nullptr;
-    }
-    key.resize(slash + 1);
+    slash = slash > 0 ? aPath.rfind('/', slash - 1) : std::string_view::npos;
   }
   return nullptr;
 }
--- a/src/fleet/tests/fleettests.cpp
+++ b/src/fleet/tests/fleettests.cpp
@@ -50,6 +50,17 @@
   cr_assert(table.Match("a.example", "") == nullptr);
 }
 
+//! The search for shorter prefixes must end without a host, too.
+Test(routetable, AHostWithoutANameMatchesNothing)
+{
+  const RouteTable table(ConfigWith({ RouteOf("a.example", "/x/") }));
+  for (const char* host : { "", ":8443", "[::1]:80" }) {
+    for (const char* path : { "/", "/none/x", "//", "*" }) {
+      cr_assert(table.Match(host, path) == nullptr);
+    }
+  }
+}
+
 Test(routetable, ARouteOfTheRootMatchesEveryPath)
 {
   const RouteTable table(ConfigWith({ RouteOf("a.example", "/") }));
