Connections share a budget of buffered bytes, from the memory limit

Cause: each body had a limit, all together had none; each was held twice while it was sent on; the platform's memory limit was not passed to the process. A body that does not fit is refused with 503, not run, and Retry-After before it is read if its length is known, else when it would grow; large ones leave a quarter to those up to 64 KiB; one that could never fit gets 413. Above half, read-ahead and unsent bytes to callers have smaller limits. Bodies over 16 KiB are sent from the request instead of a copy. Ruled out: pausing the reading of bodies, as bodies that all wait for the rest of themselves would wait for each other.

--- a/src/base/bufferbudget.cpp
+++ b/src/base/bufferbudget.cpp
@@ -4,6 +4,13 @@
 
 namespace hemlockgauge::base {
 
+bool
+BufferBudget::Fits(std::size_t aBytes) const
+{
+  const auto limit = LimitFor(aBytes);
+  return m_total <= limit && aBytes <= limit - m_total;
+}
+
 void
 BufferBudget::Change(BufferUse aUse, std::size_t aBefore, std::size_t aAfter)
 {
--- a/src/base/bufferbudget.h
+++ b/src/base/bufferbudget.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 
 namespace hemlockgauge::base {
 
@@ -26,11 +27,25 @@
 inline constexpr std::size_t kBufferUseCount =
   static_cast<std::size_t>(BufferUse::CallerOutput) + 1;
 
-//! Counts the bytes that the connections and requests of a process buffer
-//! together.
+//! Counts and limits the bytes that the connections and requests of a process
+//! buffer together. Only the greatest part, bodies, is refused for want of
+//! room; the rest is small for each connection and gets smaller when the budget
+//! is tight.
 class BufferBudget
 {
 public:
+  //! Bodies up to this size are small.
+  static constexpr std::size_t kSmallBytes = 65536;
+
+  void SetLimit(std::size_t aBytes) { m_limit = aBytes; }
+  //! Whether aBytes more may be buffered. Large ones leave a quarter of the
+  //! limit to small ones, so that ordinary requests are served beside them.
+  bool Fits(std::size_t aBytes) const;
+  //! Whether aBytes are ever allowed.
+  bool CanFit(std::size_t aBytes) const { return aBytes <= LimitFor(aBytes); }
+  //! Whether more than half of the limit is used.
+  bool IsTight() const { return m_total > m_limit / 2; }
+  std::size_t Limit() const { return m_limit; }
   std::size_t Held(BufferUse aUse) const
   {
     return m_held[static_cast<std::size_t>(aUse)];
@@ -42,6 +57,12 @@
 private:
   friend class BufferShare;
   void Change(BufferUse aUse, std::size_t aBefore, std::size_t aAfter);
+  std::size_t LimitFor(std::size_t aBytes) const
+  {
+    return aBytes > kSmallBytes ? m_limit / 4 * 3 : m_limit;
+  }
+
+  std::size_t m_limit = std::numeric_limits<std::size_t>::max();
 
   std::array<std::size_t, kBufferUseCount> m_held{};
   std::size_t m_total = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,6 +37,12 @@
 constexpr base::Duration kIntakeLogInterval = 1000ms;
 //! A longer gap between two fast ticks is logged as a stall of the process.
 constexpr base::Duration kStallLogThreshold = 1000ms;
+//! Retry-After of a request whose body has no room: other bodies are sent on
+//! and freed within a call's time.
+constexpr base::Duration kNoRoomRetryAfter = 300ms;
+//! Part of the memory limit that connections and requests may buffer. The rest
+//! is for what the router knows of the fleet, and for the heap's overhead.
+constexpr double kBufferRatio = 0.4;
 //! Maximum number of caller connections: half of the file descriptors, as the
 //! rest is needed for upstreams. Callers keep idle connections for seconds, so
 //! a caller that sends many times its usual load would otherwise take them all.
@@ -66,6 +72,13 @@
   return settings;
 }
 
+std::size_t
+BufferLimit(const GatewaySettings& aSettings)
+{
+  return static_cast<std::size_t>(kBufferRatio *
+                                  static_cast<double>(aSettings.memoryLimit));
+}
+
 base::Duration
 TimeOfDay()
 {
@@ -89,6 +102,8 @@
       return Refusal::BodyTooLarge;
     case http::Fault::Timeout:
       return Refusal::SlowRequest;
+    case http::Fault::NoRoom:
+      return Refusal::NoRoom;
     case http::Fault::None:
     case http::Fault::Syntax:
       return Refusal::BadRequest;
@@ -129,6 +144,7 @@
   , m_startedAt(aLoop.Now())
   , m_lastTick(m_startedAt)
 {
+  m_buffers.SetLimit(BufferLimit(aSettings));
 }
 
 Gateway::~Gateway() = default;
@@ -217,7 +233,11 @@
   aConnection.context = nullptr;
   m_metrics.Count("bad_requests_total");
   LogLine("bad-request").Add("why", http::kFaultNames.NameOf(aFault)).Warn();
-  const LocalReply reply{ RefusalForFault(aFault), Verdict::NotRun, {}, "" };
+  LocalReply reply{ RefusalForFault(aFault), Verdict::NotRun, {}, "" };
+  if (aFault == http::Fault::NoRoom) {
+    m_metrics.Count("requests_without_room_total");
+    reply.retryAfter = kNoRoomRetryAfter;
+  }
   aConnection.BeginAnswer(
     m_codecs.callers.EncodeLocalReply(reply), http::Framing::Length, 0);
   aConnection.EndAnswer();
@@ -277,6 +297,7 @@
       aSettings.peerListen == m_settings.peerListen &&
       aSettings.store == m_settings.store && aSettings.id == m_settings.id);
   m_settings.stopGracePeriod = aSettings.stopGracePeriod;
+  m_buffers.SetLimit(BufferLimit(aSettings));
   m_logBudget = base::LogRateLimiter(aSettings.loggedPerSecond);
   m_fleet.Reconfigure(MakeFleetSettings(aSettings, 0));
   m_exchangeQueue.Configure(aSettings.waiting);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -18,6 +18,9 @@
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxLoggedPerSecond = 1e6;
 constexpr double kMaxProcessorShare = 1024;
+constexpr unsigned kMbShift = 20;
+constexpr std::uint32_t kMinMemoryLimitMb = 16;
+constexpr std::uint32_t kMaxMemoryLimitMb = 1U << 20U; // 1 TiB
 constexpr std::uint32_t kMaxWaitingRequests = 1000000;
 constexpr std::uint32_t kMaxWaitingBytes = 1U << 30U; // 1 GiB
 
@@ -77,6 +80,12 @@
     ReadMillis(aReader, "stop_grace_ms", aSettings.stopGracePeriod);
   aSettings.processorShare = aReader.RealOr(
     "processor_share", 0, kMaxProcessorShare, aSettings.processorShare);
+  aSettings.memoryLimit = std::size_t{
+    aReader.NumberOr("memory_limit_mb",
+                     kMinMemoryLimitMb,
+                     kMaxMemoryLimitMb,
+                     kDefaultMemoryLimit >> kMbShift)
+  } << kMbShift;
   aSettings.logLevel = aReader.TextOr("log_level", "info");
   aSettings.loggedPerSecond = aReader.RealOr("logged_requests_per_second",
                                              1,
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -7,6 +7,7 @@
 #include "fleet/fleetconstants.h"
 #include "fleet/waitingqueue.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -22,6 +23,10 @@
 };
 inline constexpr auto kSwitchNames = base::MakeEnumNames<Switch>("off", "on");
 
+//! Memory limit of a router whose settings give none: below that of the
+//! smallest hosts.
+inline constexpr std::size_t kDefaultMemoryLimit = std::size_t{ 100 } << 20U;
+
 //! Settings of a gateway, read from its INI file.
 struct GatewaySettings
 {
@@ -46,6 +51,9 @@
   base::Duration stopGracePeriod{ 8000 };
   //! CPU cores available to this process; may be a fraction.
   double processorShare = 1;
+  //! Memory that the process may use, in bytes. It buffers at most a part of
+  //! it.
+  std::size_t memoryLimit = kDefaultMemoryLimit;
   double retryRatio = 0.2; //!< of the fleet, per request in retryWindow
   double retrySlack = 20;  //!< retries of the fleet beyond the ratio
   base::Duration retryWindow{ 10000 };
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -93,6 +93,7 @@
   HeadTooLarge,
   BodyTooLarge,
   SlowRequest,
+  NoRoom, //!< its body does not fit beside what the router buffers now
   NoSuchRoute,
   UnknownKey,
   NoConfig,      //!< no configuration has been received yet
@@ -110,6 +111,7 @@
                                "head-too-large",
                                "body-too-large",
                                "slow-request",
+                               "no-room",
                                "no-such-route",
                                "unknown-key",
                                "no-config",
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -34,6 +34,8 @@
 //! Reading from the upstream is paused while more bytes than this are waiting
 //! to be sent to a slow caller.
 constexpr std::size_t kMaxUnsentToCaller = 262144;
+//! The same while the buffer budget is tight.
+constexpr std::size_t kTightUnsentToCaller = 16384;
 
 }
 
@@ -206,7 +208,8 @@
     return;
   }
   if (m_isBuffering &&
-      m_bufferedBody.size() + aBytes.size() <= kMaxBufferedBody) {
+      m_bufferedBody.size() + aBytes.size() <= kMaxBufferedBody &&
+      m_dependencies.buffers.Fits(aBytes.size())) {
     m_bufferedBody += aBytes;
     CountResponseBuffers();
     return;
@@ -233,7 +236,9 @@
 Exchange::WriteToCaller(std::string_view aBytes)
 {
   m_caller->Write(aBytes);
-  if (m_caller->UnsentBytes() > kMaxUnsentToCaller && m_upstream != nullptr) {
+  const auto limit = m_dependencies.buffers.IsTight() ? kTightUnsentToCaller
+                                                      : kMaxUnsentToCaller;
+  if (m_caller->UnsentBytes() > limit && m_upstream != nullptr) {
     m_upstream->SetReading(false);
   }
 }
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -22,6 +22,9 @@
 
 namespace {
 
+//! Bodies up to this size are sent with the head in one system call.
+constexpr std::size_t kMaxCopiedBody = 16384;
+
 //! Id of the shared prompt prefix by which a generation is placed.
 std::string
 SharedPrefixText(const fleet::Work& aWork)
@@ -270,9 +273,16 @@
   context.lastEventId = LastEventId();
   m_upstream =
     &m_dependencies.pool.Acquire(aPlace.upstream, aPlace.address, *this);
-  auto bytes = m_dependencies.upstreams.Encode(m_request, context);
-  m_bytesSent = bytes.size();
-  m_upstream->Send(std::move(bytes), m_request.method == "HEAD");
+  auto bytes = m_dependencies.upstreams.EncodeHead(m_request, context);
+  const std::string_view body = m_request.body;
+  m_bytesSent = bytes.size() + body.size();
+  const bool isHead = m_request.method == "HEAD";
+  if (body.size() <= kMaxCopiedBody) {
+    bytes += body;
+    m_upstream->Send(std::move(bytes), isHead);
+  } else {
+    m_upstream->Send(std::move(bytes), isHead, body);
+  }
 }
 
 }
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -81,6 +81,7 @@
                               base::kBufferUseNames.NameOf(use)),
                   static_cast<double>(m_buffers.Held(use)));
   }
+  set("buffered_bytes_limit", static_cast<double>(m_buffers.Limit()));
   set("buffered_bytes_peak", static_cast<double>(m_buffers.Peak()));
   set("resident_bytes", static_cast<double>(base::ResidentBytes()));
   const auto& streams = m_streamVersions.Records();
--- a/src/gateway/iupstreamcodec.h
+++ b/src/gateway/iupstreamcodec.h
@@ -12,9 +12,9 @@
 public:
   virtual ~IUpstreamCodec() = default;
 
-  //! Returns the complete HTTP request with its body.
-  virtual std::string Encode(const CallerRequest& aRequest,
-                             const SendContext& aContext) const = 0;
+  //! Returns the head of the HTTP request, which its body follows unchanged.
+  virtual std::string EncodeHead(const CallerRequest& aRequest,
+                                 const SendContext& aContext) const = 0;
   virtual UpstreamResponse Decode(http::ResponseHead&& aHead) const = 0;
 };
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -103,14 +103,18 @@
   }
   m_stream.close();
   m_outputShare.Set(0);
+  m_rest = {};
   m_state = State::Closed;
 }
 
 void
-ClientConnection::Send(std::string aRequest, bool aIsHead)
+ClientConnection::Send(std::string aRequest,
+                       bool aIsHead,
+                       std::string_view aRest)
 {
   requests++;
   m_outBuffer = std::move(aRequest);
+  m_rest = aRest;
   m_outputShare.Set(m_outBuffer.capacity());
   m_sentBytes = 0;
   m_isHead = aIsHead;
@@ -152,7 +156,7 @@
     return;
   }
   std::uint32_t events = m_reading ? EPOLLIN : 0U;
-  events |= m_sentBytes < m_outBuffer.size() ? EPOLLOUT : 0U;
+  events |= HasSentAll() ? 0U : EPOLLOUT;
   if (events != m_watchedEvents) {
     m_watchedEvents = events;
     m_loop.Modify(m_stream.get_handle(), events);
@@ -183,27 +187,38 @@
   }
 }
 
-void
-ClientConnection::Flush()
+//! Sends from aSent on. Returns false if the connection failed.
+bool
+ClientConnection::SendBytes(std::string_view aBytes, std::size_t& aSent)
 {
-  while (m_sentBytes < m_outBuffer.size()) {
-    const auto sent = m_stream.send(m_outBuffer.data() + m_sentBytes,
-                                    m_outBuffer.size() - m_sentBytes);
+  while (aSent < aBytes.size()) {
+    const auto sent =
+      m_stream.send(aBytes.data() + aSent, aBytes.size() - aSent);
     if (sent > 0) {
-      m_sentBytes += static_cast<std::size_t>(sent);
+      aSent += static_cast<std::size_t>(sent);
       m_requestBytesSent = true;
       continue;
     }
-    if (errno == EWOULDBLOCK || errno == EINTR) {
-      break;
-    }
-    Fail(BreakFailure());
-    return;
+    return errno == EWOULDBLOCK || errno == EINTR;
   }
-  if (m_sentBytes == m_outBuffer.size() && !m_outBuffer.empty()) {
+  return true;
+}
+
+void
+ClientConnection::Flush()
+{
+  bool isSound = SendBytes(m_outBuffer, m_sentBytes);
+  if (isSound && m_sentBytes == m_outBuffer.size()) {
     std::string().swap(m_outBuffer);
     m_outputShare.Set(0);
     m_sentBytes = 0;
+    std::size_t sent = 0;
+    isSound = SendBytes(m_rest, sent);
+    m_rest.remove_prefix(sent);
+  }
+  if (!isSound) {
+    Fail(BreakFailure());
+    return;
   }
   UpdateWatchedEvents();
 }
@@ -263,8 +278,7 @@
 void
 ClientConnection::EndMessage()
 {
-  const bool allSent = m_sentBytes == m_outBuffer.size();
-  const bool reusable = m_answerKeepAlive && allSent;
+  const bool reusable = m_answerKeepAlive && HasSentAll();
   if (reusable) {
     m_state = State::Idle;
     m_since = m_loop.Now();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -77,8 +77,11 @@
   ClientConnection& operator=(const ClientConnection&) = delete;
 
   //! Sends a complete request as soon as the connection is open. aIsHead: it
-  //! is a HEAD request, whose response has no body.
-  void Send(std::string aRequest, bool aIsHead = false);
+  //! is a HEAD request, whose response has no body. aRest: bytes that follow
+  //! aRequest; must stay valid until the request has ended.
+  void Send(std::string aRequest,
+            bool aIsHead = false,
+            std::string_view aRest = {});
   //! Sends all later events to aEvents.
   void SetEvents(IClientEvents& aEvents) { m_events = &aEvents; }
   //! Closes the connection without notifying the event receiver.
@@ -134,6 +137,11 @@
 
   void Connect();
   void Flush();
+  bool SendBytes(std::string_view aBytes, std::size_t& aSent);
+  bool HasSentAll() const
+  {
+    return m_sentBytes == m_outBuffer.size() && m_rest.empty();
+  }
   void Read();
   void HandleBytes(std::string_view aBytes);
   void HandleEnd(bool aReset);
@@ -151,6 +159,7 @@
   State m_state = State::Connecting;
   base::TimePoint m_since{};
   std::string m_outBuffer;
+  std::string_view m_rest; //!< to send after m_outBuffer
   base::BufferShare m_outputShare;
   std::size_t m_sentBytes = 0;
   std::uint32_t m_watchedEvents = 0;
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -69,12 +69,14 @@
   Syntax,
   HeadTooLarge,
   BodyTooLarge,
+  NoRoom, //!< its body does not fit beside what is buffered now
   Timeout //!< the message did not arrive in time
 };
 inline constexpr auto kFaultNames = base::MakeEnumNames<Fault>("none",
                                                                "syntax",
                                                                "head-too-large",
                                                                "body-too-large",
+                                                               "no-room",
                                                                "timeout");
 
 //! Appends the status line, e.g. "HTTP/1.1 200 OK\r\n".
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -5,6 +5,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -18,6 +19,8 @@
 //! Maximum bytes of pipelined requests that are buffered while an answer is in
 //! progress.
 constexpr std::size_t kMaxReadAhead = 65536;
+//! The same while the buffer budget is tight.
+constexpr std::size_t kTightReadAhead = 4096;
 //! How long the peer may take to read the last answer.
 constexpr base::Duration kLingerTimeout = 1000ms;
 //! Empty buffers with a larger capacity are freed.
@@ -39,8 +42,9 @@
 {
   m_owner.m_head = std::move(aHead);
   const auto& length = m_owner.m_head.length;
+  m_owner.m_bodyHasNoRoom = false;
   m_owner.m_bodyTooLarge = length && *length > m_owner.m_limits.maxBodyBytes;
-  if (length && !m_owner.m_bodyTooLarge) {
+  if (length && !m_owner.m_bodyTooLarge && m_owner.HasRoomForBody(*length)) {
     m_owner.m_body.reserve(*length);
   }
 }
@@ -52,7 +56,8 @@
   if (owner.m_body.size() + aBytes.size() > owner.m_limits.maxBodyBytes) {
     owner.m_bodyTooLarge = true;
   }
-  if (!owner.m_bodyTooLarge) {
+  if (!owner.m_bodyTooLarge &&
+      owner.HasRoomForBody(owner.m_body.size() + aBytes.size())) {
     owner.m_body.append(aBytes);
   }
 }
@@ -67,6 +72,7 @@
   , m_limits(aLimits)
   , m_events(aEvents)
   , m_since(aLoop.Now())
+  , m_budget(aBudget)
   , m_inputShare(aBudget, base::BufferUse::CallerInput)
   , m_outputShare(aBudget, base::BufferUse::CallerOutput)
 {
@@ -87,6 +93,22 @@
   UpdateWatchedEvents();
 }
 
+//! Whether a body may grow to aBytes. Sets the fault that rejects its request
+//! if not.
+bool
+ServerConnection::HasRoomForBody(std::size_t aBytes)
+{
+  const auto capacity = m_body.capacity();
+  if (m_budget == nullptr || aBytes <= capacity) {
+    return !m_bodyHasNoRoom;
+  }
+  // A body in chunks grows by doubling.
+  const auto grown = m_body.empty() ? aBytes : std::max(aBytes, 2 * capacity);
+  m_bodyTooLarge = m_bodyTooLarge || !m_budget->CanFit(aBytes);
+  m_bodyHasNoRoom = m_bodyHasNoRoom || !m_budget->Fits(grown);
+  return !m_bodyTooLarge && !m_bodyHasNoRoom;
+}
+
 void
 ServerConnection::CountBuffers()
 {
@@ -110,7 +132,9 @@
   if (m_state == State::Closed || (!m_isRegistered && ClosesWithFlush())) {
     return;
   }
-  std::uint32_t events = m_inBuffer.size() < kMaxReadAhead ? EPOLLIN : 0U;
+  const bool isTight = m_budget != nullptr && m_budget->IsTight();
+  const auto readAhead = isTight ? kTightReadAhead : kMaxReadAhead;
+  std::uint32_t events = m_inBuffer.size() < readAhead ? EPOLLIN : 0U;
   events |= UnsentBytes() > 0 ? EPOLLOUT : 0U;
   if (!m_isRegistered) {
     m_isRegistered = true;
@@ -200,6 +224,8 @@
     m_inBuffer.erase(0, consumed);
     if (m_bodyTooLarge) {
       RejectRequest(Fault::BodyTooLarge);
+    } else if (m_bodyHasNoRoom) {
+      RejectRequest(Fault::NoRoom);
     } else if (m_reader.GetFault() != Fault::None) {
       RejectRequest(m_reader.GetFault());
     } else if (m_reader.HasEnded()) {
@@ -225,6 +251,7 @@
   m_answerEnded = false;
   m_closeAfter = true;
   m_inBuffer.clear();
+  std::string().swap(m_body);
   m_events.OnBadRequest(*this, aFault);
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -130,6 +130,7 @@
   void HandlePeerGone();
   void UpdateWatchedEvents();
   void CountBuffers();
+  bool HasRoomForBody(std::size_t aBytes);
   bool ClosesWithFlush() const;
 
   eventloop::EventLoop& m_loop;
@@ -144,6 +145,7 @@
   std::string m_body;
   std::string m_inBuffer; //!< received but not yet parsed
   std::string m_outBuffer;
+  base::BufferBudget* m_budget;
   base::BufferShare m_inputShare;
   base::BufferShare m_outputShare;
   std::size_t m_sentBytes = 0;
@@ -151,6 +153,7 @@
   std::uint32_t m_watchedEvents = 0;
   bool m_isRegistered = false; //!< registered with the event loop
   bool m_bodyTooLarge = false;
+  bool m_bodyHasNoRoom = false;
   bool m_answerBegun = false;
   bool m_answerEnded = false;
   bool m_keepAlive = true;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -29,7 +29,8 @@
             "send requests whose prompts have a part that crashes engines");
 DEFINE_bool(endless,
             false,
-            "send responses without an end, and let callers read slowly");
+            "send responses without an end and large bodies, and let callers "
+            "read slowly");
 DEFINE_uint32(memory_limit_mb,
               0,
               "resident memory at which a router is killed; 0: no limit");
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -33,6 +33,10 @@
 //! kSlowReadDelay.
 constexpr std::uint64_t kSlowReadOneIn = 4;
 constexpr base::Duration kSlowReadDelay = 2500ms;
+//! One in this many requests that may run once has a large body.
+constexpr std::uint64_t kLargeBodyOneIn = 4;
+constexpr std::size_t kLargeBodyBytes = 3U << 20U;
+constexpr std::size_t kOnceKind = 1; //!< index of the path
 //! A caller gives up on a response with a longer body: none is that long.
 constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 constexpr base::Duration kMinResumeTime = 500ms;
@@ -173,6 +177,10 @@
   call.key = m_key;
   call.deadlineMs = (kDeadline - (now - m_startedAt)).count();
   call.body = m_kind == 0 ? "" : "body of " + m_origin;
+  if (m_shared.sendsLargeBodies && m_kind == kOnceKind &&
+      m_random() % kLargeBodyOneIn == 0) {
+    call.body.resize(kLargeBodyBytes, 'x');
+  }
   if (m_events > 0) {
     call.promptTokens = 300;
     call.outputTokens = static_cast<std::uint32_t>(m_events * kTokensPerEvent);
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -61,7 +61,8 @@
   std::string revokedKey{};    //!< the revoked previous key; empty if none
   bool resumesStreams = false; //!< callers resume streams that break
   bool readsSlowly = false;    //!< some callers begin to read late
-  StreamCounts newStreams{};   //!< that may be resumed
+  bool sendsLargeBodies = false;
+  StreamCounts newStreams{}; //!< that may be resumed
   StreamCounts resumedStreams{};
   StreamCounts sharingStreams{}; //!< new ones with kSharedPart
   StreamCounts otherStreams{};   //!< new ones without it
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -91,7 +91,8 @@
   std::uint32_t versionFaults = 0;
   //! Whether requests are sent whose prompts have a part that crashes engines.
   bool hasCrashingPart = false;
-  //! Whether some responses have no end, and some callers read slowly.
+  //! Whether some responses have no end, some requests have large bodies and
+  //! some callers read slowly.
   bool hasEndlessResponses = false;
   //! Resident memory at which a router is killed, in bytes; 0: no limit.
   std::size_t memoryLimit = 0;
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -84,6 +84,7 @@
     std::make_unique<ChaosProxy>(m_loop, LocalAddress(11), LocalAddress(10));
   m_shared.resumesStreams = aSettings.versionFaults > 0;
   m_shared.readsSlowly = aSettings.hasEndlessResponses;
+  m_shared.sendsLargeBodies = aSettings.hasEndlessResponses;
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
     m_versionOf[i] = 1 + i / 2 % kFirstVersions;
     AddUpstream(i);
--- a/src/soak/tests/flawedcodecs.cpp
+++ b/src/soak/tests/flawedcodecs.cpp
@@ -50,14 +50,14 @@
 }
 
 std::string
-FlawedUpstreamCodec::Encode(const gateway::CallerRequest& aRequest,
-                            const gateway::SendContext& aContext) const
+FlawedUpstreamCodec::EncodeHead(const gateway::CallerRequest& aRequest,
+                                const gateway::SendContext& aContext) const
 {
   auto context = aContext;
   if (m_flaw == Flaw::WrongWorkspace) {
     context.workspace = "someone-else";
   }
-  return m_delegate.Encode(aRequest, context);
+  return m_delegate.EncodeHead(aRequest, context);
 }
 
 gateway::UpstreamResponse
--- a/src/soak/tests/flawedcodecs.h
+++ b/src/soak/tests/flawedcodecs.h
@@ -82,8 +82,8 @@
   {
   }
 
-  std::string Encode(const gateway::CallerRequest& aRequest,
-                     const gateway::SendContext& aContext) const override;
+  std::string EncodeHead(const gateway::CallerRequest& aRequest,
+                         const gateway::SendContext& aContext) const override;
   gateway::UpstreamResponse Decode(http::ResponseHead&& aHead) const override;
 
 private:
