An exception in a callback ends its request, not the router

An exception that left any callback of the event loop ended the router (or came out of the C parser's frames), with all its requests; one in a periodic task that sets its own next time would have stopped stops and deadlines for good. Change: the loop guards each callback, logs event=callback-failed and counts it (callback_failures); a connection whose callback failed closes, so its caller or its exchange learns of it at once; a self-timed task is called again after 100 ms; exceptions pass the C parser as exception_ptr. Ruled out: catching in each callback by hand, which the next callback would lack.

--- a/src/eventloop/eventloop.cpp
+++ b/src/eventloop/eventloop.cpp
@@ -1,6 +1,7 @@
 #include "eventloop/eventloop.h"
 
 #include "base/error.h"
+#include "base/logline.h"
 #include "base/monotonicclock.h"
 #include "eventloop/iiohandler.h"
 #include "timer/periodichandler.h"
@@ -23,6 +24,8 @@
 
 constexpr int kMaxEventsPerPoll = 128;
 constexpr int kMaxPollTimeoutMs = 1000;
+//! Time until the next call of a self-timed task that failed.
+constexpr base::Duration kFailedTaskDelay(100);
 
 ACE_Time_Value
 ToAce(base::TimePoint aTime)
@@ -33,6 +36,23 @@
 
 }
 
+template<typename Callback>
+bool
+EventLoop::Guard(const char* aWhere, const Callback& aCallback)
+{
+  try {
+    aCallback();
+    return true;
+  } catch (const std::exception& error) {
+    m_callbackFailures++;
+    base::LogLine("callback-failed")
+      .Add("where", aWhere)
+      .Add("why", error.what())
+      .Error();
+    return false;
+  }
+}
+
 EventLoop::EventLoop()
   : m_epoll(epoll_create1(EPOLL_CLOEXEC))
   , m_now(base::MonotonicNow())
@@ -102,8 +122,9 @@
 EventLoop::SchedulePeriodic(base::Duration aPeriod,
                             std::function<void()> aCallback)
 {
-  const auto& timer = m_timers.emplace_back(
-    std::make_unique<timer::PeriodicHandler>(std::move(aCallback)));
+  const auto& timer =
+    m_timers.emplace_back(std::make_unique<timer::PeriodicHandler>(
+      [this, callback = std::move(aCallback)] { Guard("timer", callback); }));
   const auto first = ToAce(base::MonotonicNow() + aPeriod);
   if (m_timerQueue.schedule(timer.get(), nullptr, first, ToAce(aPeriod)) ==
       -1) {
@@ -114,8 +135,8 @@
 ACE_Event_Handler&
 EventLoop::AddTask(std::function<void()> aCallback)
 {
-  return *m_timers.emplace_back(
-    std::make_unique<timer::PeriodicHandler>(std::move(aCallback)));
+  return *m_timers.emplace_back(std::make_unique<timer::PeriodicHandler>(
+    [this, callback = std::move(aCallback)] { Guard("task", callback); }));
 }
 
 void
@@ -134,7 +155,9 @@
   auto& handler = *timer;
   m_timers.push_back(std::move(timer));
   handler.SetCallback([this, &handler, callback = std::move(aCallback)] {
-    ScheduleOnce(handler, callback());
+    auto next = m_now + kFailedTaskDelay;
+    Guard("self-timed", [&] { next = callback(); });
+    ScheduleOnce(handler, next);
   });
   ScheduleOnce(handler, aFirst);
 }
@@ -175,11 +198,19 @@
     auto tasks = std::move(m_deferred);
     m_deferred.clear();
     for (const auto& task : tasks) {
-      task();
+      Guard("deferred", task);
     }
   }
 }
 
+void
+EventLoop::HandleIo(IIoHandler& aHandler, std::uint32_t aEvents)
+{
+  if (!Guard("io", [&] { aHandler.OnIo(aEvents); })) {
+    Guard("io-failed", [&] { aHandler.OnIoFailed(); });
+  }
+}
+
 void
 EventLoop::RunOnce()
 {
@@ -198,7 +229,8 @@
     const auto& registration = m_registrations[data & 0xffffffffU];
     if (registration.handler != nullptr &&
         registration.generation == data >> 32) {
-      registration.handler->OnIo(events[static_cast<std::size_t>(i)].events);
+      HandleIo(*registration.handler,
+               events[static_cast<std::size_t>(i)].events);
     }
   }
   const auto now = ToAce(m_now);
--- a/src/eventloop/eventloop.h
+++ b/src/eventloop/eventloop.h
@@ -73,6 +73,10 @@
     Defer([holder] { holder->reset(); });
   }
 
+  //! Number of exceptions that left a callback. Each is logged and ends only
+  //! what the callback was doing.
+  std::uint64_t CallbackFailures() const { return m_callbackFailures; }
+
   //! Runs iterations until Stop is called.
   void Run();
   //! Runs one iteration: polls, handles events, timers and deferred tasks.
@@ -88,6 +92,10 @@
     std::uint32_t generation = 0;
   };
 
+  //! Calls aCallback; returns false if an exception left it.
+  template<typename Callback>
+  bool Guard(const char* aWhere, const Callback& aCallback);
+  void HandleIo(IIoHandler& aHandler, std::uint32_t aEvents);
   int PollTimeoutMs() const;
   void RunDeferred();
 
@@ -96,6 +104,7 @@
   base::Duration m_lastIterationTime{};
   BusyMeter m_busy{ m_now };
   bool m_stopped = false;
+  std::uint64_t m_callbackFailures = 0;
   std::uint32_t m_nextGeneration = 1;
   std::vector<Registration> m_registrations;
   std::vector<std::function<void()>> m_deferred;
--- a/src/eventloop/iiohandler.h
+++ b/src/eventloop/iiohandler.h
@@ -12,6 +12,8 @@
 
   //! aEvents is a set of epoll's flags (EPOLLIN, EPOLLOUT, ...).
   virtual void OnIo(std::uint32_t aEvents) = 0;
+  //! An exception left OnIo. A connection closes; the loop goes on.
+  virtual void OnIoFailed() {}
 };
 
 }
--- a/src/eventloop/tests/eventlooptests.cpp
+++ b/src/eventloop/tests/eventlooptests.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <stdexcept>
 #include <vector>
 
 using namespace hemlockgauge;
@@ -33,3 +34,27 @@
   cr_assert(calls[2] >= calls[1] + 60ms);
   cr_assert(rounds <= 12, "%d iterations for three calls", rounds);
 }
+
+//! An exception ends what its callback was doing, and nothing else.
+Test(eventloop, ACallbackThatThrowsDoesNotEndTheLoop)
+{
+  EventLoop loop;
+  int periodic = 0;
+  int selfTimed = 0;
+  bool deferred = false;
+  loop.SchedulePeriodic(2ms, [&] {
+    periodic++;
+    throw std::runtime_error("periodic");
+  });
+  loop.ScheduleSelfTimed(base::MonotonicNow(), [&]() -> base::TimePoint {
+    selfTimed++;
+    throw std::runtime_error("self-timed");
+  });
+  loop.Defer([] { throw std::runtime_error("deferred"); });
+  loop.Defer([&] { deferred = true; });
+  while (periodic < 3 || selfTimed < 2) {
+    loop.RunOnce();
+  }
+  cr_assert(deferred);
+  cr_assert(loop.CallbackFailures() >= 6);
+}
--- a/src/framing/frameconnection.h
+++ b/src/framing/frameconnection.h
@@ -58,6 +58,7 @@
   bool HasPartialFrame() const { return m_buffer.HasPartialFrame(); }
 
   void OnIo(std::uint32_t aEvents) override;
+  void OnIoFailed() override { CloseAndReport(); }
 
 private:
   void Flush();
--- a/src/gateway/internal/gatewaypages.cpp
+++ b/src/gateway/internal/gatewaypages.cpp
@@ -53,6 +53,7 @@
       static_cast<double>(m_fleet.Stated().Size()));
   const auto retries = m_fleet.ScheduledRetries(m_loop.Now());
   set("scheduled_retry_cost", retries.entitled + retries.others);
+  set("callback_failures", static_cast<double>(m_loop.CallbackFailures()));
   set("callers", static_cast<double>(m_connections.Size()));
   set("upstream_connections", static_cast<double>(m_pool.OpenCount()));
   set("upstream_connections_opened", static_cast<double>(m_pool.TotalOpened()));
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -104,6 +104,7 @@
   const base::Address& PeerAddress() const { return m_address; }
 
   void OnIo(std::uint32_t aEvents) override;
+  void OnIoFailed() override { Fail(ClientFailure::BadAnswer); }
 
   //! Requests sent on this connection, including the current one.
   int requests = 0;
--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -92,6 +92,29 @@
   m_headers.fields.clear();
 }
 
+template<typename Call>
+int
+MessageReader::CatchInParser(const Call& aCall)
+{
+  try {
+    return aCall();
+  } catch (...) {
+    m_error = std::current_exception();
+    return kRejectHead;
+  }
+}
+
+std::size_t
+MessageReader::Execute(const char* aBytes, std::size_t aSize)
+{
+  const auto consumed =
+    http_parser_execute(&m_parser, &Callbacks(), aBytes, aSize);
+  if (m_error) {
+    std::rethrow_exception(std::exchange(m_error, nullptr));
+  }
+  return consumed;
+}
+
 std::size_t
 MessageReader::Feed(std::string_view aBytes)
 {
@@ -100,8 +123,7 @@
   }
   m_started = true;
   const bool wasInHead = !m_hasHead;
-  const auto consumed =
-    http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const auto consumed = Execute(aBytes.data(), aBytes.size());
   if (wasInHead) {
     m_headBytes += consumed;
   }
@@ -126,7 +148,7 @@
   if (m_ended || m_fault != Fault::None || !m_started) {
     return;
   }
-  http_parser_execute(&m_parser, &Callbacks(), nullptr, 0);
+  Execute(nullptr, 0);
   if (!m_ended) {
     m_fault = Fault::Syntax;
   }
@@ -182,7 +204,8 @@
 int
 MessageReader::OnHeadEnd(http_parser* aParser)
 {
-  return ReaderOf(aParser).EndHead();
+  auto& self = ReaderOf(aParser);
+  return self.CatchInParser([&] { return self.EndHead(); });
 }
 
 int
@@ -190,8 +213,11 @@
                            const char* aData,
                            std::size_t aSize)
 {
-  ReaderOf(aParser).m_sink.OnBody({ aData, aSize });
-  return 0;
+  auto& self = ReaderOf(aParser);
+  return self.CatchInParser([&] {
+    self.m_sink.OnBody({ aData, aSize });
+    return 0;
+  });
 }
 
 int
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -3,6 +3,7 @@
 #include "http/httptypes.h"
 
 #include <cstddef>
+#include <exception>
 #include <http_parser.h>
 #include <string>
 #include <string_view>
@@ -69,6 +70,11 @@
   static int OnEnd(http_parser* aParser);
   static const http_parser_settings& Callbacks();
 
+  //! Runs aCall, whose exceptions must not pass through the C parser; Feed and
+  //! FeedEnd throw them again.
+  template<typename Call>
+  int CatchInParser(const Call& aCall);
+  std::size_t Execute(const char* aBytes, std::size_t aSize);
   int EndHead();
   std::size_t HeadBytes() const;
   Framing ResponseFraming() const;
@@ -85,7 +91,8 @@
   bool m_ended = false;
   bool m_inValue = false;
   Fault m_fault = Fault::None;
-  std::string m_startText; //!< request target or response reason
+  std::exception_ptr m_error; //!< thrown by a callback of the parser
+  std::string m_startText;    //!< request target or response reason
   HeaderList m_headers;
 };
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -156,6 +156,14 @@
   }
 }
 
+void
+ServerConnection::OnIoFailed()
+{
+  if (m_state != State::Closed) {
+    HandlePeerGone();
+  }
+}
+
 void
 ServerConnection::Read()
 {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -87,6 +87,7 @@
   void EnforceTimeouts(base::TimePoint aNow);
 
   void OnIo(std::uint32_t aEvents) override;
+  void OnIoFailed() override;
 
   //! Not used here: the owner may store its own object.
   void* context = nullptr;
