Soak: responses without an end stop with the other faults

Change: they end with the fault injection. The bound stays. Conclusion: a fault of the check's stand-in, not of the router.

--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -276,7 +276,10 @@
   if (aUpstream.asksForPauses && draw % kRefuseOneIn == 0) {
     return UpstreamFault::Shed;
   }
-  if (m_settings.hasEndlessResponses && draw % kEndlessOneIn == 0) {
+  const bool injectsFaults =
+    m_loop.Now() - m_shared.startedAt < m_settings.length;
+  if (m_settings.hasEndlessResponses && injectsFaults &&
+      draw % kEndlessOneIn == 0) {
     constexpr auto kFirst =
       static_cast<std::uint32_t>(UpstreamFault::EndlessHead);
     constexpr auto kCount =
