--- a/src/fleet/suitability.h
+++ b/src/fleet/suitability.h
@@ -45,8 +45,8 @@
                                    "fits");
 
 //! Whether other upstreams may copy prefixes from this one. This includes one
-//! that gets no requests now because it is cold, full or was already tried, but
-//! not one that is paused, as a copy is work for its source.
+//! that gets no requests now because it is cold, full, too new or was already
+//! tried, but not one that is paused, as a copy is work for its source.
 inline bool
 CanProvideCopies(Suitability aSuitability)
 {
