--- a/src/base/bufferbudget.h
+++ b/src/base/bufferbudget.h
@@ -2,6 +2,7 @@
 
 #include "base/enumnames.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +41,11 @@
   void SetLimit(std::size_t aBytes) { m_limit = aBytes; }
   //! Whether aBytes more may be buffered. Large ones leave a quarter of the
   //! limit to small ones, so that ordinary requests are served beside them.
-  bool Fits(std::size_t aBytes) const;
+  bool Fits(std::size_t aBytes) const
+  {
+    const auto limit = LimitFor(aBytes);
+    return m_total <= limit && aBytes <= limit - m_total;
+  }
   //! Whether aBytes are ever allowed.
   bool CanFit(std::size_t aBytes) const { return aBytes <= LimitFor(aBytes); }
   //! Whether more than half of the limit is used.
@@ -56,7 +61,13 @@
 
 private:
   friend class BufferShare;
-  void Change(BufferUse aUse, std::size_t aBefore, std::size_t aAfter);
+  void Change(BufferUse aUse, std::size_t aBefore, std::size_t aAfter)
+  {
+    auto& held = m_held[static_cast<std::size_t>(aUse)];
+    held = held - aBefore + aAfter;
+    m_total = m_total - aBefore + aAfter;
+    m_peak = std::max(m_peak, m_total);
+  }
   std::size_t LimitFor(std::size_t aBytes) const
   {
     return aBytes > kSmallBytes ? m_limit / 4 * 3 : m_limit;
@@ -83,7 +94,14 @@
   BufferShare(const BufferShare&) = delete;
   BufferShare& operator=(const BufferShare&) = delete;
 
-  void Set(std::size_t aBytes);
+  void Set(std::size_t aBytes)
+  {
+    if (m_budget == nullptr || aBytes == m_bytes) {
+      return;
+    }
+    m_budget->Change(m_use, m_bytes, aBytes);
+    m_bytes = aBytes;
+  }
 
 private:
   BufferBudget* m_budget;
