Logs and metrics name events that do not continue a stream

Cause: events= counts what the filter of streams passed on, whatever it was; no line says which ids came, what the head announced or how the end was framed, so the three hypotheses of the incident look the same. Change: each event is parsed strictly beside the filter, for the log only; the first one that does not continue the numbering is logged (irregular-event) and counted. What is passed on is as before. Ruled out: logging each event (one line a decision).

--- a/src/gateway/eventstreamfilter.h
+++ b/src/gateway/eventstreamfilter.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "base/enumnames.h"
+#include "gateway/streamevent.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,21 +10,17 @@
 
 namespace hemlockgauge::gateway {
 
-//! Why a stream can't be trusted any more.
-enum class EventStreamFault : std::uint8_t
-{
-  None,
-  OutOfOrder, //!< the numeric ids go back or skip one
-  TooLong     //!< an event has no end within kMaxEventBytes
-};
-inline constexpr auto kEventStreamFaultNames =
-  base::MakeEnumNames<EventStreamFault>("none",
-                                        "event id out of order",
-                                        "event too long");
-
 //! An event is held back until it is complete, so its length is limited.
 inline constexpr std::size_t kMaxEventBytes = 65536;
 
+//! The first event passed on that does not continue the numbering, for logs.
+struct IrregularEvent
+{
+  EventStreamFault fault = EventStreamFault::None;
+  std::size_t position = 0; //!< number of events passed on before it
+  std::string excerpt;      //!< its first bytes
+};
+
 //! Splits a text/event-stream into complete events for the caller. An event
 //! that a broken upstream sent only in part is dropped, and events that a
 //! resumed run repeats are skipped.
@@ -43,9 +40,13 @@
   const std::optional<std::string>& LastId() const { return m_lastId; }
   //! Number of events passed on.
   std::size_t EventCount() const { return m_eventCount; }
+  //! Id of the first event passed on; empty if there is none.
+  const std::string& FirstId() const { return m_firstId; }
+  const IrregularEvent& Irregular() const { return m_irregular; }
 
 private:
   bool HandleEvent(std::string_view aEvent, std::string& aOut);
+  void Observe(std::string_view aEvent);
 
   std::string m_pending;
   std::optional<std::string> m_lastId;
@@ -53,6 +54,9 @@
   bool m_resumed = false;
   EventStreamFault m_fault = EventStreamFault::None;
   std::size_t m_eventCount = 0;
+  std::string m_firstId;
+  std::optional<std::uint64_t> m_observedId; //!< of the last regular event
+  IrregularEvent m_irregular;
 };
 
 }
--- a/src/gateway/internal/eventstreamfilter.cpp
+++ b/src/gateway/internal/eventstreamfilter.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+//! Bytes of an irregular event that are kept for the log.
+constexpr std::size_t kMaxExcerptBytes = 64;
 
 //! Length of the first event including its blank line; npos if it is not
 //! complete.
@@ -116,11 +118,35 @@
     m_lastId = std::string(*id);
     m_resumed = false;
   }
+  Observe(aEvent);
   m_eventCount++;
   aOut += aEvent;
   return true;
 }
 
+void
+EventStreamFilter::Observe(std::string_view aEvent)
+{
+  if (m_eventCount == 0) {
+    m_firstId = EventIdOf(aEvent).value_or("");
+  }
+  const auto event = ParseStreamEvent(aEvent);
+  const auto expected = m_observedId ? *m_observedId + 1 : event.id;
+  const auto fault =
+    event.fault == EventStreamFault::None && event.id != expected
+      ? EventStreamFault::OutOfOrder
+      : event.fault;
+  if (event.fault == EventStreamFault::None) {
+    m_observedId = event.id;
+  }
+  const bool isFirstIrregular = m_irregular.fault == EventStreamFault::None;
+  if (fault != EventStreamFault::None && isFirstIrregular) {
+    m_irregular = { fault,
+                    m_eventCount,
+                    std::string(aEvent.substr(0, kMaxExcerptBytes)) };
+  }
+}
+
 void
 EventStreamFilter::Resume()
 {
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -78,6 +78,8 @@
                        http::ResponseHead&& aHead)
 {
   m_mayHaveReachedUpstream = true;
+  m_framing = aHead.framing;
+  m_isConnectionReused = aConnection.requests > 1;
   auto response = m_dependencies.upstreams.Decode(std::move(aHead));
   const bool ranNothing = response.IsRefusal();
   RecordSignals(response);
@@ -383,6 +385,12 @@
     .Add("upstream", m_upstreamId)
     .Add("version", m_upstreamVersion)
     .Add("events", static_cast<std::uint64_t>(m_streamFilter.EventCount()))
+    .Add("last_event", m_streamFilter.LastId().value_or(""))
+    .Add("status", m_response.status)
+    .Add("body", m_response.isEventStream ? "event-stream" : "plain")
+    .Add("framing", http::kFramingNames.NameOf(m_framing))
+    .Add("body_bytes", static_cast<std::uint64_t>(m_bytesReceived))
+    .Add("connection", m_isConnectionReused ? "reused" : "new")
     .Add("sent_ms_ago", (now - m_sentAt).count())
     .Add("why", aWhy)
     .Add("verdict", base::kVerdictNames.NameOf(aVerdict))
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -160,6 +160,7 @@
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
+  void LogIrregularEvent();
   void BreakAttempt(const std::string& aWhy);
   void SendHead();
   void WriteToCaller(std::string_view aBytes);
@@ -222,13 +223,16 @@
   //! none.
   std::optional<fleet::VersionId> m_streamVersion;
   UpstreamResponse m_response;
+  http::Framing m_framing = http::Framing::None; //!< of the response
   EventStreamFilter m_streamFilter;
   std::string
     m_bufferedBody; //!< of a response that is buffered until it is complete
   base::BufferShare m_requestShare;
   base::BufferShare m_responseShare;
   bool m_endedByClose = false; //!< nothing but a close ended the response
-  bool m_isBuffering = true;   //!< the response's body is still being buffered
+  //! The connection has carried an earlier request.
+  bool m_isConnectionReused = false;
+  bool m_isBuffering = true; //!< the response's body is still being buffered
   //! The caller has events of the current attempt.
   bool m_hasPassedEvents = false;
   bool m_headSent = false; //!< the caller has the head of the response
--- a/src/gateway/internal/exchangeend.cpp
+++ b/src/gateway/internal/exchangeend.cpp
@@ -99,6 +99,11 @@
     .Add("first_ms", (aFirstByteAt - m_arrivedAt).count())
     .Add("total_ms", (m_dependencies.loop.Now() - m_arrivedAt).count())
     .Add("events", static_cast<std::uint64_t>(m_streamFilter.EventCount()))
+    .Add("first_event", m_streamFilter.FirstId())
+    .Add("last_event", m_streamFilter.LastId().value_or(""))
+    .Add("body", m_response.isEventStream ? "event-stream" : "plain")
+    .Add("framing", http::kFramingNames.NameOf(m_framing))
+    .Add("connection", m_isConnectionReused ? "reused" : "new")
     .Add("waited_in_queue_ms", m_waitedInQueue.count())
     .Add("attempts", static_cast<std::uint64_t>(m_triedUpstreams.size()));
   if (!aWhy.empty()) {
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -163,6 +163,26 @@
   AttemptFailed(Verdict::MayHaveRun, aWhy);
 }
 
+void
+Exchange::LogIrregularEvent()
+{
+  const auto& event = m_streamFilter.Irregular();
+  const auto why = kEventStreamFaultNames.NameOf(event.fault);
+  m_dependencies.metrics.Count(
+    fmt::format("irregular_events_total{{why=\"{}\"}}", why));
+  LogLine("irregular-event")
+    .Add("request", m_request.id)
+    .Add("upstream", m_upstreamId)
+    .Add("why", why)
+    .Add("events_before", static_cast<std::uint64_t>(event.position))
+    .Add("last_event", LastEventId().value_or(""))
+    .Add("framing", http::kFramingNames.NameOf(m_framing))
+    .Add("connection", m_isConnectionReused ? "reused" : "new")
+    .Add("sent_ms_ago", (m_dependencies.loop.Now() - m_sentAt).count())
+    .Add("excerpt", event.excerpt)
+    .Warn();
+}
+
 void
 Exchange::RelayStreamBytes(std::string_view aBytes)
 {
@@ -172,7 +192,14 @@
     return;
   }
   std::string out;
-  if (!m_streamFilter.Consume(aBytes, out)) {
+  const bool wasRegular =
+    m_streamFilter.Irregular().fault == EventStreamFault::None;
+  const bool isSound = m_streamFilter.Consume(aBytes, out);
+  if (wasRegular &&
+      m_streamFilter.Irregular().fault != EventStreamFault::None) {
+    LogIrregularEvent();
+  }
+  if (!isSound) {
     BreakAttempt(
       std::string(kEventStreamFaultNames.NameOf(m_streamFilter.Fault())));
     return;
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -42,6 +42,8 @@
   Chunked,   //!< by the last chunk
   UntilClose //!< the connection closes
 };
+inline constexpr auto kFramingNames =
+  base::MakeEnumNames<Framing>("none", "length", "chunked", "until-close");
 
 struct RequestHead
 {
