--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -78,6 +78,7 @@
 {
   return aFault == UpstreamFault::NoLength ||
          aFault == UpstreamFault::NoLengthCut ||
+         aFault == UpstreamFault::EmptyNoLength ||
          aFault == UpstreamFault::CrashAfterEvent;
 }
 
@@ -211,7 +212,9 @@
     http::AppendField(head, kLeavingField, "1");
   }
   if (aWork.events > 0) {
-    http::AppendField(head, "Content-Type", "text/event-stream");
+    const bool hasOtherType = aWork.fault == UpstreamFault::OtherType;
+    http::AppendField(
+      head, "Content-Type", hasOtherType ? "text/plain" : "text/event-stream");
   }
   return head;
 }
@@ -377,10 +380,11 @@
   const auto other = "HTTP/1.1 200 OK\r\nHemlockgauge-Attempt-Id: other\r\n"
                      "Hemlockgauge-Response-Seal: x\r\nContent-Length: 5\r\n"
                      "\r\nother";
-  if (aWork.fault == UpstreamFault::NoLength) {
+  if (aWork.fault == UpstreamFault::NoLength ||
+      aWork.fault == UpstreamFault::EmptyNoLength) {
     connection.CloseAfterAnswer();
     connection.BeginAnswer(ResponseHead(aWork, 200), Framing::UntilClose);
-    connection.Write(body);
+    connection.Write(aWork.fault == UpstreamFault::NoLength ? body : "");
     connection.EndAnswer();
     return true;
   }
@@ -405,20 +409,44 @@
   return true;
 }
 
+void
+UpstreamStandin::BeginStream(Work& aWork)
+{
+  auto& connection = *aWork.connection;
+  aWork.headSent = true;
+  const bool endsByClose = EndsByClose(aWork.fault);
+  if (endsByClose) {
+    connection.CloseAfterAnswer();
+  }
+  connection.BeginAnswer(ResponseHead(aWork, 200),
+                         endsByClose ? Framing::UntilClose : Framing::Chunked);
+}
+
+void
+UpstreamStandin::SendSpoil(Work& aWork)
+{
+  const int position = std::min(m_spoil.before, aWork.events + 1);
+  if (aWork.fault != UpstreamFault::Spoiled || aWork.isSpoilSent ||
+      aWork.sent + 1 < position) {
+    return;
+  }
+  aWork.isSpoilSent = true;
+  aWork.connection->Write(SpoiledEventText(m_spoil.kind, aWork.sent + 1));
+}
+
 bool
 UpstreamStandin::AdvanceStream(Work& aWork)
 {
   auto& connection = *aWork.connection;
   if (!aWork.headSent) {
-    aWork.headSent = true;
-    const bool endsByClose = EndsByClose(aWork.fault);
-    if (endsByClose) {
-      connection.CloseAfterAnswer();
-    }
-    connection.BeginAnswer(ResponseHead(aWork, 200),
-                           endsByClose ? Framing::UntilClose
-                                       : Framing::Chunked);
+    BeginStream(aWork);
+  }
+  if (aWork.fault == UpstreamFault::NoEvents ||
+      aWork.fault == UpstreamFault::EmptyNoLength) {
+    connection.EndAnswer();
+    return true;
   }
+  SendSpoil(aWork);
   const auto text =
     EventText(aWork.run->requestId, aWork.sent + 1, m_settings.softwareVersion);
   const bool isHalfSent = aWork.sent >= aWork.events / 2;
@@ -444,6 +472,7 @@
   if (aWork.sent < aWork.events) {
     return false;
   }
+  SendSpoil(aWork);
   connection.EndAnswer();
   return true;
 }
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -6,6 +6,7 @@
 #include "http/connectionset.h"
 #include "http/listener.h"
 #include "http/serverconnection.h"
+#include "standins/spoiledevent.h"
 
 #include <cstdint>
 #include <deque>
@@ -40,6 +41,10 @@
   Crash,           //!< the upstream and all its connections end
   CrashAfterEvent, //!< crashes after an event of a stream without a length; its
                    //!< connection closes as at the end of an answer
+  Spoiled,         //!< a stream with bytes besides its events; see SetSpoil
+  OtherType,       //!< a stream whose head names another content type
+  NoEvents,        //!< a stream that ends before its first event
+  EmptyNoLength,   //!< a head without a length or chunks, then the close
   // The following send bytes until the peer closes the connection.
   EndlessHead,    //!< header fields
   EndlessInterim, //!< interim responses
@@ -62,12 +67,24 @@
                                      "rubbish",
                                      "crash",
                                      "crash-after-event",
+                                     "spoiled",
+                                     "other-type",
+                                     "no-events",
+                                     "empty-no-length",
                                      "endless-head",
                                      "endless-interim",
                                      "endless-body",
                                      "endless-refusal",
                                      "endless-foreign");
 
+//! The bytes of a spoiled stream and the event of a run before which they come;
+//! a later one than its last: at its end.
+struct Spoil
+{
+  SpoiledEvent kind = SpoiledEvent::NoId;
+  int before = 1; //!< from 1
+};
+
 //! One execution of a request, as observed by the upstream.
 struct UpstreamRun
 {
@@ -106,6 +123,8 @@
 {
 public:
   using FaultSelector = std::function<UpstreamFault(const UpstreamRun& aRun)>;
+  //! What streams with the fault Spoiled hold.
+  void SetSpoil(const Spoil& aSpoil) { m_spoil = aSpoil; }
   using Observer = std::function<void(const UpstreamRun& aRun)>;
 
   UpstreamStandin(eventloop::EventLoop& aLoop,
@@ -180,6 +199,7 @@
     int events = 0; //!< number of events to stream; 0: plain answer
     int sent = 0;   //!< number of the last event sent
     bool headSent = false;
+    bool isSpoilSent = false;
   };
 
   void Tick();
@@ -191,6 +211,8 @@
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
   bool AdvanceStream(Work& aWork);
+  void BeginStream(Work& aWork);
+  void SendSpoil(Work& aWork);
   void AdvanceEndless(Work& aWork);
   void BeginEndless(const Work& aWork);
   void SendResponse(http::ServerConnection& aConnection,
@@ -203,6 +225,7 @@
   eventloop::EventLoop& m_loop;
   UpstreamStandinSettings m_settings;
   FaultSelector m_faultSelector;
+  Spoil m_spoil;
   Observer m_observer;
   RefusalObserver m_refusalObserver;
   std::function<void()> m_onCrash;
