Only events that continue a stream are passed on; others fail the attempt

Cause: the filter of events compared an id only with the previous numeric one. An event without an id, with an empty or non-numeric one passed, and the next was compared with nothing; so was the first of a run. What an upstream sent was trusted unless it contradicted itself. Change: an event is parsed strictly, so that every reader sees the same event, and its id must be the next one: 1, or the one after the caller's last. The rest ends the attempt like a broken connection, which also counts for the ejection of the upstream, and is logged with its first bytes (spoiled-stream). A Last-Event-Id that is no number is a bad request, as nothing could be compared with it. Ruled out: skipping what is no event. What follows may be in order, and a cut run then looks complete. Ejection after one such event: three in a row stay, as for broken connections, so that rare ones do not take engines out of service.

--- a/src/gateway/internal/eventstreamfilter.cpp
+++ b/src/gateway/internal/eventstreamfilter.cpp
@@ -1,13 +1,10 @@
 #include "gateway/eventstreamfilter.h"
 
-#include <charconv>
-
 namespace hemlockgauge::gateway {
 
 namespace {
 
-constexpr std::string_view kIdField = "id:";
-//! Bytes of an irregular event that are kept for the log.
+//! Bytes of an event at fault that are kept for the log.
 constexpr std::size_t kMaxExcerptBytes = 64;
 
 //! Length of the first event including its blank line; npos if it is not
@@ -32,41 +29,12 @@
   }
 }
 
-//! The value of the event's id field, without surrounding spaces.
-std::optional<std::string_view>
-EventIdOf(std::string_view aEvent)
-{
-  while (!aEvent.empty()) {
-    const auto end = aEvent.find('\n');
-    auto line = aEvent.substr(0, end);
-    if (line.starts_with(kIdField)) {
-      line.remove_prefix(kIdField.size());
-      const auto first = line.find_first_not_of(' ');
-      const auto last = line.find_last_not_of(" \r");
-      return first == std::string_view::npos
-               ? std::string_view()
-               : line.substr(first, last - first + 1);
-    }
-    if (end == std::string_view::npos) {
-      break;
-    }
-    aEvent.remove_prefix(end + 1);
-  }
-  return std::nullopt;
 }
 
-std::optional<long long>
-ParseInteger(std::string_view aText)
+void
+EventStreamFilter::ResumeAfter(std::uint64_t aLastId)
 {
-  long long value = 0;
-  const auto* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, value);
-  if (result.ec != std::errc() || result.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
+  m_lastId = aLastId;
 }
 
 bool
@@ -85,7 +53,7 @@
     const auto end = FindEventEnd(aBytes);
     if (end == std::string_view::npos) {
       if (aBytes.size() > kMaxEventBytes) {
-        m_fault = EventStreamFault::TooLong;
+        SetFault(EventStreamFault::TooLong, aBytes);
         return false;
       }
       m_pending = aBytes;
@@ -99,52 +67,42 @@
   return true;
 }
 
+//! Whether an event with this id may come next in the current run. A resumed
+//! run may begin with events that the caller already has.
+bool
+EventStreamFilter::ContinuesRun(std::uint64_t aId) const
+{
+  return m_lastIdOfRun ? aId == *m_lastIdOfRun + 1
+                       : aId > 0 && aId <= m_lastId + 1;
+}
+
 bool
 EventStreamFilter::HandleEvent(std::string_view aEvent, std::string& aOut)
 {
-  const auto id = EventIdOf(aEvent);
-  if (id) {
-    const auto number = ParseInteger(*id);
-    if (number && m_lastNumericId) {
-      if (*number <= *m_lastNumericId && m_resumed) {
-        return true; // repeated by the resumed run
-      }
-      if (*number != *m_lastNumericId + 1) {
-        m_fault = EventStreamFault::OutOfOrder;
-        return false;
-      }
-    }
-    m_lastNumericId = number;
-    m_lastId = std::string(*id);
-    m_resumed = false;
+  const auto event = ParseStreamEvent(aEvent);
+  if (event.fault != EventStreamFault::None) {
+    SetFault(event.fault, aEvent);
+    return false;
   }
-  Observe(aEvent);
+  if (!ContinuesRun(event.id)) {
+    SetFault(EventStreamFault::OutOfOrder, aEvent);
+    return false;
+  }
+  m_lastIdOfRun = event.id;
+  if (event.id <= m_lastId) {
+    return true; // repeated by the resumed run
+  }
+  m_lastId = event.id;
   m_eventCount++;
   aOut += aEvent;
   return true;
 }
 
 void
-EventStreamFilter::Observe(std::string_view aEvent)
+EventStreamFilter::SetFault(EventStreamFault aFault, std::string_view aBytes)
 {
-  if (m_eventCount == 0) {
-    m_firstId = EventIdOf(aEvent).value_or("");
-  }
-  const auto event = ParseStreamEvent(aEvent);
-  const auto expected = m_observedId ? *m_observedId + 1 : event.id;
-  const auto fault =
-    event.fault == EventStreamFault::None && event.id != expected
-      ? EventStreamFault::OutOfOrder
-      : event.fault;
-  if (event.fault == EventStreamFault::None) {
-    m_observedId = event.id;
-  }
-  const bool isFirstIrregular = m_irregular.fault == EventStreamFault::None;
-  if (fault != EventStreamFault::None && isFirstIrregular) {
-    m_irregular = { fault,
-                    m_eventCount,
-                    std::string(aEvent.substr(0, kMaxExcerptBytes)) };
-  }
+  m_fault = aFault;
+  m_faultExcerpt = aBytes.substr(0, kMaxExcerptBytes);
 }
 
 void
@@ -152,7 +110,7 @@
 {
   m_pending.clear();
   m_fault = EventStreamFault::None;
-  m_resumed = true;
+  m_lastIdOfRun.reset();
 }
 
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -124,6 +124,7 @@
   bool CheckApiKey();
   bool CheckRouterState();
   bool ApplyRoute();
+  bool CheckLastEventId();
 
   //! Whether the caller already has events of the stream that it asks for.
   bool ResumesStream() const;
@@ -156,11 +157,14 @@
 
   void RecordSignals(const UpstreamResponse& aResponse);
   void RecordLoad(const UpstreamResponse& aResponse);
+  //! Whether a successful response must be a stream of events.
+  bool ExpectsStream() const;
+  //! Whether the response is one.
   bool IsStream() const;
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
-  void LogIrregularEvent();
+  void LogSpoiledStream();
   void BreakAttempt(const std::string& aWhy);
   void SendHead();
   void WriteToCaller(std::string_view aBytes);
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -32,7 +32,7 @@
 {
   const bool admitted = Decode(std::move(aHead), std::move(aBody)) &&
                         CheckRouterState() && FindRoute() && CheckApiKey() &&
-                        ApplyRoute();
+                        CheckLastEventId() && ApplyRoute();
   if (!admitted) {
     return;
   }
@@ -119,6 +119,24 @@
   return true;
 }
 
+//! Only events after the last one that the caller has are passed on, so its id
+//! must be the id of an event.
+bool
+Exchange::CheckLastEventId()
+{
+  if (!ExpectsStream() || !m_request.lastEventId) {
+    return true;
+  }
+  const auto id = ParseEventId(*m_request.lastEventId);
+  if (!id) {
+    LogLine("bad-request").Add("why", "last event id is no number").Warn();
+    SendLocalReply(Refusal::BadRequest, Verdict::NotRun);
+    return false;
+  }
+  m_streamFilter.ResumeAfter(*id);
+  return true;
+}
+
 //! Sets the service, the deadline and the fingerprint of the request from its
 //! route.
 bool
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -21,6 +21,12 @@
 using fleet::AttemptOutcome;
 using fleet::VersionId;
 
+bool
+Exchange::ExpectsStream() const
+{
+  return m_route->kind == fleet::CallKind::Stream && m_request.method != "HEAD";
+}
+
 bool
 Exchange::IsStream() const
 {
@@ -30,8 +36,8 @@
 std::optional<std::string>
 Exchange::LastEventId() const
 {
-  return m_streamFilter.LastId() ? m_streamFilter.LastId()
-                                 : m_request.lastEventId;
+  const auto last = m_streamFilter.LastId();
+  return last > 0 ? std::to_string(last) : m_request.lastEventId;
 }
 
 bool
@@ -164,22 +170,20 @@
 }
 
 void
-Exchange::LogIrregularEvent()
+Exchange::LogSpoiledStream()
 {
-  const auto& event = m_streamFilter.Irregular();
-  const auto why = kEventStreamFaultNames.NameOf(event.fault);
+  const auto why = kEventStreamFaultNames.NameOf(m_streamFilter.Fault());
   m_dependencies.metrics.Count(
-    fmt::format("irregular_events_total{{why=\"{}\"}}", why));
-  LogLine("irregular-event")
+    fmt::format("spoiled_streams_total{{why=\"{}\"}}", why));
+  LogLine("spoiled-stream")
     .Add("request", m_request.id)
     .Add("upstream", m_upstreamId)
     .Add("why", why)
-    .Add("events_before", static_cast<std::uint64_t>(event.position))
     .Add("last_event", LastEventId().value_or(""))
     .Add("framing", http::kFramingNames.NameOf(m_framing))
     .Add("connection", m_isConnectionReused ? "reused" : "new")
     .Add("sent_ms_ago", (m_dependencies.loop.Now() - m_sentAt).count())
-    .Add("excerpt", event.excerpt)
+    .Add("excerpt", m_streamFilter.FaultExcerpt())
     .Warn();
 }
 
@@ -192,14 +196,8 @@
     return;
   }
   std::string out;
-  const bool wasRegular =
-    m_streamFilter.Irregular().fault == EventStreamFault::None;
-  const bool isSound = m_streamFilter.Consume(aBytes, out);
-  if (wasRegular &&
-      m_streamFilter.Irregular().fault != EventStreamFault::None) {
-    LogIrregularEvent();
-  }
-  if (!isSound) {
+  if (!m_streamFilter.Consume(aBytes, out)) {
+    LogSpoiledStream();
     BreakAttempt(
       std::string(kEventStreamFaultNames.NameOf(m_streamFilter.Fault())));
     return;
--- a/src/gateway/internal/streamevent.cpp
+++ b/src/gateway/internal/streamevent.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kIdField = "id";
 constexpr std::string_view kDataField = "data";
+//! All numbers of so many digits fit into 64 bits.
+constexpr std::size_t kMaxIdDigits = 18;
 
 struct EventField
 {
@@ -62,22 +64,20 @@
   return line;
 }
 
-StreamEvent
-ParseId(std::string_view aText)
+}
+
+std::optional<std::uint64_t>
+ParseEventId(std::string_view aText)
 {
-  if (aText.empty()) {
-    return { EventStreamFault::NoId, 0 };
-  }
-  StreamEvent event;
-  const auto* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, event.id);
   const bool hasLeadingZero = aText.size() > 1 && aText.front() == '0';
-  if (result.ec != std::errc() || result.ptr != end || hasLeadingZero) {
-    return { EventStreamFault::IdNotANumber, 0 };
+  if (aText.empty() || aText.size() > kMaxIdDigits || hasLeadingZero) {
+    return std::nullopt;
   }
-  return event;
-}
-
+  std::uint64_t id = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, id);
+  const bool isNumber = result.ec == std::errc() && result.ptr == end;
+  return isNumber ? std::optional(id) : std::nullopt;
 }
 
 StreamEvent
@@ -103,14 +103,17 @@
     }
     hasData = hasData || field->name == kDataField;
   }
-  if (!id) {
+  if (!id || id->empty()) {
     return { EventStreamFault::NoId, 0 };
   }
-  const auto event = ParseId(*id);
-  if (event.fault == EventStreamFault::None && !hasData) {
+  const auto number = ParseEventId(*id);
+  if (!number) {
+    return { EventStreamFault::IdNotANumber, 0 };
+  }
+  if (!hasData) {
     return { EventStreamFault::NotAnEvent, 0 };
   }
-  return event;
+  return { EventStreamFault::None, *number };
 }
 
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -73,7 +73,7 @@
     EventStreamFilter filter;
     std::string out;
     RC_ASSERT(filter.Consume(std::string_view(all).substr(0, cut), out));
-    const int seen = filter.LastId() ? std::stoi(*filter.LastId()) : 0;
+    const int seen = static_cast<int>(filter.LastId());
     const int from = *rc::gen::inRange(1, seen + 2);
     filter.Resume();
     RC_ASSERT(filter.Consume(Events(from, last), out));
@@ -103,11 +103,79 @@
 Test(eventstream, CrLfLineEndingsAreAccepted)
 {
   EventStreamFilter filter;
+  filter.ResumeAfter(6);
   std::string out;
   const std::string event = "id: 7\r\ndata: x\r\n\r\n";
   cr_assert(filter.Consume(event, out));
   cr_assert(out == event);
-  cr_assert(filter.LastId() == "7");
+  cr_assert(filter.LastId() == 7);
+}
+
+Test(eventstream, EventsBeforeAFaultInTheSameReadArePassedOn)
+{
+  EventStreamFilter filter;
+  std::string out;
+  cr_assert(!filter.Consume(Events(1, 2) + "data: x\n\n" + Event(3), out));
+  cr_assert(out == Events(1, 2));
+  cr_assert(filter.LastId() == 2);
+}
+
+Test(eventstream, ARunMayNotRepeatItsOwnEvents)
+{
+  EventStreamFilter filter;
+  std::string out;
+  cr_assert(filter.Consume(Events(1, 3), out));
+  filter.Resume();
+  cr_assert(!filter.Consume(Event(2) + Event(2), out));
+  cr_assert(out == Events(1, 3));
+}
+
+//! Whatever an upstream sends, the caller gets events of one numbering.
+Test(eventstream, AnyBytesYieldOnlyEventsInOrder)
+{
+  const bool held = rc::check([] {
+    const std::vector<std::string> pieces{ "id: ",
+                                           "id:",
+                                           "ID: ",
+                                           "1",
+                                           "2",
+                                           "3",
+                                           "0",
+                                           "\n",
+                                           "\n\n",
+                                           "\r",
+                                           "\r\n",
+                                           "data: x",
+                                           ":",
+                                           "x",
+                                           "event: y",
+                                           " ",
+                                           "\n",
+                                           "-",
+                                           "99999999999999999999" };
+    const auto picks = *rc::gen::container<std::vector<std::size_t>>(
+      rc::gen::inRange<std::size_t>(0, pieces.size()));
+    std::string sent = Events(1, *rc::gen::inRange(0, 3));
+    for (const auto pick : picks) {
+      sent += pieces[pick];
+    }
+    EventStreamFilter filter;
+    std::string out;
+    filter.Consume(sent, out);
+    RC_ASSERT(sent.starts_with(out));
+    std::uint64_t next = 1;
+    std::string_view rest = out;
+    while (!rest.empty()) {
+      const auto end = std::min(rest.find("\n\n"), rest.find("\n\r\n"));
+      RC_ASSERT(end != std::string_view::npos);
+      const auto size = end + (rest.substr(end).starts_with("\n\n") ? 2 : 3);
+      const auto event = ParseStreamEvent(rest.substr(0, size));
+      RC_ASSERT(event.fault == EventStreamFault::None);
+      RC_ASSERT(event.id == next++);
+      rest.remove_prefix(size);
+    }
+  });
+  cr_assert(held);
 }
 
 // ---- reports
