Events that are read together with one at fault reach the caller

Callers would miss an event in the middle of a stream that ends as whole (ORDER). Cause: the filter counts an event as passed on when it appends it to its output; a fault later in the same read threw that output away, and the stream was resumed after an event that the caller never got. Change: what the filter has appended is written before the fault is acted on. Ruled out: taking back the filter's position, as complete events are the run's.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -164,6 +164,7 @@
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
+  void PassOnEvents(std::string_view aEvents);
   void LogSpoiledStream();
   void BreakAttempt(const std::string& aWhy);
   void SendHead();
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -196,22 +196,27 @@
     return;
   }
   std::string out;
-  if (!m_streamFilter.Consume(aBytes, out)) {
+  const bool isSound = m_streamFilter.Consume(aBytes, out);
+  CountResponseBuffers();
+  if (!out.empty()) {
+    PassOnEvents(out);
+  }
+  if (!isSound) {
     LogSpoiledStream();
     BreakAttempt(
       std::string(kEventStreamFaultNames.NameOf(m_streamFilter.Fault())));
-    return;
-  }
-  CountResponseBuffers();
-  if (out.empty()) {
-    return;
   }
+}
+
+void
+Exchange::PassOnEvents(std::string_view aEvents)
+{
   if (!m_hasPassedEvents) {
     m_hasPassedEvents = true;
     RecordStreamVersion();
   }
   SendHead();
-  WriteToCaller(out);
+  WriteToCaller(aEvents);
 }
 
 }
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -431,7 +431,12 @@
     return;
   }
   aWork.isSpoilSent = true;
-  aWork.connection->Write(SpoiledEventText(m_spoil.kind, aWork.sent + 1));
+  std::string text;
+  if (m_spoil.joinsEvent) {
+    text = EventText(aWork.run->requestId, ++aWork.sent);
+  }
+  aWork.connection->Write(text +
+                          SpoiledEventText(m_spoil.kind, aWork.sent + 1));
 }
 
 bool
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -83,6 +83,8 @@
 {
   SpoiledEvent kind = SpoiledEvent::NoId;
   int before = 1; //!< from 1
+  //! Sends them and the event before them at once.
+  bool joinsEvent = false;
 };
 
 //! One execution of a request, as observed by the upstream.
