A stream without events is not complete

Callers got a 200 with an empty body, framed as whole. Cause: the end of a stream was judged by its framing alone; a response that was never a run, or whose connection closed after the head, passed as complete. Change: a run must make an event before its end. Only a resumed run may end without one, and only by an explicit end: its stream may have been cut between its last event and its end.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -283,6 +283,11 @@
     AttemptFailed(Verdict::MayHaveRun, "stream ended inside an event");
     return;
   }
+  if (IsStream() && !m_hasPassedEvents && !MayEndWithoutEvents()) {
+    EndAttempt(AttemptOutcome::Broken);
+    AttemptFailed(Verdict::MayHaveRun, "stream without events");
+    return;
+  }
   HandleCompleteResponse();
 }
 
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -33,6 +33,14 @@
   return m_response.isEventStream && m_response.IsSuccess();
 }
 
+//! A stream may have been cut between its last event and its end, which is then
+//! all that a resumed run sends.
+bool
+Exchange::MayEndWithoutEvents() const
+{
+  return m_streamFilter.LastId() > 0 && !m_endedByClose;
+}
+
 std::optional<std::string>
 Exchange::LastEventId() const
 {
