A successful response to a stream's request must be a stream of events

Callers got bytes that no engine generated as the whole response. Cause: whether a response was read as events depended on its content type alone, which the upstream at fault chooses; another type was relayed unread. Change: on a route of streams a success of another type is a bad response and fails its attempt; on other routes a body is relayed as it is, whatever its type. Ruled out: reading such a body as events all the same, as nothing says that it is one.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -92,9 +92,11 @@
   if (hasNoRequestId && (!ranNothing || aConnection.requests > 1)) {
     return HeadAction::Reject;
   }
+  const bool isOfOtherType =
+    response.IsSuccess() && ExpectsStream() && !response.isEventStream;
   const bool lacksSeal = response.IsSuccess() && (!response.hasResponseSeal ||
                                                   response.hasContentEncoding);
-  if (lacksSeal) {
+  if (lacksSeal || isOfOtherType) {
     return HeadAction::Reject;
   }
   m_response = std::move(response);
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -30,7 +30,7 @@
 bool
 Exchange::IsStream() const
 {
-  return m_response.isEventStream && m_response.IsSuccess();
+  return m_response.IsSuccess() && ExpectsStream();
 }
 
 //! A stream may have been cut between its last event and its end, which is then
