Only events of a run count as its tokens

An engine that sends bytes at once looked like a fast one and drew requests. Cause: the first bytes of a body were taken for the first token before any event was checked, so that the prompt's reading rate was learned from them, the prompt's parts counted as answered, and first_ms in the log told of no run. Change: the first token is the first event that is passed on. Ruled out: leaving it to the ejection, which begins after three failures and leaves what was learned. Evidence: SpoiledBytesAreNoFirstToken failed three of three times before (the rate expected of the engine rises) and holds three of three times.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -204,13 +204,13 @@
   if (m_response.IsRefusal()) {
     return;
   }
-  if (m_firstByteAt == base::TimePoint{}) {
-    m_firstByteAt = m_dependencies.loop.Now();
-  }
   if (IsStream()) {
     RelayStreamBytes(aBytes);
     return;
   }
+  if (m_firstByteAt == base::TimePoint{}) {
+    m_firstByteAt = m_dependencies.loop.Now();
+  }
   if (m_isBuffering &&
       m_bufferedBody.size() + aBytes.size() <= kMaxBufferedBody &&
       m_dependencies.buffers.Fits(aBytes.size())) {
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -198,7 +198,6 @@
 void
 Exchange::RelayStreamBytes(std::string_view aBytes)
 {
-  m_dependencies.fleet.RecordTokens(m_attempt, m_dependencies.loop.Now());
   if (!m_hasPassedEvents && !MatchesStreamVersion()) {
     BreakAttempt("upstream may be of another version");
     return;
@@ -219,6 +218,11 @@
 void
 Exchange::PassOnEvents(std::string_view aEvents)
 {
+  const auto now = m_dependencies.loop.Now();
+  m_dependencies.fleet.RecordTokens(m_attempt, now);
+  if (m_firstByteAt == base::TimePoint{}) {
+    m_firstByteAt = now;
+  }
   if (!m_hasPassedEvents) {
     m_hasPassedEvents = true;
     RecordStreamVersion();
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -162,7 +162,10 @@
   work.connection = &aConnection;
   work.run = run.get();
   work.fault = fault;
-  work.nextAt = m_loop.Now() + m_settings.workTime;
+  work.nextAt = m_loop.Now();
+  if (fault != UpstreamFault::Spoiled || !m_spoil.atOnce) {
+    work.nextAt += m_settings.workTime;
+  }
   if (m_settings.isEngine) {
     work.events = EventCount(ValueOrEmpty(headers, "Hemlockgauge-Token-Count"));
     work.sent = run->lastEventId.empty() ? 0 : std::stoi(run->lastEventId);
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -85,6 +85,8 @@
   int before = 1; //!< from 1
   //! Sends them and the event before them at once.
   bool joinsEvent = false;
+  //! Sends them as soon as the request arrives, with the head.
+  bool atOnce = false;
 };
 
 //! One execution of a request, as observed by the upstream.
