A response that ends with its connection is whole only if its upstream serves

Cause: a response with neither a length nor chunks ends with its connection, and a process that is killed closes its connections in the same way. The router checked the upstream only afterwards, and used the result for the quarantine alone. A head without a length and a body looked whole, too, with no byte of a body. Only if the upstream still serves, the response is complete; else the attempt has failed, so a stream is resumed and a request that may run again is retried. Without any byte of a body it fails at once. Remaining: an upstream that goes on serving and cuts such a response short on purpose can't be told from one that ends it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,7 @@
       [this](base::UpstreamId aUpstream, quarantine::CheckResult aResult) {
         HandleCheckResult(aUpstream, aResult);
       })
+  , m_endChecks(aLoop, m_checks)
   , m_connections(aLoop, m_limits, *this, &m_buffers)
   , m_membership(aSettings.peerListen,
                  base::HashName(aSettings.zone),
@@ -216,8 +217,9 @@
     aConnection.CloseAfterAnswer();
   }
   const ExchangeDependencies dependencies{
-    m_loop,    m_fleet,     m_codecs.callers, m_codecs.upstreams, m_pool,
-    m_metrics, m_logBudget, m_streamVersions, m_exchangeQueue,    m_buffers
+    m_loop,          m_fleet,   m_codecs.callers, m_codecs.upstreams,
+    m_pool,          m_metrics, m_logBudget,      m_streamVersions,
+    m_exchangeQueue, m_buffers, m_endChecks
   };
   m_intake.read++;
   auto exchange = std::make_unique<Exchange>(dependencies, *this, aConnection);
@@ -347,8 +349,8 @@
 {
   return m_stopBeganAt.has_value() || !IsReady() ||
          m_plan.AggregatesReports() || m_storeUpdateServer->HasFollowers() ||
-         m_checks.IsChecking() || m_listener->IsPaused() ||
-         m_streamVersions.IsAsking();
+         m_checks.IsChecking() || m_endChecks.IsWaiting() ||
+         m_listener->IsPaused() || m_streamVersions.IsAsking();
 }
 
 base::TimePoint
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "fleet/storechangelog.h"
 #include "fleet/storeera.h"
 #include "gateway/callerintake.h"
+#include "gateway/endchecks.h"
 #include "gateway/exchangequeue.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaytypes.h"
@@ -164,6 +165,7 @@
   std::size_t m_loggedBufferPeak = 0;
   UpstreamPool m_pool;
   UpstreamChecks m_checks;
+  EndChecks m_endChecks;
   base::CallerLimits m_limits;
   http::ConnectionSet m_connections;
   fleet::Membership m_membership;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -10,6 +10,8 @@
 #include "http/serverconnection.h"
 #include "metrics/metrics.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace hemlockgauge::gateway {
@@ -58,6 +60,7 @@
 {
   m_dependencies.streams.Cancel(*this);
   m_dependencies.queue.Remove(*this);
+  m_dependencies.endChecks.Cancel(*this);
   DiscardUpstream();
 }
 
@@ -290,18 +293,45 @@
     AttemptFailed(Verdict::MayHaveRun, "stream without events");
     return;
   }
+  if (m_endedByClose && m_bytesReceived == 0 && m_response.IsSuccess()) {
+    EndAttempt(AttemptOutcome::Broken);
+    AttemptFailed(Verdict::MayHaveRun, "response without a length or a body");
+    return;
+  }
+  const bool isError = m_response.status >= kMinServerErrorStatus;
+  const auto complete =
+    m_endedByClose ? AttemptOutcome::AnsweredByClose : AttemptOutcome::Answered;
+  EndAttempt(isError ? AttemptOutcome::AnsweredFailure : complete);
+  if (m_endedByClose) {
+    m_dependencies.endChecks.Await(
+      m_triedUpstreams.back(), m_upstreamAddress, *this);
+    return;
+  }
   HandleCompleteResponse();
 }
 
+//! The upstream of a response that ended with its connection has been checked.
+//! The response is complete only if the upstream is known to serve.
+void
+Exchange::OnEndChecked(quarantine::CheckResult aResult)
+{
+  const auto result = quarantine::kCheckResultNames.NameOf(aResult);
+  m_dependencies.metrics.Count(
+    fmt::format("responses_ended_by_close_total{{upstream=\"{}\"}}", result));
+  if (aResult == quarantine::CheckResult::Alive) {
+    HandleCompleteResponse();
+    return;
+  }
+  AttemptFailed(Verdict::MayHaveRun,
+                fmt::format("connection closed, upstream {}", result));
+}
+
 //! Handles a complete response: retries after an error if the route allows it,
 //! else completes the response to the caller.
 void
 Exchange::HandleCompleteResponse()
 {
   const bool isError = m_response.status >= kMinServerErrorStatus;
-  const auto complete =
-    m_endedByClose ? AttemptOutcome::AnsweredByClose : AttemptOutcome::Answered;
-  EndAttempt(isError ? AttemptOutcome::AnsweredFailure : complete);
   const bool mayRetry = isError && m_route->MayRunAgain();
   if (m_headSent && !IsStream() && m_isBuffering) {
     AttemptFailed(
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet.h"
 #include "gateway/eventstreamfilter.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/iendchecks.h"
 #include "gateway/iexchangequeue.h"
 #include "gateway/istreamversions.h"
 #include "http/clientconnection.h"
@@ -49,6 +50,7 @@
   IStreamVersions& streams;
   IExchangeQueue& queue;
   base::BufferBudget& buffers;
+  IEndChecks& endChecks;
 };
 
 //! The owner of the exchanges.
@@ -72,6 +74,7 @@
   : public http::IClientEvents
   , public IStreamVersionReader
   , public IWaitingExchange
+  , public IEndCheckReader
 {
 public:
   Exchange(const ExchangeDependencies& aDependencies,
@@ -107,6 +110,8 @@
 
   void OnStreamVersion(const fleet::StreamLookupResult& aResult) override;
 
+  void OnEndChecked(quarantine::CheckResult aResult) override;
+
   void OnTurn() override;
   void OnWaitEnded(WaitEnd aEnd) override;
 
@@ -216,6 +221,7 @@
 
   fleet::AttemptId m_attempt = 0; //!< the running attempt; 0 if none
   std::string m_upstreamId;
+  base::Address m_upstreamAddress;
   std::string m_upstreamVersion; //!< of its software; empty if unknown
   std::vector<base::UpstreamId> m_triedUpstreams;
   std::uint32_t m_attemptsMayHaveRun = 0; //!< failed attempts
--- a/src/gateway/internal/exchangeend.cpp
+++ b/src/gateway/internal/exchangeend.cpp
@@ -46,6 +46,7 @@
 Exchange::Finish(const char* aOutcome, int aStatus, const std::string& aWhy)
 {
   m_dependencies.streams.Cancel(*this);
+  m_dependencies.endChecks.Cancel(*this);
   EndWait(WaitEnd::Refused);
   const auto now = m_dependencies.loop.Now();
   const auto firstByteAt =
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -256,6 +256,7 @@
   m_attempt = aPlace.attempt;
   CountTraffic();
   m_upstreamId = aPlace.upstreamId;
+  m_upstreamAddress = aPlace.address;
   m_upstreamVersion = aPlace.softwareVersion;
   m_isSameZone = aPlace.sameZone;
   m_triedUpstreams.push_back(aPlace.upstream);
--- a/src/gateway/internal/gatewaychecks.cpp
+++ b/src/gateway/internal/gatewaychecks.cpp
@@ -24,6 +24,7 @@
   for (const auto& due : m_fleet.UpstreamsToCheck(aNow)) {
     m_checks.Begin(due.upstream, due.address, aNow);
   }
+  m_endChecks.Tick(aNow);
   m_checks.Tick(aNow);
   for (const auto& notice : m_fleet.TakeQuarantineNotices()) {
     LogLine("request-quarantine")
@@ -52,6 +53,7 @@
   if (aResult == quarantine::CheckResult::Crashed) {
     LogCrashedRuns(notice);
   }
+  m_endChecks.OnResult(aUpstream, aResult);
 }
 
 //! Logs what the requests that an upstream ran when it crashed have in common.
--- a/src/gateway/internal/upstreamchecks.cpp
+++ b/src/gateway/internal/upstreamchecks.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/upstreampool.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,13 @@
                       const base::Address& aAddress,
                       base::TimePoint aNow)
 {
+  const bool isBeingChecked =
+    std::any_of(m_checks.begin(), m_checks.end(), [&](const auto& aEntry) {
+      return aEntry.second.upstream == aUpstream;
+    });
+  if (isBeingChecked) {
+    return;
+  }
   auto& connection = m_pool.Acquire(aUpstream, aAddress, *this);
   m_checks[&connection] = { aUpstream, aNow };
 }
--- a/src/gateway/upstreamchecks.h
+++ b/src/gateway/upstreamchecks.h
@@ -24,6 +24,7 @@
 
   UpstreamChecks(UpstreamPool& aPool, OnResult aOnResult);
 
+  //! Nothing if the upstream is being checked.
   void Begin(base::UpstreamId aUpstream,
              const base::Address& aAddress,
              base::TimePoint aNow);
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -72,6 +72,14 @@
   return piece;
 }
 
+bool
+PlainEndsByClose(UpstreamFault aFault)
+{
+  return aFault == UpstreamFault::NoLength ||
+         aFault == UpstreamFault::EmptyNoLength ||
+         aFault == UpstreamFault::CrashAfterBytes;
+}
+
 //! Whether a stream with this fault has neither a length nor chunks.
 bool
 EndsByClose(UpstreamFault aFault)
@@ -318,6 +326,9 @@
         ResponseHead(aWork, 500), Framing::Length, 0);
       aWork.connection->EndAnswer();
       return true;
+    case UpstreamFault::CutShort:
+      SendCutShort(aWork);
+      return true;
     default:
       break;
   }
@@ -375,6 +386,28 @@
   }
 }
 
+//! Sends the beginning of a whole answer, and closes the connection in order.
+void
+UpstreamStandin::SendCutShort(const Work& aWork)
+{
+  std::string text = ResponseHead(aWork, 200);
+  if (aWork.events > 0) {
+    http::AppendField(text, "Transfer-Encoding", "chunked");
+    text += "\r\n";
+    for (int event = aWork.sent + 1; event <= aWork.events; ++event) {
+      http::AppendChunk(text, EventText(aWork.run->requestId, event));
+    }
+    text += http::kLastChunk;
+  } else {
+    const auto body = AnswerText(aWork.run->requestId, 0);
+    http::AppendNumberField(text, "Content-Length", body.size());
+    text += "\r\n" + body;
+  }
+  aWork.connection->CloseAfterAnswer();
+  aWork.connection->Write(std::string_view(text).substr(0, m_cut));
+  aWork.connection->EndAnswer();
+}
+
 bool
 UpstreamStandin::AdvancePlain(Work& aWork)
 {
@@ -383,12 +416,18 @@
   const auto other = "HTTP/1.1 200 OK\r\nHemlockgauge-Attempt-Id: other\r\n"
                      "Hemlockgauge-Response-Seal: x\r\nContent-Length: 5\r\n"
                      "\r\nother";
-  if (aWork.fault == UpstreamFault::NoLength ||
-      aWork.fault == UpstreamFault::EmptyNoLength) {
+  if (PlainEndsByClose(aWork.fault)) {
+    const auto sent = aWork.fault == UpstreamFault::NoLength ? body.size()
+                      : aWork.fault == UpstreamFault::CrashAfterBytes
+                        ? body.size() / 2
+                        : 0;
     connection.CloseAfterAnswer();
     connection.BeginAnswer(ResponseHead(aWork, 200), Framing::UntilClose);
-    connection.Write(aWork.fault == UpstreamFault::NoLength ? body : "");
+    connection.Write(body.substr(0, sent));
     connection.EndAnswer();
+    if (aWork.fault == UpstreamFault::CrashAfterBytes) {
+      m_loop.Defer([this] { Crash(); });
+    }
     return true;
   }
   if (aWork.fault == UpstreamFault::BreakOff) {
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -45,6 +45,9 @@
   OtherType,       //!< a stream whose head names another content type
   NoEvents,        //!< a stream that ends before its first event
   EmptyNoLength,   //!< a head without a length or chunks, then the close
+  CrashAfterBytes, //!< crashes within the body of a plain answer without a
+                   //!< length; its connection closes as at the end of an answer
+  CutShort,        //!< the answer ends after some bytes; see SetCut
   // The following send bytes until the peer closes the connection.
   EndlessHead,    //!< header fields
   EndlessInterim, //!< interim responses
@@ -71,6 +74,8 @@
                                      "other-type",
                                      "no-events",
                                      "empty-no-length",
+                                     "crash-after-bytes",
+                                     "cut-short",
                                      "endless-head",
                                      "endless-interim",
                                      "endless-body",
@@ -129,6 +134,8 @@
   using FaultSelector = std::function<UpstreamFault(const UpstreamRun& aRun)>;
   //! What streams with the fault Spoiled hold.
   void SetSpoil(const Spoil& aSpoil) { m_spoil = aSpoil; }
+  //! Bytes of answers with the fault CutShort, from the start of the head.
+  void SetCut(std::size_t aBytes) { m_cut = aBytes; }
   using Observer = std::function<void(const UpstreamRun& aRun)>;
 
   UpstreamStandin(eventloop::EventLoop& aLoop,
@@ -214,6 +221,7 @@
   //! Performs the next step of a run; returns true when the run has ended.
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
+  void SendCutShort(const Work& aWork);
   bool AdvanceStream(Work& aWork);
   void BeginStream(Work& aWork);
   void SendSpoil(Work& aWork);
@@ -230,6 +238,7 @@
   UpstreamStandinSettings m_settings;
   FaultSelector m_faultSelector;
   Spoil m_spoil;
+  std::size_t m_cut = 0;
   Observer m_observer;
   RefusalObserver m_refusalObserver;
   std::function<void()> m_onCrash;
