--- a/src/base/tests/basetests.cpp
+++ b/src/base/tests/basetests.cpp
@@ -54,6 +54,15 @@
   cr_assert(line.Text() == "event=refuse why=\"a 'b' c\" n=3 x=y");
 }
 
+//! Guards against a line that bytes of an upstream break or hide.
+Test(base, LogLineHoldsNoControlCharacters)
+{
+  const std::string bytes("a\x1b[2Jb\0c\x7f", 9);
+  const LogLine line = LogLine("refuse").Add("why", bytes);
+  cr_assert(
+    line.Text() == "event=refuse why=\"a [2Jb c \"", "%s", line.Text().c_str());
+}
+
 Test(base, VerdictNamesConvertBothWays)
 {
   cr_assert(kVerdictNames.NameOf(Verdict::MayHaveRun) == "may-have-run");
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -104,6 +104,21 @@
   cr_assert(recorder.response.framing == Framing::UntilClose);
 }
 
+//! Guards against waiting for a body that never comes.
+Test(messagereader, AnAnswerWithoutABodyMayStateALength)
+{
+  for (const std::string status : { "204 No Content", "304 Not Modified" }) {
+    for (const std::string field :
+         { "Content-Length: 5", "Transfer-Encoding: chunked" }) {
+      Recorder recorder;
+      MessageReader reader(MessageReader::Side::Responses, recorder);
+      reader.Feed("HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\n");
+      cr_expect(reader.HasEnded(), "%s %s", status.c_str(), field.c_str());
+      cr_expect(recorder.response.framing == Framing::None);
+    }
+  }
+}
+
 Test(messagereader, ATruncatedAnswerIsASyntaxFault)
 {
   Recorder recorder;
