A 204 or 304 with a length has no body

Callers of plain services got a timeout instead of a 304 that states the length of what it stands for, and a connection was held until their deadline. Cause: the parser was told to skip a body only after HEAD; after a length or chunks it waited for one that never comes. Change: statuses without a body skip it, as the framing of the head says. Ruled out: dropping the field, as the parser has read it by then. Evidence: AnAnswerWithoutABodyMayStateALength failed on the commit before (one run); http_tests pass, 22 of 22, one run.

--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -298,7 +298,8 @@
   head.framing = ResponseFraming();
   head.length = hasLength ? m_parser.content_length : 0;
   m_sink.OnResponseHead(std::move(head));
-  return m_noBody ? kSkipBody : 0;
+  // Without a body, a length tells what a GET would return (RFC 9110, 8.6).
+  return m_noBody || HasBodilessStatus() ? kSkipBody : 0;
 }
 
 }
