Log lines hold no control characters

Operators could get raw bytes of an upstream in a log line, escape sequences of terminals among them (spoiled-stream, excerpt). Cause: only values with blanks, line ends or quotes were cleaned; others were written as they are. Change: a value with any control character is quoted and cleaned. Ruled out: cleaning the excerpt alone, as other values come from outside, too.

--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -7,10 +7,22 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace hemlockgauge::base {
 
+namespace {
+
+bool
+IsControl(char aChar)
+{
+  const auto code = static_cast<unsigned char>(aChar);
+  return code < ' ' || code == 0x7f;
+}
+
+}
+
 LogLine::LogLine(std::string_view aEvent)
   : m_text("event=")
 {
@@ -23,16 +35,16 @@
   m_text += ' ';
   m_text += aKey;
   m_text += '=';
-  const bool plain = !aValue.empty() && aValue.find_first_of(" \t\r\n\"=") ==
-                                          std::string_view::npos;
+  const bool plain = !aValue.empty() &&
+                     aValue.find_first_of(" \"=") == std::string_view::npos &&
+                     std::none_of(aValue.begin(), aValue.end(), IsControl);
   if (plain) {
     m_text += aValue;
     return *this;
   }
   m_text += '"';
   for (const char c : aValue) {
-    const bool isControl = static_cast<unsigned char>(c) < ' ';
-    m_text += isControl ? ' ' : (c == '"' ? '\'' : c);
+    m_text += IsControl(c) ? ' ' : (c == '"' ? '\'' : c);
   }
   m_text += '"';
   return *this;
