A request whose response awaits its check is not called 'not run'

Callers got 503 for requests that an upstream had run, and may run them again. Cause: while the end of a response awaits the check of its upstream there is neither a connection nor a failed attempt, so a deadline then looked like one before the request was sent. Change: such a request may have run; its deadline gives 504. Ruled out: delivering the response at the deadline, as it may be cut.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -303,6 +303,7 @@
     m_endedByClose ? AttemptOutcome::AnsweredByClose : AttemptOutcome::Answered;
   EndAttempt(isError ? AttemptOutcome::AnsweredFailure : complete);
   if (m_endedByClose) {
+    m_awaitsEndCheck = true;
     m_dependencies.endChecks.Await(
       m_triedUpstreams.back(), m_upstreamAddress, *this);
     return;
@@ -315,6 +316,7 @@
 void
 Exchange::OnEndChecked(quarantine::CheckResult aResult)
 {
+  m_awaitsEndCheck = false;
   const auto result = quarantine::kCheckResultNames.NameOf(aResult);
   m_dependencies.metrics.Count(
     fmt::format("responses_ended_by_close_total{{upstream=\"{}\"}}", result));
@@ -499,7 +501,8 @@
   if (aNow >= m_deadlineAt) {
     const bool hasSentBytes =
       m_upstream != nullptr && m_upstream->HasSentBytes();
-    const bool mayHaveRun = m_attemptsMayHaveRun > 0 || hasSentBytes;
+    const bool mayHaveRun =
+      m_attemptsMayHaveRun > 0 || hasSentBytes || m_awaitsEndCheck;
     EndAttempt(AttemptOutcome::CallerGone);
     DiscardUpstream();
     if (m_headSent) {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -243,6 +243,8 @@
   base::BufferShare m_requestShare;
   base::BufferShare m_responseShare;
   bool m_endedByClose = false; //!< nothing but a close ended the response
+  //! The response has ended; a check shows whether it is complete.
+  bool m_awaitsEndCheck = false;
   //! The connection has carried an earlier request.
   bool m_isConnectionReused = false;
   bool m_isBuffering = true; //!< the response's body is still being buffered
