A run that ends before the caller's last event does not complete a stream

Callers could get a cut stream as whole. Cause: a resumed run may end without a new event, as its stream may have been cut between its last event and its end. One that repeated fewer events than the caller has was taken for that, too. Change: such a run fails its attempt. Ruled out: asking for all events again; a run may begin after the last one.

--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -38,7 +38,8 @@
 bool
 Exchange::MayEndWithoutEvents() const
 {
-  return m_streamFilter.LastId() > 0 && !m_endedByClose;
+  return m_streamFilter.LastId() > 0 && !m_endedByClose &&
+         !m_streamFilter.IsBehindCaller();
 }
 
 std::optional<std::string>
