--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -112,7 +112,11 @@
          { "Content-Length: 5", "Transfer-Encoding: chunked" }) {
       Recorder recorder;
       MessageReader reader(MessageReader::Side::Responses, recorder);
-      reader.Feed("HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\n");
+      for (const auto& line :
+           { std::string("HTTP/1.1 "), status, std::string("\r\n"), field }) {
+        reader.Feed(line);
+      }
+      reader.Feed("\r\n\r\n");
       cr_expect(reader.HasEnded(), "%s %s", status.c_str(), field.c_str());
       cr_expect(recorder.response.framing == Framing::None);
     }
