Soak: upstreams that spoil their answers, and odd entries in the store

Callers got events that no run had made, and streams without events that looked whole. The soak did not notice: its upstreams broke off, reset or doubled responses, but sent nothing wrong inside a body that was framed rightly.

Every few seconds one upstream spoils all its answers. Entries that nothing can be made of are put beside those of the upstreams. All of this ends with the time of faults. The other faults end after a third of it, so that what is served beside the spoiled answers can be judged.

New guarantees: events-of-runs, spoiled-engine-is-spared (no more than the equal share of an engine, once its failures can be known), sound-requests-served (the share that is left if one upstream serves nothing). own-whole-answer also checks the content type of streams.

Spoils and cuts are kept for each run of the stand-in; an event joined to a spoiled one is never one after the run's last.

--- a/src/soak/guarantees.h
+++ b/src/soak/guarantees.h
@@ -35,10 +35,15 @@
                             //!< leaves gets nothing more from that router
   StreamOfOneVersion, //!< a stream's events, over all its requests, are of one
                       //!< software version
-  StreamsGoOn, //!< resumed streams go on at least half as often as new ones
-               //!< begin
-  PauseIsKept, //!< an upstream gets nothing within its Retry-After from the
-               //!< router that it refused
+  StreamsGoOn,  //!< resumed streams go on at least half as often as new ones
+                //!< begin
+  PauseIsKept,  //!< an upstream gets nothing within its Retry-After from the
+                //!< router that it refused
+  EventsOfRuns, //!< each event that a caller gets is one of its run
+  SpoiledEngineSpared, //!< an engine that spoils all its answers gets no more
+                       //!< requests than a sound one would
+  SoundServed, //!< requests without a fault of their own are served while an
+               //!< upstream spoils its answers
   MemoryWithinLimit, //!< a router's resident memory stays within its limit
   EndsOnlyWhenTold,  //!< a router ends only by a signal that the run sent
   Recovery           //!< after the last fault requests are served again
@@ -61,6 +66,9 @@
                                  "stream-of-one-version",
                                  "streams-go-on",
                                  "pause-is-kept",
+                                 "events-of-runs",
+                                 "spoiled-engine-is-spared",
+                                 "sound-requests-served",
                                  "memory-within-limit",
                                  "ends-only-when-told",
                                  "recovery");
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -31,6 +31,10 @@
             false,
             "send responses without an end and large bodies, and let callers "
             "read slowly");
+DEFINE_bool(spoiled,
+            false,
+            "let upstreams send streams and responses that are spoiled or cut, "
+            "and put odd entries into the store");
 DEFINE_uint32(memory_limit_mb,
               0,
               "resident memory at which a router is killed; 0: no limit");
@@ -62,6 +66,7 @@
       settings.versionFaults = FLAGS_version_faults;
       settings.hasCrashingPart = FLAGS_crashing_part;
       settings.hasEndlessResponses = FLAGS_endless;
+      settings.hasSpoiledResponses = FLAGS_spoiled;
       settings.memoryLimit = std::size_t{ FLAGS_memory_limit_mb } << 20U;
       settings.length = std::chrono::seconds(FLAGS_seconds);
       const auto directory =
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -141,6 +141,7 @@
       1 + static_cast<int>(m_random() % static_cast<unsigned>(m_events));
   }
   m_versions.clear();
+  m_isSound = true;
   m_startedAt = aNow;
   m_busy = true;
   const bool useNewConnection = m_random() % 5 == 0;
@@ -213,6 +214,7 @@
   }
   m_eventsBefore += eventsNow;
   m_resumes++;
+  m_isSound = m_isSound && m_shared.spoils.IsSound(m_id);
   m_id = fmt::format("{}-r{}", m_origin, m_resumes);
   DropConnection();
   m_router = static_cast<std::uint32_t>(
@@ -262,6 +264,12 @@
   m_shared.guarantees.Check(Guarantee::CompleteResponse,
                             isOwnResponse,
                             m_id + " got the response to " + id);
+  if (m_events > 0 && m_status == 200) {
+    const auto* type = aHead.headers.Find("Content-Type");
+    m_shared.guarantees.Check(Guarantee::CompleteResponse,
+                              type != nullptr && *type == "text/event-stream",
+                              m_id + " got a response that is no event stream");
+  }
   if (standins::ResponseSaysLeaving(aHead.headers)) {
     m_shared.signals.GotAnswerOfLeaving(
       m_router, standins::ResponseUpstream(aHead.headers), m_shared.loop.Now());
@@ -295,9 +303,11 @@
   if (m_events == 0 || m_status != 200) {
     return;
   }
+  const auto events = TakeVersions(m_body, m_versions);
+  CheckEvents(events);
   m_shared.guarantees.Check(
     Guarantee::StreamInOrder,
-    ExpectedBody().starts_with(TakeVersions(m_body, m_versions)),
+    ExpectedBody().starts_with(events),
     m_id + " has stream events that are missing, repeated or out of order");
   m_shared.guarantees.Check(
     Guarantee::StreamOfOneVersion,
@@ -305,6 +315,24 @@
     m_id + " has stream events of several software versions");
 }
 
+void
+SoakCaller::CheckEvents(std::string_view aEvents)
+{
+  std::set<std::string> ofRun;
+  for (int i = 1; i <= m_events; ++i) {
+    ofRun.insert(standins::UpstreamStandin::EventText(m_id, i));
+  }
+  constexpr std::string_view kEnd = "\n\n";
+  for (auto end = aEvents.find(kEnd); end != std::string_view::npos;
+       end = aEvents.find(kEnd)) {
+    const std::string event(aEvents.substr(0, end + kEnd.size()));
+    m_shared.guarantees.Check(Guarantee::EventsOfRuns,
+                              ofRun.contains(event),
+                              m_id + " has an event that no run made");
+    aEvents.remove_prefix(event.size());
+  }
+}
+
 void
 SoakCaller::OnAnswerEnd(http::ClientConnection&, bool aReusable)
 {
@@ -366,6 +394,9 @@
   }
   m_shared.bySecond[second][static_cast<std::size_t>(aEnd)]++;
   m_shared.outcomes[static_cast<std::size_t>(aEnd)]++;
+  if (m_isSound && m_shared.spoils.IsSound(m_id) && m_key == m_shared.key) {
+    m_shared.spoils.Ended(aEnd == CallOutcome::Served, m_startedAt, now);
+  }
   m_nextAt = now + base::Duration(m_random() % kMaxPauseMs);
 }
 
--- a/src/soak/soakcaller.h
+++ b/src/soak/soakcaller.h
@@ -6,6 +6,7 @@
 #include "metrics/latencyhistogram.h"
 #include "soak/guarantees.h"
 #include "soak/signalchecker.h"
+#include "soak/spoilchecker.h"
 
 #include <array>
 #include <memory>
@@ -56,6 +57,7 @@
   eventloop::EventLoop& loop;
   GuaranteeChecker& guarantees;
   SignalChecker& signals;
+  SpoilChecker& spoils;
   std::vector<base::Address> routers{};
   std::string key{};
   std::string revokedKey{};    //!< the revoked previous key; empty if none
@@ -107,6 +109,8 @@
   void EndCall(CallOutcome aEnd);
   void CheckSuccess();
   void CheckStreamPrefix();
+  //! Each complete event of a stream must be one of its run.
+  void CheckEvents(std::string_view aEvents);
   std::string ExpectedBody() const;
   void DropConnection();
 
@@ -133,6 +137,7 @@
   base::TimePoint m_nextAt{};
   base::TimePoint m_readFrom{}; //!< when a slow caller begins to read
   bool m_busy = false;
+  bool m_isSound = true; //!< no request of this call got a fault so far
   bool m_stopped = false;
 };
 
--- a/src/soak/soakplan.cpp
+++ b/src/soak/soakplan.cpp
@@ -126,6 +126,53 @@
   SortByStart(aPlan);
 }
 
+constexpr std::uint64_t kSpoilSeedOffset = 0x5b01;
+//! Spoils of all answers do not overlap: one upstream at most has them.
+constexpr std::uint32_t kSpoilIntervalMs = 3500;
+constexpr std::uint32_t kMinSpoilMs = 2000;
+constexpr std::uint32_t kSpoilSpreadMs = 1500;
+constexpr std::uint32_t kOddEntryIntervalMs = 600;
+
+//! Ends the other faults early, and adds spoils of an upstream's answers and
+//! odd entries.
+void
+AddSpoils(const SoakSettings& aSettings, std::vector<Fault>& aPlan)
+{
+  std::mt19937_64 random(aSettings.seed ^ kSpoilSeedOffset);
+  const auto below = [&](std::uint64_t aBound) {
+    return static_cast<std::uint32_t>(random() % aBound);
+  };
+  const auto othersEnd = EndOfOtherFaults(aSettings);
+  std::erase_if(aPlan,
+                [&](const Fault& aFault) { return aFault.at >= othersEnd; });
+  for (auto& fault : aPlan) {
+    fault.duration = std::min(fault.duration, othersEnd - fault.at);
+  }
+  const auto engines = (aSettings.upstreams + 1) / 2;
+  bool isEngine = true;
+  for (base::Duration at{}; at < aSettings.length;
+       at += base::Duration(kSpoilIntervalMs)) {
+    Fault fault;
+    fault.kind = FaultKind::SpoilAnswers;
+    fault.at = at;
+    fault.duration =
+      std::min(base::Duration(kMinSpoilMs + below(kSpoilSpreadMs)),
+               aSettings.length - at);
+    fault.target = isEngine ? 2 * below(engines) : below(aSettings.upstreams);
+    isEngine = !isEngine;
+    aPlan.push_back(fault);
+  }
+  for (base::Duration at{}; at < aSettings.length;
+       at += base::Duration(kOddEntryIntervalMs)) {
+    Fault fault;
+    fault.kind = FaultKind::OddEntry;
+    fault.at = at;
+    fault.target = below(aSettings.upstreams);
+    aPlan.push_back(fault);
+  }
+  SortByStart(aPlan);
+}
+
 bool
 TargetsRouter(FaultKind aKind)
 {
@@ -134,6 +181,12 @@
 
 }
 
+base::Duration
+EndOfOtherFaults(const SoakSettings& aSettings)
+{
+  return aSettings.length / 3;
+}
+
 std::vector<Fault>
 MakePlan(const SoakSettings& aSettings)
 {
@@ -158,6 +211,9 @@
   AddZoneFaults(aSettings, plan);
   AddSignalFaults(aSettings, plan);
   AddVersionFaults(aSettings, plan);
+  if (aSettings.hasSpoiledResponses) {
+    AddSpoils(aSettings, plan);
+  }
   return plan;
 }
 
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -34,7 +34,9 @@
                   //!< learns of it at the end of the fault
   AskForPauses,   //!< an upstream refuses requests with Retry-After
   ReleaseVersion, //!< replaces an engine by one of a later software version
-  CrashEngine     //!< replaced by one of the same version
+  CrashEngine,    //!< replaced by one of the same version
+  SpoilAnswers,   //!< an upstream spoils all its answers
+  OddEntry        //!< the store holds an entry that nothing can be made of
 };
 inline constexpr auto kFaultKindNames =
   base::MakeEnumNames<FaultKind>("kill-router",
@@ -59,7 +61,9 @@
                                  "leave-in-answers",
                                  "ask-for-pauses",
                                  "release-version",
-                                 "crash-engine");
+                                 "crash-engine",
+                                 "spoil-answers",
+                                 "odd-entry");
 
 inline constexpr std::uint32_t kSoakZones = 2;
 
@@ -94,6 +98,11 @@
   //! Whether some responses have no end, some requests have large bodies and
   //! some callers read slowly.
   bool hasEndlessResponses = false;
+  //! Whether upstreams spoil some answers, and at times one of them all its
+  //! answers, and the store holds odd entries. The other faults then end
+  //! after the first third of the length, so that what is served beside the
+  //! spoiled answers can be judged.
+  bool hasSpoiledResponses = false;
   //! Resident memory at which a router is killed, in bytes; 0: no limit.
   std::size_t memoryLimit = 0;
   base::Duration length{
@@ -101,6 +110,10 @@
   }; //!< fault injection time; a time without faults follows
 };
 
+//! Time after which a plan with spoiled responses has no other faults.
+base::Duration
+EndOfOtherFaults(const SoakSettings& aSettings);
+
 //! Generates the faults of a run, ordered by start time. The same settings and
 //! seed give the same plan. Faults may overlap.
 std::vector<Fault>
--- a/src/soak/soakreport.cpp
+++ b/src/soak/soakreport.cpp
@@ -75,14 +75,16 @@
                         m_shared.resumedStreams.requests);
   }
   if (m_settings.hasCrashingPart) {
-    const auto runs = m_crashingRuns.find(CrashCause::PromptPart);
     text += fmt::format("streams begun with the shared part {} of {}, without "
                         "{} of {}, runs with a crashing part {}\n",
                         m_shared.sharingStreams.started,
                         m_shared.sharingStreams.requests,
                         m_shared.otherStreams.started,
                         m_shared.otherStreams.requests,
-                        runs == m_crashingRuns.end() ? 0 : runs->second.size());
+                        m_crashChecks.RunCount(CrashCause::PromptPart));
+  }
+  if (m_settings.hasSpoiledResponses) {
+    text += m_spoilChecks.Summary();
   }
   for (std::size_t i = 0; i < kGuaranteeCount; ++i) {
     const auto guarantee = static_cast<Guarantee>(i);
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -1,6 +1,6 @@
 #include "soak/soakrun.h"
 
-#include "base/hash.h"
+#include "soak/oddentry.h"
 
 #include <fmt/format.h>
 
@@ -36,12 +36,6 @@
 constexpr base::Duration kRecoveryTime = 7000ms;
 constexpr base::Duration kRecoveryCheckTime = 4000ms;
 constexpr double kMinServedRatio = 0.8;
-//! An upstream misbehaves on one in this many requests.
-constexpr std::uint64_t kMisbehaveOneIn = 25;
-//! One in this many responses has no end, if there are any.
-constexpr std::uint64_t kEndlessOneIn = 12;
-//! An upstream that asks for pauses refuses one in this many requests.
-constexpr std::uint64_t kRefuseOneIn = 8;
 constexpr base::Duration kPause = 2500ms;
 //! Engines of the first two versions serve from the start. Each later version
 //! is that of two releases.
@@ -51,13 +45,6 @@
 //! until another upstream replaces it.
 constexpr base::Duration kEntryExpiryDelay = 2400ms;
 constexpr base::Duration kReplacementDelay = 1000ms;
-//! Limits for a request, or a part of prompts, that crashes upstreams. So many
-//! crashes are allowed until routers quarantine it; after the time that routers
-//! need to learn of them, at most kMaxLateRuns more runs are allowed.
-constexpr std::size_t kMaxCrashesOfRequest = 3;
-constexpr std::size_t kMaxCrashesOfPart = 5;
-constexpr std::size_t kMaxLateRuns = 3;
-constexpr base::Duration kCrashPropagationTime = 3000ms;
 
 std::string
 RouterIp(std::uint32_t aRouter)
@@ -76,13 +63,14 @@
   , m_port(aPort)
   , m_plan(MakePlan(aSettings))
   , m_store(m_loop, LocalAddress(10))
-  , m_shared{ m_loop, m_guarantees, m_signalChecks }
+  , m_shared{ m_loop, m_guarantees, m_signalChecks, m_spoilChecks }
   , m_crashingCaller(m_shared, CrashCause::Request)
   , m_crashingPartCaller(m_shared, CrashCause::PromptPart)
 {
   m_storeProxy =
     std::make_unique<ChaosProxy>(m_loop, LocalAddress(11), LocalAddress(10));
-  m_shared.resumesStreams = aSettings.versionFaults > 0;
+  m_shared.resumesStreams =
+    aSettings.versionFaults > 0 || aSettings.hasSpoiledResponses;
   m_shared.readsSlowly = aSettings.hasEndlessResponses;
   m_shared.sendsLargeBodies = aSettings.hasEndlessResponses;
   for (std::uint32_t i = 0; i < aSettings.upstreams; ++i) {
@@ -267,30 +255,19 @@
 SoakRun::ChooseFault(const Upstream& aUpstream,
                      const standins::UpstreamRun& aRun)
 {
-  if (CrashingCaller::CauseOf(aRun.target)) {
-    return HasFreePorts() ? UpstreamFault::Crash
-                          : UpstreamFault::CloseUnanswered;
+  const FaultTarget target{ aUpstream.id,
+                            aUpstream.worker->IsEngine(),
+                            aUpstream.asksForPauses,
+                            aUpstream.spoilsAll,
+                            HasFreePorts() };
+  const auto chosen =
+    m_faultChooser.Choose(target, aRun, m_loop.Now() - m_shared.startedAt);
+  if (chosen.fault != UpstreamFault::None) {
+    m_spoilChecks.FaultInjected(aRun.requestId);
   }
-  const auto draw =
-    base::HashName(aRun.requestId + aRun.lastEventId) + m_settings.seed;
-  if (aUpstream.asksForPauses && draw % kRefuseOneIn == 0) {
-    return UpstreamFault::Shed;
-  }
-  const bool injectsFaults =
-    m_loop.Now() - m_shared.startedAt < m_settings.length;
-  if (m_settings.hasEndlessResponses && injectsFaults &&
-      draw % kEndlessOneIn == 0) {
-    constexpr auto kFirst =
-      static_cast<std::uint32_t>(UpstreamFault::EndlessHead);
-    constexpr auto kCount =
-      static_cast<std::uint32_t>(UpstreamFault::EndlessForeign) + 1 - kFirst;
-    return static_cast<UpstreamFault>(kFirst + draw / kEndlessOneIn % kCount);
-  }
-  if (draw % kMisbehaveOneIn != 0) {
-    return UpstreamFault::None;
-  }
-  constexpr auto kLast = static_cast<std::uint32_t>(UpstreamFault::Rubbish);
-  return static_cast<UpstreamFault>(1 + draw / kMisbehaveOneIn % kLast);
+  aUpstream.worker->SetSpoil(chosen.spoil);
+  aUpstream.worker->SetCut(chosen.cut);
+  return chosen.fault;
 }
 
 void
@@ -323,7 +300,7 @@
     return;
   }
   if (const auto cause = CrashingCaller::CauseOf(aRun.target)) {
-    OnCrashingRun(*cause);
+    m_crashChecks.RecordRun(*cause, m_loop.Now());
     return;
   }
   const bool mayRunAgain = aRun.requestId.starts_with("safe") ||
@@ -337,6 +314,9 @@
     aRun.requestId +
       " reached its upstream with another workspace or with its key");
   const auto now = m_loop.Now();
+  if (aUpstream.worker->IsEngine()) {
+    m_spoilChecks.EngineGotRequest(aUpstream.spoilsAll, now);
+  }
   m_signalChecks.Arrived(aUpstream.id, aRun.requestId, now);
   m_zoneChecks.RecordRun(aUpstream.id, aUpstream.zone, aRun.requestId, now);
   if (aUpstream.leftAt > base::TimePoint{}) {
@@ -354,31 +334,6 @@
   }
 }
 
-void
-SoakRun::OnCrashingRun(CrashCause aCause)
-{
-  const bool isPart = aCause == CrashCause::PromptPart;
-  const auto maxCrashes = isPart ? kMaxCrashesOfPart : kMaxCrashesOfRequest;
-  auto& runs = m_crashingRuns[aCause];
-  runs.push_back(m_loop.Now());
-  if (runs.size() <= maxCrashes) {
-    return;
-  }
-  const auto limit =
-    runs[maxCrashes - 1] + kCrashPropagationTime + kMachineSlack;
-  const auto late = static_cast<std::size_t>(
-    std::count_if(runs.begin(), runs.end(), [&](base::TimePoint aAt) {
-      return aAt > limit;
-    }));
-  m_guarantees.Check(
-    isPart ? Guarantee::CrashingPartStops : Guarantee::CrashingRequestStops,
-    late <= kMaxLateRuns,
-    fmt::format("{} runs too long after crash {}, {} runs in total",
-                late,
-                maxCrashes,
-                runs.size()));
-}
-
 //! Removes a crashed upstream's entry and starts a replacement when due.
 void
 SoakRun::HandleCrash(std::size_t aUpstream, base::TimePoint aNow)
@@ -636,9 +591,41 @@
   AddUpstream(aFault.target, kColdFor);
 }
 
+void
+SoakRun::BeginSpoil(const Fault& aFault)
+{
+  if (aFault.kind == FaultKind::OddEntry) {
+    const auto key = fmt::format("servers/odd-{}", m_oddEntries);
+    const auto text = OddEntryText(m_oddEntries++);
+    WriteToStore([this, key, text] { m_store.Put(key, text); });
+    return;
+  }
+  auto& upstream = NewestUpstream(aFault.target);
+  upstream.spoilsAll = true;
+  if (upstream.worker->IsEngine()) {
+    m_spoilChecks.EngineBeginsToSpoil((m_settings.upstreams + 1) / 2,
+                                      m_loop.Now());
+  }
+}
+
+void
+SoakRun::EndSpoil(const Fault& aFault)
+{
+  m_spoilChecks.SpoilEnds();
+  for (const auto& upstream : m_upstreams) {
+    if (upstream->index == aFault.target) {
+      upstream->spoilsAll = false;
+    }
+  }
+}
+
 void
 SoakRun::BeginFault(const Fault& aFault)
 {
+  if (aFault.kind >= FaultKind::SpoilAnswers) {
+    BeginSpoil(aFault);
+    return;
+  }
   if (aFault.kind >= FaultKind::ReleaseVersion) {
     BeginVersionFault(aFault);
     return;
@@ -687,6 +674,9 @@
     case FaultKind::AskForPauses:
       EndSignalFault(aFault);
       return;
+    case FaultKind::SpoilAnswers:
+      EndSpoil(aFault);
+      return;
     case FaultKind::RestoreStore:
     case FaultKind::StoreMute:
       m_store.faults.mute = false;
@@ -802,6 +792,9 @@
   RunUntil(m_loop.Now() +
            1500ms); // time for the routers to discover each other
   m_shared.startedAt = m_loop.Now();
+  m_spoilChecks.SetPeriod(m_shared.startedAt + EndOfOtherFaults(m_settings) +
+                            kFaultFreeTime,
+                          m_shared.startedAt + m_settings.length);
   m_loop.SchedulePeriodic(kTickInterval, [this] { Tick(); });
   RunUntil(m_shared.startedAt + m_settings.length + kRecoveryTime);
   const auto before = m_shared.outcomes;
@@ -825,6 +818,9 @@
   RunUntil(m_loop.Now() + 1000ms);
   CheckStreamsGoOn();
   CheckSharersBegin();
+  if (m_settings.hasSpoiledResponses) {
+    m_spoilChecks.Finish(m_settings.upstreams);
+  }
   m_guarantees.Finish();
   return m_guarantees.Violations().empty();
 }
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -2,12 +2,15 @@
 
 #include "eventloop/eventloop.h"
 #include "soak/chaosproxy.h"
+#include "soak/crashchecker.h"
 #include "soak/crashingcaller.h"
 #include "soak/guarantees.h"
 #include "soak/routerprocess.h"
 #include "soak/signalchecker.h"
 #include "soak/soakcaller.h"
 #include "soak/soakplan.h"
+#include "soak/spoilchecker.h"
+#include "soak/upstreamfaultchooser.h"
 #include "soak/zonechecker.h"
 #include "standins/storestandin.h"
 #include "standins/upstreamstandin.h"
@@ -57,6 +60,7 @@
     base::TimePoint crashedAt{}; //!< 0: has not crashed
     bool replaced = false; //!< another upstream was started after the crash
     bool asksForPauses = false; //!< refuses requests with Retry-After
+    bool spoilsAll = false;     //!< no answer is right
   };
 
   struct Router
@@ -80,6 +84,8 @@
   void BeginVersionFault(const Fault& aFault);
   std::string VersionOfNew(std::uint32_t aIndex) const;
   void EndSignalFault(const Fault& aFault);
+  void BeginSpoil(const Fault& aFault);
+  void EndSpoil(const Fault& aFault);
   Upstream& NewestUpstream(std::uint32_t aIndex);
   standins::UpstreamFault ChooseFault(const Upstream& aUpstream,
                                       const standins::UpstreamRun& aRun);
@@ -96,7 +102,6 @@
   void RestartRouters(base::TimePoint aNow);
   void EnforceMemoryLimit(std::size_t aRouter);
   bool HasFreePorts() const { return m_upstreams.size() < kMaxUpstreams; }
-  void OnCrashingRun(CrashCause aCause);
   void HandleCrashes(base::TimePoint aNow);
   void HandleCrash(std::size_t aUpstream, base::TimePoint aNow);
   void OnRun(const Upstream& aUpstream, const standins::UpstreamRun& aRun);
@@ -112,6 +117,9 @@
   eventloop::EventLoop m_loop;
   GuaranteeChecker m_guarantees;
   SignalChecker m_signalChecks{ m_guarantees };
+  SpoilChecker m_spoilChecks{ m_guarantees };
+  UpstreamFaultChooser m_faultChooser{ m_settings };
+  std::uint32_t m_oddEntries = 0;
   std::vector<Fault> m_plan;
   std::size_t m_nextFault = 0;
   std::vector<std::pair<base::TimePoint, Fault>> m_activeFaults;
@@ -124,7 +132,7 @@
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   CrashingCaller m_crashingCaller;
   CrashingCaller m_crashingPartCaller;
-  std::map<CrashCause, std::vector<base::TimePoint>> m_crashingRuns;
+  CrashChecker m_crashChecks{ m_guarantees };
   //! Writes since the store's last copy; repeated after a restore.
   std::vector<std::function<void()>> m_writesSinceCopy;
   base::TimePoint m_copiedAt{};
--- a/src/soak/tests/soaktests.cpp
+++ b/src/soak/tests/soaktests.cpp
@@ -1,6 +1,8 @@
 #include "soak/guarantees.h"
 #include "soak/signalchecker.h"
 #include "soak/soakplan.h"
+#include "soak/spoilchecker.h"
+#include "soak/upstreamfaultchooser.h"
 #include "soak/zonechecker.h"
 
 #include <criterion/criterion.h>
@@ -193,3 +195,64 @@
   cr_assert(guarantees.Violations().size() == 1);
   cr_assert(guarantees.CheckCount(Guarantee::NotRunIsAccurate) == 2);
 }
+
+Test(soakplan, OtherFaultsEndBeforeSpoilsAreJudged)
+{
+  SoakSettings settings;
+  settings.hasSpoiledResponses = true;
+  std::size_t spoils = 0;
+  for (const auto& fault : MakePlan(settings)) {
+    const bool isSpoil = fault.kind >= FaultKind::SpoilAnswers;
+    spoils += isSpoil ? 1 : 0;
+    const auto limit = isSpoil ? settings.length : EndOfOtherFaults(settings);
+    cr_expect(fault.at + fault.duration <= limit);
+  }
+  cr_assert(spoils > 0);
+}
+
+Test(upstreamfaultchooser, SpoilsEndWithTheTimeOfFaults)
+{
+  using standins::UpstreamFault;
+  SoakSettings settings;
+  settings.hasSpoiledResponses = true;
+  const UpstreamFaultChooser chooser(settings);
+  FaultTarget engine{ "i-0", true, false, true, true };
+  std::set<UpstreamFault> faults;
+  std::set<standins::SpoiledEvent> kinds;
+  for (int i = 0; i < 1000; ++i) {
+    standins::UpstreamRun run;
+    run.requestId = std::to_string(i);
+    const auto during = chooser.Choose(engine, run, {});
+    cr_assert(during.fault >= UpstreamFault::Spoiled);
+    faults.insert(during.fault);
+    kinds.insert(during.spoil.kind);
+    const auto after = chooser.Choose(engine, run, settings.length);
+    cr_assert(after.fault <= UpstreamFault::Rubbish);
+  }
+  cr_assert(faults.size() == 5);
+  cr_assert(kinds.size() == standins::kSpoiledEventCount);
+}
+
+//! Violates each of the two guarantees just beyond its bound.
+Test(guarantees, DetectsASpoiledEngineAndLostSoundRequests)
+{
+  using namespace std::chrono_literals;
+  const auto check = [](int aAtSpoiled, int aServed) {
+    GuaranteeChecker guarantees;
+    SpoilChecker spoils(guarantees);
+    spoils.SetPeriod(1000ms, 9000ms);
+    spoils.EngineBeginsToSpoil(4, 2000ms);
+    for (int i = 0; i < 40; ++i) {
+      spoils.EngineGotRequest(i < aAtSpoiled, 3000ms);
+      spoils.EngineGotRequest(true, 2999ms); // not yet detected
+      spoils.EngineGotRequest(true, 9000ms); // too late
+      spoils.Ended(i < aServed, 2000ms, 3000ms);
+      spoils.Ended(false, 999ms, 3000ms);
+    }
+    spoils.Finish(5);
+    return guarantees.Violations().size();
+  };
+  cr_expect(check(10, 32) == 0);
+  cr_expect(check(11, 32) == 1);
+  cr_expect(check(10, 31) == 1);
+}
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -170,6 +170,8 @@
   work.connection = &aConnection;
   work.run = run.get();
   work.fault = fault;
+  work.spoil = m_spoil;
+  work.cut = m_cut;
   work.nextAt = m_loop.Now();
   if (fault != UpstreamFault::Spoiled || !m_spoil.atOnce) {
     work.nextAt += m_settings.workTime;
@@ -395,7 +397,9 @@
     http::AppendField(text, "Transfer-Encoding", "chunked");
     text += "\r\n";
     for (int event = aWork.sent + 1; event <= aWork.events; ++event) {
-      http::AppendChunk(text, EventText(aWork.run->requestId, event));
+      http::AppendChunk(
+        text,
+        EventText(aWork.run->requestId, event, m_settings.softwareVersion));
     }
     text += http::kLastChunk;
   } else {
@@ -404,7 +408,7 @@
     text += "\r\n" + body;
   }
   aWork.connection->CloseAfterAnswer();
-  aWork.connection->Write(std::string_view(text).substr(0, m_cut));
+  aWork.connection->Write(std::string_view(text).substr(0, aWork.cut));
   aWork.connection->EndAnswer();
 }
 
@@ -467,18 +471,19 @@
 void
 UpstreamStandin::SendSpoil(Work& aWork)
 {
-  const int position = std::min(m_spoil.before, aWork.events + 1);
+  const int position = std::min(aWork.spoil.before, aWork.events + 1);
   if (aWork.fault != UpstreamFault::Spoiled || aWork.isSpoilSent ||
       aWork.sent + 1 < position) {
     return;
   }
   aWork.isSpoilSent = true;
   std::string text;
-  if (m_spoil.joinsEvent) {
-    text = EventText(aWork.run->requestId, ++aWork.sent);
+  if (aWork.spoil.joinsEvent && aWork.sent < aWork.events) {
+    text =
+      EventText(aWork.run->requestId, ++aWork.sent, m_settings.softwareVersion);
   }
   aWork.connection->Write(text +
-                          SpoiledEventText(m_spoil.kind, aWork.sent + 1));
+                          SpoiledEventText(aWork.spoil.kind, aWork.sent + 1));
 }
 
 bool
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -132,9 +132,10 @@
 {
 public:
   using FaultSelector = std::function<UpstreamFault(const UpstreamRun& aRun)>;
-  //! What streams with the fault Spoiled hold.
+  //! What later requests with the fault Spoiled get.
   void SetSpoil(const Spoil& aSpoil) { m_spoil = aSpoil; }
-  //! Bytes of answers with the fault CutShort, from the start of the head.
+  //! Bytes that later requests with the fault CutShort get, from the start of
+  //! the head.
   void SetCut(std::size_t aBytes) { m_cut = aBytes; }
   using Observer = std::function<void(const UpstreamRun& aRun)>;
 
@@ -162,6 +163,7 @@
     m_onCrash = std::move(aOnCrash);
   }
   bool HasCrashed() const { return m_crashed; }
+  bool IsEngine() const { return m_settings.isEngine; }
   void TurnCold(base::Duration aFor);
   bool IsCold() const;
   //! From now on all answers say that the upstream leaves. It goes on serving.
@@ -211,6 +213,8 @@
     int sent = 0;   //!< number of the last event sent
     bool headSent = false;
     bool isSpoilSent = false;
+    Spoil spoil;
+    std::size_t cut = 0;
   };
 
   void Tick();
