--- a/src/soak/tests/flawedcodecs.cpp
+++ b/src/soak/tests/flawedcodecs.cpp
@@ -2,6 +2,8 @@
 
 #include "base/error.h"
 
+#include <algorithm>
+
 namespace hemlockgauge::soak {
 
 namespace {
@@ -12,6 +14,17 @@
 //! second of a router.
 constexpr int kGoodPages = 2;
 
+bool
+HasOddEntry(const gateway::StorePage& aPage)
+{
+  return std::any_of(
+    aPage.items.begin(), aPage.items.end(), [](const auto& aItem) {
+      const auto* upstream = std::get_if<gateway::StoredUpstream>(&aItem);
+      return std::holds_alternative<gateway::IgnoredItem>(aItem) ||
+             (upstream != nullptr && !upstream->why.empty());
+    });
+}
+
 }
 
 gateway::CallerRequest
@@ -67,6 +80,9 @@
   if (m_flaw == Flaw::IgnoresLeavingAnswers) {
     response.isLeaving = false;
   }
+  if (m_flaw == Flaw::IgnoresContentType) {
+    response.isEventStream = true;
+  }
   if (m_flaw == Flaw::IgnoresRetryAfter) {
     response.retryAfter = {};
   }
@@ -80,6 +96,10 @@
     throw base::Error(base::ErrorCode::BadSyntax,
                       "deliberate flaw: store page rejected");
   }
+  if (m_flaw == Flaw::RejectsOddEntries && HasOddEntry(aPage)) {
+    throw base::Error(base::ErrorCode::BadSyntax,
+                      "deliberate flaw: odd entry rejected");
+  }
   if (m_flaw == Flaw::IgnoresEvacuations) {
     std::erase_if(aPage.items, [](const auto& aItem) {
       return std::holds_alternative<gateway::EvacuatedZone>(aItem);
@@ -134,6 +154,12 @@
     m_keys.insert(config->workspaceOfKey.begin(), config->workspaceOfKey.end());
     config->workspaceOfKey = m_keys;
   }
+  if (m_flaw == Flaw::StreamsUnread) {
+    for (auto& route : config->routes) {
+      const bool isStream = route.kind == fleet::CallKind::Stream;
+      route.kind = isStream ? fleet::CallKind::AtMostOnce : route.kind;
+    }
+  }
   if (m_flaw == Flaw::RetriesNonIdempotent) {
     for (auto& route : config->routes) {
       const bool once = route.kind == fleet::CallKind::AtMostOnce;
--- a/src/soak/tests/flawedcodecs.h
+++ b/src/soak/tests/flawedcodecs.h
@@ -28,7 +28,10 @@
   IgnoresRetryAfter,     //!< of upstreams' refusals
   IgnoresVersions,       //!< of the upstreams' software
   ForgetsStreams,        //!< does not know which streams requests resume
-  IgnoresPromptParts     //!< takes each part of a prompt for a new one
+  IgnoresPromptParts,    //!< takes each part of a prompt for a new one
+  StreamsUnread,         //!< forwards streams without looking at their events
+  IgnoresContentType,    //!< takes every body for an event stream
+  RejectsOddEntries      //!< rejects what the store sends with odd entries
 };
 inline constexpr auto kFlawNames =
   base::MakeEnumNames<Flaw>("crossed-ids",
@@ -46,7 +49,10 @@
                             "misses-retry-after",
                             "joins-versions",
                             "forgets-streams",
-                            "takes-parts-for-new");
+                            "takes-parts-for-new",
+                            "leaves-streams-unread",
+                            "takes-any-type",
+                            "chokes-on-odd-entries");
 
 class FlawedCallerCodec : public gateway::ICallerCodec
 {
