The fields of an event are parsed in src/http

Cause: strict reading of events stood in src/gateway alone; the router of the own interface needs the same.

--- a/src/gateway/internal/eventstreamfilter.cpp
+++ b/src/gateway/internal/eventstreamfilter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/eventstreamfilter.h"
 
+#include "http/eventfields.h"
+
 namespace hemlockgauge::gateway {
 
 namespace {
@@ -7,28 +9,6 @@
 //! Bytes of an event at fault that are kept for the log.
 constexpr std::size_t kMaxExcerptBytes = 64;
 
-//! Length of the first event including its blank line; npos if it is not
-//! complete.
-std::size_t
-FindEventEnd(std::string_view aBytes)
-{
-  std::size_t from = 0;
-  while (true) {
-    const auto end = aBytes.find('\n', from);
-    if (end == std::string_view::npos) {
-      return std::string_view::npos;
-    }
-    const auto next = aBytes.substr(end + 1);
-    if (next.starts_with('\n')) {
-      return end + 2;
-    }
-    if (next.starts_with("\r\n")) {
-      return end + 3;
-    }
-    from = end + 1;
-  }
-}
-
 }
 
 void
@@ -50,7 +30,7 @@
     aBytes = joined;
   }
   while (!aBytes.empty()) {
-    const auto end = FindEventEnd(aBytes);
+    const auto end = http::FindEventEnd(aBytes);
     if (end == std::string_view::npos) {
       if (aBytes.size() > kMaxEventBytes) {
         SetFault(EventStreamFault::TooLong, aBytes);
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -6,6 +6,7 @@
 #include "gateway/icallercodec.h"
 #include "gateway/iupstreamcodec.h"
 #include "gateway/upstreampool.h"
+#include "http/eventfields.h"
 #include "http/serverconnection.h"
 #include "metrics/metrics.h"
 
@@ -127,7 +128,7 @@
   if (!ExpectsStream() || !m_request.lastEventId) {
     return true;
   }
-  const auto id = ParseEventId(*m_request.lastEventId);
+  const auto id = http::ParseEventNumber(*m_request.lastEventId);
   if (!id) {
     LogLine("bad-request").Add("why", "last event id is no number").Warn();
     SendLocalReply(Refusal::BadRequest, Verdict::NotRun);
--- a/src/gateway/streamevent.h
+++ b/src/gateway/streamevent.h
@@ -3,7 +3,6 @@
 #include "base/enumnames.h"
 
 #include <cstdint>
-#include <optional>
 #include <string_view>
 
 namespace hemlockgauge::gateway {
@@ -28,11 +27,6 @@
                                         "event with several ids",
                                         "event id is no number");
 
-//! The number of an event's id: decimal, in its usual form, of up to 18 digits.
-//! Empty if the text is anything else.
-std::optional<std::uint64_t>
-ParseEventId(std::string_view aText);
-
 //! One event of a text/event-stream.
 struct StreamEvent
 {
