Own interface: events are read as all readers understand them

What callers saw: an event that began with a comment was skipped whole; of two ids the first counted; a carriage return hid a second id from the router, not from the caller; lines that are no fields and events without data were forwarded; CR LF ended no event; up to 1 MiB was kept after the event "done", and more than that ended the try. Cause: lines were searched for a prefix, and only a contradiction was rejected. Change: http/eventfields reads the event; anything ambiguous ends the try, which is resumed at the next offset. Comments alone stay allowed. The limit of length holds for complete events too. Bytes after "done" are dropped. Ruled out: to forward a repaired event, as the bytes are the upstream's.

--- a/src/traffic/internal/answerreader.cpp
+++ b/src/traffic/internal/answerreader.cpp
@@ -1,36 +1,13 @@
 #include "traffic/internal/answerreader.h"
 
-#include <charconv>
+#include "http/eventfields.h"
 
 namespace hemlockgauge::traffic {
 
 namespace {
 
 constexpr std::size_t kMaxEventBytes = 1 << 20;
-constexpr std::string_view kEventEnd = "\n\n";
-
-//! Returns the value of the first line that starts with aName ("id:"); empty if
-//! the event has no such line.
-std::string_view
-FieldValue(std::string_view aEvent, std::string_view aName)
-{
-  while (!aEvent.empty()) {
-    const auto end = aEvent.find('\n');
-    const auto line = aEvent.substr(0, end);
-    if (line.starts_with(aName)) {
-      auto value = line.substr(aName.size());
-      if (value.starts_with(' ')) {
-        value.remove_prefix(1);
-      }
-      return value;
-    }
-    if (end == std::string_view::npos) {
-      break;
-    }
-    aEvent.remove_prefix(end + 1);
-  }
-  return {};
-}
+constexpr std::string_view kLastEventType = "done";
 
 }
 
@@ -50,52 +27,61 @@
 bool
 EventStreamAnswer::Consume(std::string_view aBytes, std::string& aOut)
 {
+  if (m_done) {
+    return true;
+  }
   m_pending.append(aBytes);
-  std::size_t start = 0;
+  std::string_view rest = m_pending;
   while (!m_done) {
-    const auto end = m_pending.find(kEventEnd, start);
-    if (end == std::string::npos) {
+    const auto end = http::FindEventEnd(rest);
+    if (end == std::string_view::npos) {
       break;
     }
-    const auto event = std::string_view(m_pending).substr(start, end - start);
-    start = end + kEventEnd.size();
-    if (!ConsumeEvent(event, aOut)) {
+    if (end > kMaxEventBytes || !ConsumeEvent(rest.substr(0, end), aOut)) {
       return false;
     }
+    rest.remove_prefix(end);
   }
-  m_pending.erase(0, start);
+  m_pending.erase(0,
+                  m_done ? m_pending.size() : m_pending.size() - rest.size());
   return m_pending.size() <= kMaxEventBytes;
 }
 
 bool
 EventStreamAnswer::ConsumeEvent(std::string_view aEvent, std::string& aOut)
 {
-  if (aEvent.starts_with(':')) {
-    return true; // a comment line, sent as keep-alive
+  if (http::IsEventComment(aEvent)) {
+    m_progress++; // sent as keep-alive
+    return true;
   }
-  const auto id = FieldValue(aEvent, "id:");
-  const auto slash = id.rfind('/');
-  if (slash == std::string_view::npos || id.substr(0, slash) != m_requestId) {
+  const auto fields = http::ParseEventFields(aEvent);
+  if (!fields || !fields->id || !fields->hasData || fields->hasSeveralIds ||
+      fields->hasSeveralTypes || (fields->type && fields->type->empty())) {
     return false;
   }
-  const auto text = id.substr(slash + 1);
-  std::uint64_t offset = 0;
-  const auto parsed =
-    std::from_chars(text.data(), text.data() + text.size(), offset);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+  const auto offset = ParseOffset(*fields->id);
+  if (!offset || *offset > m_nextOffset) {
     return false;
   }
-  if (offset < m_nextOffset) {
+  m_progress++;
+  if (*offset < m_nextOffset) {
     return true; // already forwarded before the stream was resumed
   }
-  if (offset > m_nextOffset) {
-    return false;
-  }
-  m_done = FieldValue(aEvent, "event:") == "done";
+  m_done = fields->type == kLastEventType;
   m_nextOffset += m_done ? 0 : 1;
   aOut.append(aEvent);
-  aOut.append(kEventEnd);
   return true;
 }
 
+//! The offset in an id ("REQUEST/OFFSET") of this request.
+std::optional<std::uint64_t>
+EventStreamAnswer::ParseOffset(std::string_view aId) const
+{
+  const auto slash = aId.rfind('/');
+  if (slash == std::string_view::npos || aId.substr(0, slash) != m_requestId) {
+    return std::nullopt;
+  }
+  return http::ParseEventNumber(aId.substr(slash + 1));
+}
+
 }
--- a/src/traffic/tests/traffictests.cpp
+++ b/src/traffic/tests/traffictests.cpp
@@ -7,6 +7,9 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <string>
+#include <vector>
+
 using namespace hemlockgauge;
 using namespace hemlockgauge::traffic;
 
@@ -129,6 +132,70 @@
   cr_assert(out == "id: r/0\ndata: x\n\n");
 }
 
+//! Callers may read such an event differently from the router, or not at all.
+Test(reader, EventThatReadersMayUnderstandDifferentlyIsRejected)
+{
+  const std::string event = "id: r/0\ndata: x\n";
+  const std::vector<std::string> ambiguous = { ": comment\n" + event,
+                                               event + "id: r/7\n",
+                                               event + "ID: r/7\n",
+                                               event + "id\n",
+                                               "id: r/0\ndata: x\rid: r/7\n",
+                                               event + "no field\n",
+                                               "id: r/0\n",
+                                               "id: r/0\ndata\n",
+                                               event +
+                                                 "event: done\nevent: x\n",
+                                               event + "Event: done\n",
+                                               "id: r/00\ndata: x\n",
+                                               "\xEF\xBB\xBF" + event,
+                                               event + ":\rid: r/7\n" };
+  for (const auto& lines : ambiguous) {
+    EventStreamAnswer reader("r");
+    std::string out;
+    const bool accepted = reader.Consume(lines + "\n", out);
+    cr_expect(!accepted && out.empty(), "%s", lines.c_str());
+  }
+}
+
+Test(reader, EventsBeforeARejectedOneAreForwarded)
+{
+  EventStreamAnswer reader("r");
+  std::string out;
+  cr_assert(!reader.Consume("id: r/0\ndata: x\n\n: c\nid: r/1\n\n", out));
+  cr_assert(out == "id: r/0\ndata: x\n\n");
+  cr_assert(reader.Offset() == 1);
+}
+
+Test(reader, CommentsAreSkipped)
+{
+  EventStreamAnswer reader("r");
+  std::string out;
+  cr_assert(reader.Consume(": keep-alive\n\n:\n: two\r\n\r\n", out));
+  cr_assert(reader.Consume("id: r/0\r\ndata: x\r\n\r\n", out));
+  cr_assert(out == "id: r/0\r\ndata: x\r\n\r\n");
+}
+
+Test(reader, BytesAfterTheDoneEventAreNotBuffered)
+{
+  EventStreamAnswer reader("r");
+  std::string out;
+  const std::string done = "id: r/0\nevent: done\ndata: \n\n";
+  cr_assert(reader.Consume(done + "id: r/1\ndata: x\n\n", out));
+  const std::string block(1 << 20, 'x');
+  cr_assert(reader.Consume(block, out) && reader.Consume(block, out));
+  cr_assert(out == done && reader.IsComplete(true));
+}
+
+Test(reader, EventThatIsTooLongIsRejectedAlsoIfComplete)
+{
+  EventStreamAnswer reader("r");
+  std::string out;
+  const std::string data(1 << 20, 'x');
+  cr_assert(!reader.Consume("id: r/0\ndata: " + data + "\n\n", out));
+  cr_assert(out.empty());
+}
+
 Test(url, UnsafeBytesAreEscaped)
 {
   cr_assert(EscapeUrl("/a b/\r\n", "/") == "/a%20b/%0D%0A");
