Own interface: a success of a model engine must be an event stream

What callers saw: a 200 of another content type on a model engine's service was read as events and passed on under that type. Cause: the content type was copied to the caller and never compared. Change: another type ends the try like the response to another request, and the stream is resumed by its id. Ruled out: to correct the type, as the body may be anything. Evidence: BodyOfAnotherTypeIsNotReadAsAStream fails before and holds now.

--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/monotonicclock.h"
 #include "base/retryafter.h"
+#include "http/eventfields.h"
 #include "traffic/internal/urlescape.h"
 
 #include <algorithm>
@@ -103,7 +104,7 @@
   m_answerRequestId.clear();
   m_refusedByUpstream = false;
   m_retryAfter = {};
-  m_foreignAnswer = false;
+  m_rejectedAnswer = false;
   m_paused = false;
   m_pauseRequested = false;
   if (auto* stream = std::get_if<EventStreamAnswer>(&m_reader)) {
@@ -239,18 +240,22 @@
 Transfer::AcceptHead()
 {
   if (m_answerRequestId != m_exchange->Request().idText) {
-    m_foreignAnswer = true;
+    m_rejectedAnswer = true;
     return false;
   }
   if (m_refusedByUpstream) {
     return false;
   }
+  const bool stream = m_status == kOk && IsModelEngine();
+  if (stream && !http::IsEventStreamType(m_contentType)) {
+    m_rejectedAnswer = true;
+    return false;
+  }
   const bool resumed = m_sent && m_offsetAtStart > 0;
   if (m_status != kOk && (resumed || m_resumes > 0)) {
     m_unknownStream = m_status == kNotFound;
     return false;
   }
-  const bool stream = m_status == kOk && IsModelEngine();
   if (!stream && !std::holds_alternative<PlainAnswer>(m_reader)) {
     m_reader = PlainAnswer();
   }
@@ -274,7 +279,7 @@
   }
   m_lastByteAt = base::MonotonicNow();
   if (!AcceptHead()) {
-    return m_foreignAnswer ? 0 : aBytes.size();
+    return m_rejectedAnswer ? 0 : aBytes.size();
   }
   std::string out;
   const bool ours = std::visit(
@@ -285,7 +290,7 @@
     m_pauseRequested = !m_exchange->Append(out);
   }
   if (!ours) {
-    m_foreignAnswer = true;
+    m_rejectedAnswer = true;
     return 0;
   }
   return aBytes.size();
@@ -336,11 +341,11 @@
   }
   const bool clean = aResult == CURLE_OK && !aStalled;
   if (clean && !AcceptHead() && m_refusedByUpstream && wasFirstTry &&
-      !m_foreignAnswer) {
+      !m_rejectedAnswer) {
     return done(AttemptOutcome::Refused);
   }
   const bool accepted =
-    !m_foreignAnswer && !m_refusedByUpstream && !m_unknownStream;
+    !m_rejectedAnswer && !m_refusedByUpstream && !m_unknownStream;
   const bool complete =
     accepted &&
     std::visit([&](const auto& aReader) { return aReader.IsComplete(clean); },
--- a/src/traffic/internal/transfer.h
+++ b/src/traffic/internal/transfer.h
@@ -94,7 +94,7 @@
   std::string m_answerRequestId;
   bool m_refusedByUpstream = false;
   base::Duration m_retryAfter{};
-  bool m_foreignAnswer = false;
+  bool m_rejectedAnswer = false; //!< of another request, or not as expected
   bool m_paused = false;
   bool m_pauseRequested = false;
   base::TimePoint m_lastByteAt{};
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <utility>
+
 using namespace hemlockgauge;
 using namespace hemlockgauge::traffic::tests;
 using decision::AttemptOutcome;
@@ -181,6 +183,34 @@
   return got;
 }
 
+//! Calls a model engine whose first response is aFirst and which resumes its
+//! streams; the stand-in ends when the test does.
+void
+ExpectCompleteAfterFirst(
+  std::uint16_t aPort,
+  const std::function<void(HttpResponse&, const std::string& aId)>& aFirst,
+  int aResumes)
+{
+  ScriptedEngine engine(Fault::None);
+  TrafficFixture fixture(
+    aPort,
+    "model-engine",
+    [&](const HttpRequest& aRequest) {
+      auto response = engine.Handle(aRequest);
+      if (aRequest.method == "POST") {
+        aFirst(response, aRequest.headers.at("x-request-id"));
+      }
+      return response;
+    },
+    false,
+    kShortStallLimitMs);
+  const auto answer = fixture.Call("{}", "key", "/s/x", 5000);
+  cr_assert(answer.result == CURLE_OK && answer.status == 200);
+  cr_assert(answer.body == CompleteStream("r1-1-1"), "%s", answer.body.c_str());
+  cr_assert(answer.HasHeader("Content-Type: text/event-stream"));
+  cr_assert(engine.resumes == aResumes, "%d", engine.resumes.load());
+}
+
 HttpResponse
 PlainAnswer(const HttpRequest& aRequest)
 {
@@ -233,6 +263,16 @@
   ExpectCompleteAfter(Fault::ForeignEvent, 21040, 1);
 }
 
+Test(path, BodyOfAnotherTypeIsNotReadAsAStream)
+{
+  ExpectCompleteAfterFirst(
+    21500,
+    [](HttpResponse& aResponse, const std::string&) {
+      aResponse.headers["Content-Type"] = "application/json";
+    },
+    1);
+}
+
 Test(path, ClosedKeepAliveConnectionNeverRunsARequestTwice)
 {
   std::atomic<int> runs{ 0 };
@@ -379,6 +419,7 @@
       }
       HttpResponse response;
       response.headers["X-Request-Id"] = aRequest.headers.at("x-request-id");
+      response.headers["Content-Type"] = "text/event-stream";
       response.stream = []() -> Chunk {
         std::this_thread::sleep_for(50ms);
         return { ": still here\n\n", false };
