Own interface: bytes after the last event end the try

What callers saw: an engine that went on sending after the event "done", if only comments, kept the answer open for as long as it sent. Cause: the answer ended with the upstream's response, not with its last event. Change: the first byte after "done" ends the try as complete and closes the connection. Ruled out: ending each try at "done", which would give up every connection. Evidence: BytesAfterTheDoneEventDoNotHoldUpTheAnswer fails before (the caller gave up after 5 s) and holds now.

--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -272,6 +272,10 @@
 std::size_t
 Transfer::HandleBody(std::string_view aBytes)
 {
+  const auto* stream = std::get_if<EventStreamAnswer>(&m_reader);
+  if (stream != nullptr && stream->IsComplete(false)) {
+    return 0; // ends the try, as the caller has its whole answer
+  }
   if (m_pauseRequested) {
     m_pauseRequested = false;
     m_paused = true;
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -273,6 +273,21 @@
     1);
 }
 
+//! Only a client that reads to the end of the connection would notice.
+Test(path, BytesAfterTheDoneEventDoNotHoldUpTheAnswer)
+{
+  ExpectCompleteAfterFirst(
+    21510,
+    [](HttpResponse& aResponse, const std::string&) {
+      aResponse.stream = [body = std::exchange(aResponse.body, "")]() mutable {
+        std::this_thread::sleep_for(50ms);
+        auto bytes = std::exchange(body, "");
+        return Chunk{ bytes.empty() ? ": still here\n\n" : bytes, false };
+      };
+    },
+    0);
+}
+
 Test(path, ClosedKeepAliveConnectionNeverRunsARequestTwice)
 {
   std::atomic<int> runs{ 0 };
