Own interface: only the final head's fields are read

What callers saw: a trailer "X-Not-Run" turned an answer that was forwarded into a refusal ("not run"), and the id of a request in an informational response vouched for the final one without an id. Cause: libcurl passes the fields of 1xx heads and trailers as well. Change: each status line resets the fields, and those after the final head are ignored. Ruled out: the origin that libcurl stores per field; it tells it at the end, but the body must be judged at its first byte. Evidence: TrailersDoNotTurnAnAnswerIntoARefusal and FieldsOfAnInformationalResponseAreNotThoseOfTheAnswer fail before and hold now.

--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -99,11 +99,7 @@
   CloseHandle();
   m_now = aNow;
   m_lastByteAt = aNow;
-  m_status = 0;
-  m_contentType.clear();
-  m_answerRequestId.clear();
-  m_refusedByUpstream = false;
-  m_retryAfter = {};
+  ResetHead();
   m_rejectedAnswer = false;
   m_paused = false;
   m_pauseRequested = false;
@@ -210,12 +206,30 @@
   return static_cast<Transfer*>(aSelf)->m_exchange->IsCallerGone() ? 1 : 0;
 }
 
+void
+Transfer::ResetHead()
+{
+  m_status = 0;
+  m_headIsComplete = false;
+  m_contentType.clear();
+  m_answerRequestId.clear();
+  m_refusedByUpstream = false;
+  m_retryAfter = {};
+}
+
 void
 Transfer::HandleHeader(std::string_view aLine)
 {
+  if (m_headIsComplete) {
+    return; // libcurl passes trailers as well
+  }
   m_lastByteAt = base::MonotonicNow();
+  if (aLine == "\r\n" || aLine == "\n") {
+    m_headIsComplete = m_status >= kOk; // an informational one precedes it
+    return;
+  }
   if (aLine.starts_with("HTTP/")) {
-    m_status = 0;
+    ResetHead();
     const auto space = aLine.find(' ');
     if (space != std::string_view::npos) {
       m_status = std::strtol(aLine.data() + space, nullptr, 10);
--- a/src/traffic/internal/transfer.h
+++ b/src/traffic/internal/transfer.h
@@ -73,6 +73,7 @@
                         curl_off_t,
                         curl_off_t);
   std::size_t HandleBody(std::string_view aBytes);
+  void ResetHead();
   void HandleHeader(std::string_view aLine);
   bool AcceptHead();
   void SendHead();
@@ -90,6 +91,7 @@
 
   // State of the current try
   long m_status = 0;
+  bool m_headIsComplete = false;
   std::string m_contentType;
   std::string m_answerRequestId;
   bool m_refusedByUpstream = false;
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -211,6 +211,54 @@
   cr_assert(engine.resumes == aResumes, "%d", engine.resumes.load());
 }
 
+//! An upstream that sends the same bytes on every connection and closes it.
+class RawUpstream
+{
+public:
+  RawUpstream(std::uint16_t aPort, std::string aBytes)
+    : m_bytes(std::move(aBytes))
+    , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    const int on = 1;
+    setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const bool listens =
+      bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+        0 &&
+      listen(m_socket, 8) == 0;
+    cr_assert(listens);
+    m_thread = std::thread([this] { Serve(); });
+  }
+  ~RawUpstream()
+  {
+    shutdown(m_socket, SHUT_RDWR);
+    m_thread.join();
+    close(m_socket);
+  }
+  RawUpstream(const RawUpstream&) = delete;
+  RawUpstream& operator=(const RawUpstream&) = delete;
+
+private:
+  void Serve()
+  {
+    int connection = 0;
+    while ((connection = accept(m_socket, nullptr, nullptr)) >= 0) {
+      char buffer[4096];
+      if (recv(connection, buffer, sizeof(buffer), 0) > 0) {
+        send(connection, m_bytes.data(), m_bytes.size(), MSG_NOSIGNAL);
+      }
+      close(connection);
+    }
+  }
+
+  std::string m_bytes;
+  int m_socket;
+  std::thread m_thread;
+};
+
 HttpResponse
 PlainAnswer(const HttpRequest& aRequest)
 {
@@ -288,6 +336,33 @@
     0);
 }
 
+//! Fields after the body were read as those of the head.
+Test(path, TrailersDoNotTurnAnAnswerIntoARefusal)
+{
+  const RawUpstream upstream(21532,
+                             "HTTP/1.1 503 Busy\r\nX-Request-Id: r1-1-1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "6\r\nbooked\r\n0\r\nX-Not-Run: true\r\n"
+                             "HTTP/1.1: 200\r\n\r\n");
+  TrafficFixture fixture(21530, "plain", nullptr);
+  const auto answer = fixture.Call();
+  cr_assert(answer.status == 503 && answer.body == "booked");
+  cr_assert(WaitUntil([&] { return !fixture.control->Outcomes().empty(); }));
+  cr_assert(fixture.control->Outcomes()[0] == AttemptOutcome::Completed);
+}
+
+Test(path, FieldsOfAnInformationalResponseAreNotThoseOfTheAnswer)
+{
+  const RawUpstream upstream(21542,
+                             "HTTP/1.1 103 Early\r\nX-Request-Id: r1-1-1\r\n"
+                             "\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
+                             "\r\nbooked");
+  TrafficFixture fixture(21540, "plain", nullptr);
+  const auto answer = fixture.Call();
+  cr_assert(answer.body.find("booked") == std::string::npos);
+  cr_assert(answer.HasHeader("X-Verdict: may-have-run"));
+}
+
 Test(path, ClosedKeepAliveConnectionNeverRunsARequestTwice)
 {
   std::atomic<int> runs{ 0 };
