Own interface: part of an event is no progress

What callers saw: an engine that sent an event byte by byte, without its end, held a stream up without limit. Cause: any byte of the body counted against the stall limit. Change: at a stream only complete events and comments count; plain answers count bytes as before. An event must thus arrive within the stall limit. Ruled out: a limit of its own for an event, as the stall limit says the same. Evidence: PartOfAnEventIsNoProgressOfAStream fails before (the caller gave up after 5 s) and holds now; traffic_tests 39 of 39.

--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -98,7 +98,7 @@
 {
   CloseHandle();
   m_now = aNow;
-  m_lastByteAt = aNow;
+  m_lastProgressAt = aNow;
   ResetHead();
   m_rejectedAnswer = false;
   m_paused = false;
@@ -223,7 +223,7 @@
   if (m_headIsComplete) {
     return; // libcurl passes trailers as well
   }
-  m_lastByteAt = base::MonotonicNow();
+  m_lastProgressAt = base::MonotonicNow();
   if (aLine == "\r\n" || aLine == "\n") {
     m_headIsComplete = m_status >= kOk; // an informational one precedes it
     return;
@@ -295,30 +295,42 @@
     m_paused = true;
     return CURL_WRITEFUNC_PAUSE;
   }
-  m_lastByteAt = base::MonotonicNow();
   if (!AcceptHead()) {
+    m_lastProgressAt = base::MonotonicNow();
     return m_rejectedAnswer ? 0 : aBytes.size();
   }
+  m_rejectedAnswer = !Forward(aBytes);
+  return m_rejectedAnswer ? 0 : aBytes.size();
+}
+
+//! Forwards what the reader accepts of the body. Returns false if it is at
+//! fault.
+bool
+Transfer::Forward(std::string_view aBytes)
+{
   std::string out;
-  const bool ours = std::visit(
-    [&](auto& aReader) { return aReader.Consume(aBytes, out); }, m_reader);
+  bool accepted = false;
+  const auto consume = [&](auto& aReader) {
+    const auto before = aReader.Progress();
+    accepted = aReader.Consume(aBytes, out);
+    return aReader.Progress() > before;
+  };
+  if (std::visit(consume, m_reader)) {
+    m_lastProgressAt = base::MonotonicNow();
+  }
   if (!out.empty()) {
     m_resumesWithoutProgress = 0;
     SendHead();
     m_pauseRequested = !m_exchange->Append(out);
   }
-  if (!ours) {
-    m_rejectedAnswer = true;
-    return 0;
-  }
-  return aBytes.size();
+  return accepted;
 }
 
 bool
 Transfer::IsStalled(base::TimePoint aNow) const
 {
   return !m_paused &&
-         aNow - m_lastByteAt > m_exchange->Request().service->stallLimit;
+         aNow - m_lastProgressAt > m_exchange->Request().service->stallLimit;
 }
 
 void
@@ -326,7 +338,7 @@
 {
   if (m_paused && m_handle != nullptr) {
     m_paused = false;
-    m_lastByteAt = base::MonotonicNow();
+    m_lastProgressAt = base::MonotonicNow();
     curl_easy_pause(m_handle, CURLPAUSE_CONT);
   }
 }
--- a/src/traffic/internal/transfer.h
+++ b/src/traffic/internal/transfer.h
@@ -42,7 +42,7 @@
   //! upstream sent nothing for the stall limit (aStalled).
   Next FinishTry(CURLcode aResult, bool aStalled, base::TimePoint aNow);
   //! Whether the upstream sent nothing for longer than the stall limit, other
-  //! than while the transfer was paused.
+  //! than while the transfer was paused. Part of an event counts as nothing.
   bool IsStalled(base::TimePoint aNow) const;
   bool IsDueToResume(base::TimePoint aNow) const { return aNow >= m_resumeAt; }
   void Unpause();
@@ -73,6 +73,7 @@
                         curl_off_t,
                         curl_off_t);
   std::size_t HandleBody(std::string_view aBytes);
+  bool Forward(std::string_view aBytes);
   void ResetHead();
   void HandleHeader(std::string_view aLine);
   bool AcceptHead();
@@ -99,7 +100,7 @@
   bool m_rejectedAnswer = false; //!< of another request, or not as expected
   bool m_paused = false;
   bool m_pauseRequested = false;
-  base::TimePoint m_lastByteAt{};
+  base::TimePoint m_lastProgressAt{};
   std::uint64_t m_offsetAtStart = 0;
 
   // State across tries
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -336,6 +336,21 @@
     0);
 }
 
+Test(path, PartOfAnEventIsNoProgressOfAStream)
+{
+  ExpectCompleteAfterFirst(
+    21520,
+    [](HttpResponse& aResponse, const std::string& aId) {
+      aResponse.body.clear();
+      aResponse.stream = [bytes = TokenEvent(aId, 0) + "id: " + aId +
+                                  "/1\ndata: "]() mutable {
+        std::this_thread::sleep_for(50ms);
+        return Chunk{ std::exchange(bytes, "x"), false };
+      };
+    },
+    1);
+}
+
 //! Fields after the body were read as those of the head.
 Test(path, TrailersDoNotTurnAnAnswerIntoARefusal)
 {
