--- a/src/base/address.cpp
+++ b/src/base/address.cpp
@@ -32,7 +32,9 @@
   const auto* end = portText.data() + portText.size();
   const auto parsed = std::from_chars(portText.data(), end, address.port);
   in_addr parsedIp{};
-  const bool validIp = inet_pton(AF_INET, address.ip.c_str(), &parsedIp) == 1;
+  //! NOTE inet_pton stops at a null character.
+  const bool validIp = address.ip.find('\0') == std::string::npos &&
+                       inet_pton(AF_INET, address.ip.c_str(), &parsedIp) == 1;
   if (!validIp || parsed.ec != std::errc() || parsed.ptr != end ||
       address.port == 0) {
     ThrowBadAddress(aText);
