An invalid host or document does not keep routers from following the others

What callers saw: routers stopped following the platform's lists while one of their entries was invalid, and knew no later change of any host.

Cause: the parse functions threw for the whole list if one entry had a port out of range, an unknown role or state, a field of a wrong type or none. One number beyond the range of a double made the JSON parser reject the whole text. Negative or fractional revisions were converted to huge numbers, after which no list would count as newer.

Change: each entry is read alone. One that cannot be used is rejected and logged once per reason; at most 16 lines and one total per list. Numbers out of range are read as null. A list with an invalid revision is rejected. Names have at most 256 bytes, as routers send them to each other in limited frames. A host whose entry becomes invalid keeps its last valid state, as hosts that are missing from a list do; a document keeps its last valid revision.

Ruled out: nesting of 500,000 levels does not exhaust the stack here, as nothing writes or copies nested values.

Not covered: invalid UTF-8 or unclosed brackets still reject the whole list.

The router's process test was not run.

Conclusion: one invalid entry affects no others.

--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -150,6 +150,7 @@
   const auto list =
     ParseDocumentList(HttpGet(m_platform, path, timeout, m_stop).body);
   RecordAnswer();
+  m_rejectedDocuments.Update(list.rejected);
   for (const auto& document : list.documents) {
     if (m_readRevisions[document.name] >= document.revision) {
       continue;
@@ -168,8 +169,10 @@
 {
   while (!m_stop) {
     try {
-      m_post(ParseHostList(
-        HttpGet(m_platform, "/v1/hosts", kReadTimeout, m_stop).body));
+      const auto list = ParseHostList(
+        HttpGet(m_platform, "/v1/hosts", kReadTimeout, m_stop).body);
+      m_post(list.read);
+      m_rejectedHosts.Update(list.rejected);
       RecordAnswer();
       Pause(m_watching ? kHostPollInterval : kUnwatchedPollInterval);
     } catch (const base::Error& error) {
--- a/src/platform/internal/platformclient.h
+++ b/src/platform/internal/platformclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/address.h"
+#include "platform/internal/rejectedentrylog.h"
 #include "platform/iplatformclient.h"
 
 #include <atomic>
@@ -48,6 +49,9 @@
   std::atomic<std::int64_t> m_lastAnswer{ INT64_MIN / 2 };
   std::uint64_t m_version = 0;
   std::map<std::string, std::uint64_t> m_readRevisions;
+  //! Each is used by the thread alone that reads the list.
+  RejectedEntryLog m_rejectedDocuments{ "documents" };
+  RejectedEntryLog m_rejectedHosts{ "hosts" };
   std::mutex m_mutex;
   std::condition_variable m_wake;
   std::deque<decision::PollLoad> m_polls;
