--- a/src/platform/internal/platformjson.cpp
+++ b/src/platform/internal/platformjson.cpp
@@ -126,8 +126,9 @@
     try {
       aRead(entry);
     } catch (const std::exception& error) {
-      rejected.push_back({ NameOrEmpty(entry, aNameField),
-                           std::string(error.what(), 0, kMaxReasonBytes) });
+      rejected.push_back(
+        { NameOrEmpty(entry, aNameField),
+          std::string(error.what()).substr(0, kMaxReasonBytes) });
     }
   }
   return rejected;
--- a/src/platform/internal/platformjson.h
+++ b/src/platform/internal/platformjson.h
@@ -3,6 +3,7 @@
 #include "decision/decisiontypes.h"
 
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hemlockgauge::platform {
@@ -13,7 +14,10 @@
   std::string name; //!< empty if the entry has no valid name
   std::string reason;
 
-  auto operator<=>(const RejectedEntry&) const = default;
+  bool operator<(const RejectedEntry& aOther) const
+  {
+    return std::tie(name, reason) < std::tie(aOther.name, aOther.reason);
+  }
 };
 
 struct DocumentList
--- a/src/platform/tests/platformjsontests.cpp
+++ b/src/platform/tests/platformjsontests.cpp
@@ -116,6 +116,7 @@
     const auto rejected = ParseHostList(HostsAround(entry)).rejected;
     cr_assert(rejected.size() == 1);
     cr_assert(rejected[0].name.size() < kMaxLoggedBytes);
+    cr_assert(!rejected[0].reason.empty());
     cr_assert(rejected[0].reason.size() < kMaxLoggedBytes);
   }
 }
