A resumed run without events does not complete a stream either

Callers got streams that end as whole before their last event (ORDER). Cause: a resumed run might end without an event by an explicit end. A response that was never a run looks the same. Change: each run must bring an event that the caller does not have. Ruled out: believing a second upstream that says the same, as most routes allow no third attempt. Cost: a stream that is cut between its last event and its end stays cut; its caller has all events.

--- a/src/gateway/eventstreamfilter.h
+++ b/src/gateway/eventstreamfilter.h
@@ -38,11 +38,6 @@
   std::size_t PendingBytes() const { return m_pending.capacity(); }
   //! Id of the last event that the caller has; 0 if it has none.
   std::uint64_t LastId() const { return m_lastId; }
-  //! Whether the run has only repeated events, and not all that the caller has.
-  bool IsBehindCaller() const
-  {
-    return m_lastIdOfRun && *m_lastIdOfRun < m_lastId;
-  }
   //! Number of events passed on.
   std::size_t EventCount() const { return m_eventCount; }
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -288,7 +288,8 @@
     AttemptFailed(Verdict::MayHaveRun, "stream ended inside an event");
     return;
   }
-  if (IsStream() && !m_hasPassedEvents && !MayEndWithoutEvents()) {
+  //! NOTE a resumed run without events may also be one that never was.
+  if (IsStream() && !m_hasPassedEvents) {
     EndAttempt(AttemptOutcome::Broken);
     AttemptFailed(Verdict::MayHaveRun, "stream without events");
     return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -166,8 +166,6 @@
   bool ExpectsStream() const;
   //! Whether the response is one.
   bool IsStream() const;
-  //! Whether the response is complete although its run made no event.
-  bool MayEndWithoutEvents() const;
   //! Id of the last event that the caller has, from this or an earlier request.
   std::optional<std::string> LastEventId() const;
   void RelayStreamBytes(std::string_view aBytes);
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -33,15 +33,6 @@
   return m_response.IsSuccess() && ExpectsStream();
 }
 
-//! A stream may have been cut between its last event and its end, which is then
-//! all that a resumed run sends.
-bool
-Exchange::MayEndWithoutEvents() const
-{
-  return m_streamFilter.LastId() > 0 && !m_endedByClose &&
-         !m_streamFilter.IsBehindCaller();
-}
-
 std::optional<std::string>
 Exchange::LastEventId() const
 {
