A connection that is not read does not show that its upstream serves

Cause: a connection whose reading is paused for a slow caller never notices its upstream's end, and a check that was refused took it for an established one. Change: only connections that are read count.

--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -69,7 +69,7 @@
     m_connections.begin(), m_connections.end(), [&](const auto& aEntry) {
       const auto& connection = *aEntry.second.connection;
       return aEntry.second.upstream == aUpstream && connection.IsOpen() &&
-             !connection.IsConnecting();
+             !connection.IsConnecting() && connection.IsReading();
     });
 }
 
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -44,7 +44,8 @@
 
   //! Number of open connections, in use or idle.
   std::size_t OpenCount() const { return m_connections.size(); }
-  //! Whether any connection to that upstream is established, in use or idle.
+  //! Whether any connection to that upstream is established, in use or idle,
+  //! and its end would have been noticed.
   bool HasEstablished(base::UpstreamId aUpstream) const;
   //! Number of connections opened since the start.
   std::uint64_t TotalOpened() const { return m_totalOpened; }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -95,6 +95,10 @@
 
   bool IsConnecting() const { return m_state == State::Connecting; }
   bool IsOpen() const { return m_state != State::Closed; }
+  //! Whether the peer accepted the connection, also if it reset it at once.
+  bool WasAccepted() const { return m_wasAccepted; }
+  //! Whether the end of the connection would be noticed.
+  bool IsReading() const { return m_reading; }
   bool HasSentBytes() const { return m_requestBytesSent; }
   //! Whether the last response had neither a length nor chunks, so that the end
   //! of the connection ended it.
