An upstream that accepts a connection and resets it serves

Whole responses became 502. Cause: an upstream over its connections resets further ones, and the check of an end took that for a crash or for unknown. Change: an accepted connection shows that the upstream serves; a refused one does not.

--- a/src/gateway/internal/upstreamchecks.cpp
+++ b/src/gateway/internal/upstreamchecks.cpp
@@ -92,16 +92,18 @@
   if (found == m_checks.end()) {
     return;
   }
-  const bool hasOpenConnections = m_pool.HasEstablished(found->second.upstream);
-  Finish(aConnection,
-         hasOpenConnections ? CheckResult::Alive : CheckResult::Crashed);
+  const bool serves =
+    aConnection.WasAccepted() || m_pool.HasEstablished(found->second.upstream);
+  Finish(aConnection, serves ? CheckResult::Alive : CheckResult::Crashed);
 }
 
+//! An upstream that accepts a connection serves, also if it closes it at once,
+//! as those do that have too many.
 void
 UpstreamChecks::OnIdleClosed(http::ClientConnection& aConnection)
 {
   m_pool.Discard(aConnection);
-  Finish(aConnection, CheckResult::Unknown);
+  Finish(aConnection, CheckResult::Alive);
 }
 
 }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -170,6 +170,7 @@
     int error = 0;
     int size = sizeof(error);
     m_stream.get_option(SOL_SOCKET, SO_ERROR, &error, &size);
+    m_wasAccepted = error == 0 || error == ECONNRESET;
     if (error != 0 || (aEvents & (EPOLLERR | EPOLLHUP)) != 0) {
       Fail(ClientFailure::NotConnected);
       return;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -171,6 +171,7 @@
   bool m_registered = false;
   bool m_reading = true;
   bool m_isHead = false;
+  bool m_wasAccepted = false;
   bool m_requestBytesSent = false;
   bool m_answerKeepAlive = true;
   bool m_answerEndsByClose = false;
