Stream messages are read at any alignment

Cause: the verifier of FlatBuffers does not check the alignment of structs in a vector, so a damaged message makes the decoder read misaligned records: no effect on the machines in use, but undefined. Change: each record is copied before it is read.

--- a/src/gateway/internal/streammessagecodec.cpp
+++ b/src/gateway/internal/streammessagecodec.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <limits>
 
+#include <cstring>
+
 namespace hemlockgauge::gateway {
 
 namespace fb = hemlockgauge::wire::fb;
@@ -70,11 +72,17 @@
   fleet::StreamMessage message;
   message.kind = static_cast<fleet::StreamMessageKind>(wire->kind());
   if (wire->records() != nullptr) {
-    for (const auto* record : *wire->records()) {
-      message.records.push_back({ fleet::StreamId(record->stream()),
-                                  fleet::VersionId(record->version()),
-                                  base::Duration(record->age_ms()),
-                                  base::Duration(record->lifetime_ms()) });
+    const auto* records = wire->records();
+    for (flatbuffers::uoffset_t i = 0; i < records->size(); ++i) {
+      //! NOTE the verifier does not check the alignment of the vector's
+      //! structs.
+      fb::StreamRecord record;
+      std::memcpy(
+        &record, records->Data() + i * sizeof(record), sizeof(record));
+      message.records.push_back({ fleet::StreamId(record.stream()),
+                                  fleet::VersionId(record.version()),
+                                  base::Duration(record.age_ms()),
+                                  base::Duration(record.lifetime_ms()) });
     }
   }
   return message;
