--- a/src/http/eventfields.cpp
+++ b/src/http/eventfields.cpp
@@ -128,9 +128,9 @@
     if (!field) {
       return std::nullopt;
     }
-    const bool isKnown =
-      TakeField(*field, kIdField, fields.id, fields.hasSeveralIds) ||
+    if (!TakeField(*field, kIdField, fields.id, fields.hasSeveralIds)) {
       TakeField(*field, kTypeField, fields.type, fields.hasSeveralTypes);
+    }
     fields.hasData = fields.hasData || field->name == kDataField;
   }
   return fields;
