--- a/src/gateway/endchecks.h
+++ b/src/gateway/endchecks.h
@@ -12,8 +12,9 @@
 
 class UpstreamChecks;
 
-//! Readers that wait for a check, which begins a little after the end of their
-//! response: a process that ends closes its connections one by one.
+//! Exchanges that wait for a check of their upstream. It begins a little after
+//! the end of the response, as a process that ends closes its connections one
+//! by one, and its listening socket maybe last.
 class EndChecks : public IEndChecks
 {
 public:
--- a/src/gateway/upstreamchecks.h
+++ b/src/gateway/upstreamchecks.h
@@ -24,7 +24,7 @@
 
   UpstreamChecks(UpstreamPool& aPool, OnResult aOnResult);
 
-  //! Nothing if the upstream is being checked.
+  //! Does nothing if a check of the upstream is running.
   void Begin(base::UpstreamId aUpstream,
              const base::Address& aAddress,
              base::TimePoint aNow);
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -97,7 +97,7 @@
   bool IsOpen() const { return m_state != State::Closed; }
   //! Whether the peer accepted the connection, also if it reset it at once.
   bool WasAccepted() const { return m_wasAccepted; }
-  //! Whether the end of the connection would be noticed.
+  //! Whether it is read; otherwise the peer's close is not noticed.
   bool IsReading() const { return m_reading; }
   bool HasSentBytes() const { return m_requestBytesSent; }
   //! Whether the last response had neither a length nor chunks, so that the end
