--- a/src/soak/routerprocess.cpp
+++ b/src/soak/routerprocess.cpp
@@ -4,9 +4,13 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
+#include <string_view>
 #include <sys/wait.h>
+#include <system_error>
 #include <unistd.h>
 
 extern char** environ;
@@ -70,6 +74,30 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t
+RouterProcess::PeakResidentBytes() const
+{
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::size_t kKilobyte = 1024;
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+  std::string word;
+  while (file >> word && word != kField) {
+  }
+  std::size_t kilobytes = 0;
+  file >> kilobytes;
+  return kilobytes * kKilobyte;
+}
+
+std::size_t
+RouterProcess::OpenDescriptors() const
+{
+  std::error_code error;
+  const std::filesystem::directory_iterator descriptors(
+    "/proc/" + std::to_string(m_pid) + "/fd", error);
+  return static_cast<std::size_t>(
+    std::distance(begin(descriptors), end(descriptors)));
+}
+
 bool
 RouterProcess::HasEnded(int& aExitStatus)
 {
--- a/src/soak/routerprocess.h
+++ b/src/soak/routerprocess.h
@@ -25,6 +25,11 @@
   bool HasEnded(int& aExitStatus);
   //! Resident memory in bytes; 0 if it is not running.
   std::size_t ResidentBytes() const;
+  //! The most resident memory since its start, in bytes; 0 if it is not
+  //! running.
+  std::size_t PeakResidentBytes() const;
+  //! Number of its open file descriptors; 0 if it is not running.
+  std::size_t OpenDescriptors() const;
   bool IsRunning() const { return m_pid > 0; }
 
 private:
--- /dev/null
+++ b/src/soak/tests/crowdtests.cpp
@@ -0,0 +1,183 @@
+#include "soak/tests/crowdfixture.h"
+
+//! Crowds of callers, and upstreams, that stay within the size limits but cost
+//! a router more than usual ones. No process may end or hang, or use more
+//! memory or descriptors than its host has.
+using namespace hemlockgauge;
+using namespace hemlockgauge::soak;
+using standins::UpstreamFault;
+
+namespace {
+
+//! Faults of the responses to the crowd; ordinary requests get none.
+standins::UpstreamStandin::FaultSelector
+ForCrowd(UpstreamFault aFault)
+{
+  return [aFault](const standins::UpstreamRun& aRun) {
+    return aRun.requestId.starts_with("odd") ? aFault : UpstreamFault::None;
+  };
+}
+
+//! A crowd whose requests are answered, if they are whole.
+void
+ExpectBearsCrowd(std::uint16_t aPort,
+                 OddRequest aKind,
+                 const std::string& aPath = "/safe/x",
+                 UpstreamFault aFault = UpstreamFault::None,
+                 Reading aReading = Reading::On)
+{
+  CrowdFixture fixture(aPort);
+  fixture.AddRoomyUpstream("i-1", 20).SetFaultSelector(ForCrowd(aFault));
+  fixture.AddRoomyUpstream("i-2", 21).SetFaultSelector(ForCrowd(aFault));
+  fixture.AddRoomyUpstream("i-3", 22, true).SetFaultSelector(ForCrowd(aFault));
+  fixture.StartProcess();
+  fixture.SendCrowd(aKind, fixture.Odd(aPath), aReading);
+  fixture.ExpectSound();
+}
+
+}
+
+TestSuite(crowd, .fini = EndRouterProcess);
+
+Test(crowd, UnfinishedHeadsOfShortFieldsFillNoMemory)
+{
+  ExpectBearsCrowd(26200, OddRequest::UnfinishedHead);
+}
+
+Test(crowd, HeadsOfShortFieldsBeforeABodyFillNoMemory)
+{
+  ExpectBearsCrowd(26240, OddRequest::UnfinishedBody);
+}
+
+Test(crowd, RequestsOfShortFieldsAtSlowUpstreamsFillNoMemory)
+{
+  ExpectBearsCrowd(
+    26280, OddRequest::ShortFieldsByLf, "/safe/x", UpstreamFault::Mute);
+}
+
+Test(crowd, RequestsOfShortFieldsFillNoMemory)
+{
+  ExpectBearsCrowd(26320, OddRequest::ShortFields);
+}
+
+Test(crowd, RequestsOfMediumFieldsAtSlowUpstreamsFillNoMemory)
+{
+  ExpectBearsCrowd(
+    26360, OddRequest::MediumFields, "/safe/x", UpstreamFault::Mute);
+}
+
+Test(crowd, FoldedFieldsFillNoMemory)
+{
+  ExpectBearsCrowd(26400, OddRequest::FoldedFields);
+}
+
+Test(crowd, LongIdsAtSlowUpstreamsFillNoMemory)
+{
+  ExpectBearsCrowd(26440, OddRequest::LongId, "/safe/x", UpstreamFault::Mute);
+}
+
+Test(crowd, LongTargetsAtSlowUpstreamsFillNoMemory)
+{
+  ExpectBearsCrowd(
+    26480, OddRequest::LongTarget, "/safe/x", UpstreamFault::Mute);
+}
+
+//! What is learned of prompt parts is kept after their requests have ended.
+Test(crowd, PromptPartsFillNoMemory)
+{
+  constexpr int kCrowds = 4;
+  CrowdFixture fixture(26520);
+  fixture.AddRoomyUpstream("i-1", 20);
+  fixture.AddRoomyUpstream("i-2", 21, true);
+  fixture.StartProcess();
+  for (int i = 0; i < kCrowds; ++i) {
+    fixture.SendCrowd(OddRequest::PromptParts, fixture.Odd("/stream/x"));
+    fixture.crowd.clear();
+  }
+  fixture.ExpectSound();
+}
+
+//! The names in Connection must not be sought once for each field.
+Test(crowd, NamesInConnectionHoldUpNobody)
+{
+  ExpectBearsCrowd(26560, OddRequest::ConnectionList);
+}
+
+Test(crowd, ChunksOfOneByteFillNoMemory)
+{
+  ExpectBearsCrowd(26600, OddRequest::UnfinishedChunks);
+}
+
+Test(crowd, PipelinedRequestsHoldUpNobody)
+{
+  ExpectBearsCrowd(26640, OddRequest::PipelinedRefusals);
+}
+
+Test(crowd, PipelinedRequestsBehindASlowOneFillNoMemory)
+{
+  ExpectBearsCrowd(
+    26680, OddRequest::PipelinedReadAhead, "/safe/x", UpstreamFault::Mute);
+}
+
+Test(crowd, SilentConnectionsKeepNobodyOut)
+{
+  ExpectBearsCrowd(26720, OddRequest::Silent);
+}
+
+Test(crowd, UnfinishedHeadsOfUpstreamsFillNoMemory)
+{
+  ExpectBearsCrowd(
+    26760, OddRequest::LongTarget, "/safe/x", UpstreamFault::StalledHead);
+}
+
+Test(crowd, LargeHeadsOfUpstreamsToCallersThatDoNotReadFillNoMemory)
+{
+  ExpectBearsCrowd(26800,
+                   OddRequest::MediumFields,
+                   "/safe/x",
+                   UpstreamFault::LargeHead,
+                   Reading::Off);
+}
+
+Test(crowd, LargeBodiesToCallersThatDoNotReadFillNoMemory)
+{
+  ExpectBearsCrowd(26840,
+                   OddRequest::MediumFields,
+                   "/safe/x",
+                   UpstreamFault::LargeBody,
+                   Reading::Off);
+}
+
+Test(crowd, UnfinishedEventsFillNoMemory)
+{
+  CrowdFixture fixture(26880);
+  fixture.AddRoomyUpstream("i-1", 20);
+  fixture.AddRoomyUpstream("i-2", 21, true)
+    .SetFaultSelector(ForCrowd(UpstreamFault::StalledEvent));
+  fixture.StartProcess();
+  for (std::size_t i = 0; i < kCrowdSize; ++i) {
+    platformadapter::TestRequest request;
+    request.path = "/stream/x";
+    request.id = fmt::format("odd-{}", i);
+    request.extra = "Hemlockgauge-Token-Count: 3,3\r\n";
+    fixture.AddCaller(request.Text());
+    fixture.loop.RunOnce();
+  }
+  fixture.RunFor(1000);
+  fixture.ExpectSound();
+}
+
+//! An answer whose caller does not read it must not keep its connection open
+//! for good.
+Test(crowd, CallersThatNeverReadDoNotKeepConnections)
+{
+  CrowdFixture fixture(26920);
+  fixture.PutCrowdConfig(500);
+  fixture.AddRoomyUpstream("i-1", 20).SetFaultSelector(
+    ForCrowd(UpstreamFault::LargeBody));
+  fixture.StartProcess();
+  fixture.SendCrowd(OddRequest::LongTarget, fixture.Odd(), Reading::Off);
+  fixture.RunUntil(
+    [&] { return process->OpenDescriptors() <= kOwnDescriptors; });
+  fixture.ExpectSound();
+}
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -21,6 +21,10 @@
 //! Bytes without end are sent whenever fewer than this are waiting to be sent.
 constexpr std::size_t kEndlessBytesAhead = 262144;
 constexpr std::size_t kEndlessPieceBytes = 16384;
+//! Sizes below the limits of 64 KiB for heads and events.
+constexpr std::size_t kLargeHeadBytes = 60000;
+constexpr std::size_t kStalledEventBytes = 60000;
+constexpr std::size_t kLargeBodyBytes = 204800;
 constexpr std::array<std::string_view, 6> kRouterOnlyFields{
   "Hemlockgauge-Retention",
   "Hemlockgauge-Pin-Ms",
@@ -53,7 +57,8 @@
 bool
 IsEndless(UpstreamFault aFault)
 {
-  return aFault >= UpstreamFault::EndlessHead;
+  return aFault >= UpstreamFault::EndlessHead &&
+         aFault <= UpstreamFault::EndlessForeign;
 }
 
 //! What a response of this fault consists of, over and over.
@@ -103,6 +108,7 @@
     m_connections.Add(aStream);
   })
 {
+  m_limits.maxHeadBytes = aSettings.maxHeadBytes;
   m_loop.SchedulePeriodic(kTickInterval, [this] { Tick(); });
 }
 
@@ -331,6 +337,13 @@
     case UpstreamFault::CutShort:
       SendCutShort(aWork);
       return true;
+    case UpstreamFault::StalledHead:
+    case UpstreamFault::StalledEvent:
+      if (!aWork.headSent) {
+        aWork.headSent = true;
+        BeginStalled(aWork);
+      }
+      return false;
     default:
       break;
   }
@@ -341,6 +354,32 @@
   return aWork.events > 0 ? AdvanceStream(aWork) : AdvancePlain(aWork);
 }
 
+//! Header fields of four bytes each.
+std::string
+UpstreamStandin::LargeHeadText(const Work& aWork) const
+{
+  auto text = ResponseHead(aWork, 200);
+  while (text.size() < kLargeHeadBytes) {
+    text += "a:\r\n";
+  }
+  return text;
+}
+
+void
+UpstreamStandin::BeginStalled(const Work& aWork)
+{
+  auto& connection = *aWork.connection;
+  if (aWork.fault == UpstreamFault::StalledHead) {
+    // The line end that follows is that of the last field, not of the head.
+    const auto head = LargeHeadText(aWork);
+    connection.BeginAnswer(head.substr(0, head.size() - 2),
+                           Framing::UntilClose);
+    return;
+  }
+  connection.BeginAnswer(ResponseHead(aWork, 200), Framing::Chunked);
+  connection.Write("id: 1\ndata: " + std::string(kStalledEventBytes, 'd'));
+}
+
 void
 UpstreamStandin::BeginEndless(const Work& aWork)
 {
@@ -416,7 +455,10 @@
 UpstreamStandin::AdvancePlain(Work& aWork)
 {
   auto& connection = *aWork.connection;
-  const auto body = AnswerText(aWork.run->requestId, 0);
+  auto body = AnswerText(aWork.run->requestId, 0);
+  if (aWork.fault == UpstreamFault::LargeBody) {
+    body.resize(kLargeBodyBytes, 'b');
+  }
   const auto other = "HTTP/1.1 200 OK\r\nHemlockgauge-Attempt-Id: other\r\n"
                      "Hemlockgauge-Response-Seal: x\r\nContent-Length: 5\r\n"
                      "\r\nother";
@@ -441,7 +483,9 @@
     connection.Abort();
     return true;
   }
-  auto bytes = ResponseHead(aWork, 200);
+  auto bytes = aWork.fault == UpstreamFault::LargeHead
+                 ? LargeHeadText(aWork)
+                 : ResponseHead(aWork, 200);
   http::AppendNumberField(bytes, "Content-Length", body.size());
   if (aWork.fault == UpstreamFault::ForeignAnswer) {
     bytes = other + bytes;
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -53,7 +53,13 @@
   EndlessInterim, //!< interim responses
   EndlessBody,    //!< a body; of a stream, one event
   EndlessRefusal, //!< the body of a response that says "not run"
-  EndlessForeign  //!< the body of another request's response
+  EndlessForeign, //!< the body of another request's response
+  // The following send bytes and then nothing until the peer closes.
+  StalledHead,  //!< short header fields, the head has no end
+  StalledEvent, //!< a stream's first event, without its end
+  // The following are whole, but large.
+  LargeHead, //!< an answer with many short header fields
+  LargeBody  //!< a plain answer with a body of some hundred kilobytes
 };
 inline constexpr auto kUpstreamFaultNames =
   base::MakeEnumNames<UpstreamFault>("none",
@@ -80,7 +86,11 @@
                                      "endless-interim",
                                      "endless-body",
                                      "endless-refusal",
-                                     "endless-foreign");
+                                     "endless-foreign",
+                                     "stalled-head",
+                                     "stalled-event",
+                                     "large-head",
+                                     "large-body");
 
 //! The bytes of a spoiled stream and the event of a run before which they come;
 //! a later one than its last: at its end.
@@ -119,6 +129,8 @@
   std::uint32_t slots = 8;
   bool isEngine = false;
   base::Duration workTime{ 5 }; //!< to the first byte, and per event
+  //! Routers add fields to the heads of their callers.
+  std::size_t maxHeadBytes = 65536;
   //! While cold, the upstream crashes if it receives more requests than this
   //! within one second; 0: no limit.
   std::uint32_t coldLimit = 0;
@@ -226,6 +238,8 @@
   bool Advance(Work& aWork);
   bool AdvancePlain(Work& aWork);
   void SendCutShort(const Work& aWork);
+  void BeginStalled(const Work& aWork);
+  std::string LargeHeadText(const Work& aWork) const;
   bool AdvanceStream(Work& aWork);
   void BeginStream(Work& aWork);
   void SendSpoil(Work& aWork);
