Header fields take no more memory than the bytes they were read from

What callers saw: routers that ended, with all requests in them, when callers sent requests of legal size made of very many short or odd header lines.

Cause: each field was kept as two std::string in a vector that doubles: 64 bytes, or 128, for a line of 4, while the head is read, while its body is awaited, and while the request is at an upstream.

Change: http::HeaderList keeps all fields in one text, "NAME:VALUE\n" each, which is never longer than the lines that it was read from; fields are views into it. Names and values are checked as they arrive, so a delimiter can't get into the text. Tests that wrote into the vector build lists instead; they check the same.

Why it works: what a head holds is bounded by its size on the wire, which the configuration limits, and not by the number of its fields.

--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace hemlockgauge::gateway {
 
@@ -35,7 +34,7 @@
   fleet::Work work;
   //! Header fields forwarded unchanged: without hop-by-hop fields and those
   //! that the router sets.
-  std::vector<http::HeaderField> forwardedHeaders;
+  http::HeaderList forwardedHeaders;
   std::string body;
   bool hasBody = false;
 
@@ -79,7 +78,7 @@
   std::optional<fleet::StatedLoad> load;
   //! The stated load as received, if it is malformed.
   std::optional<std::string> malformedLoad;
-  std::vector<http::HeaderField> forwardedHeaders; //!< forwarded unchanged
+  http::HeaderList forwardedHeaders; //!< forwarded unchanged
 
   //! Whether the request ran nowhere and may be sent to another upstream.
   bool IsRefusal() const { return notRun || misdirected; }
--- a/src/gateway/internal/exchangewaiting.cpp
+++ b/src/gateway/internal/exchangewaiting.cpp
@@ -40,11 +40,8 @@
 std::size_t
 Exchange::HeldBytes() const
 {
-  auto bytes = m_request.target.size() + m_request.body.size();
-  for (const auto& field : m_request.forwardedHeaders) {
-    bytes += field.name.size() + field.value.size();
-  }
-  return bytes;
+  return m_request.target.capacity() + m_request.body.capacity() +
+         m_request.forwardedHeaders.HeldBytes();
 }
 
 void
--- a/src/http/httptypes.cpp
+++ b/src/http/httptypes.cpp
@@ -57,27 +57,6 @@
   return false;
 }
 
-const std::string*
-HeaderList::Find(std::string_view aName) const
-{
-  for (const auto& field : fields) {
-    if (EqualsIgnoreCase(field.name, aName)) {
-      return &field.value;
-    }
-  }
-  return nullptr;
-}
-
-std::size_t
-HeaderList::CountFields(std::string_view aName) const
-{
-  std::size_t count = 0;
-  for (const auto& field : fields) {
-    count += EqualsIgnoreCase(field.name, aName) ? 1 : 0;
-  }
-  return count;
-}
-
 void
 AppendStatusLine(std::string& aOut, int aStatus, std::string_view aReason)
 {
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -1,31 +1,15 @@
 #pragma once
 
 #include "base/enumnames.h"
+#include "http/headerlist.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace hemlockgauge::http {
 
-struct HeaderField
-{
-  std::string name;
-  std::string value;
-};
-
-//! Header fields in the order received. Names are case-insensitive.
-struct HeaderList
-{
-  std::vector<HeaderField> fields;
-
-  //! The value of the first field with this name; null if there is none.
-  const std::string* Find(std::string_view aName) const;
-  std::size_t CountFields(std::string_view aName) const;
-};
-
 //! Whether two texts, such as field names, are equal ignoring case.
 bool
 EqualsIgnoreCase(std::string_view aFirst, std::string_view aSecond);
--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -26,21 +26,22 @@
            std::string_view::npos;
 }
 
-//! Whether a field has a valid name and value. http_parser accepts blanks in
-//! names and control characters in values; if forwarded, the next hop could
-//! interpret them differently (request smuggling).
+//! Whether a name or value holds valid characters only. http_parser accepts
+//! blanks in names and control characters in values; if forwarded, the next hop
+//! could interpret them differently (request smuggling).
 bool
-IsValidField(const HeaderField& aField)
+IsValidName(std::string_view aBytes)
 {
-  const bool validName =
-    !aField.name.empty() &&
-    std::all_of(aField.name.begin(), aField.name.end(), IsTokenChar);
-  const bool validValue =
-    std::none_of(aField.value.begin(), aField.value.end(), [](char aChar) {
-      const auto code = static_cast<unsigned char>(aChar);
-      return (code < ' ' && aChar != '\t') || code == 0x7f;
-    });
-  return validName && validValue;
+  return std::all_of(aBytes.begin(), aBytes.end(), IsTokenChar);
+}
+
+bool
+IsValidValue(std::string_view aBytes)
+{
+  return std::none_of(aBytes.begin(), aBytes.end(), [](char aChar) {
+    const auto code = static_cast<unsigned char>(aChar);
+    return (code < ' ' && aChar != '\t') || code == 0x7f;
+  });
 }
 
 MessageReader&
@@ -87,9 +88,11 @@
   m_started = false;
   m_hasHead = false;
   m_ended = false;
+  m_inName = false;
   m_inValue = false;
-  m_startText.clear();
-  m_headers.fields.clear();
+  m_hasInvalidField = false;
+  std::string().swap(m_startText);
+  m_headers.Clear();
 }
 
 template<typename Call>
@@ -179,11 +182,11 @@
   if (self.m_hasHead) {
     return 0; // trailers after a chunked body are not forwarded
   }
-  if (self.m_inValue || self.m_headers.fields.empty()) {
-    self.m_headers.fields.emplace_back();
-    self.m_inValue = false;
-  }
-  self.m_headers.fields.back().name.append(aData, aSize);
+  self.EndField();
+  const std::string_view bytes(aData, aSize);
+  self.m_inName = self.m_inName || !bytes.empty();
+  self.m_hasInvalidField = self.m_hasInvalidField || !IsValidName(bytes);
+  self.m_headers.AppendToName(bytes);
   return 0;
 }
 
@@ -196,11 +199,27 @@
   if (self.m_hasHead) {
     return 0;
   }
-  self.m_inValue = true;
-  self.m_headers.fields.back().value.append(aData, aSize);
+  if (!self.m_inValue) {
+    self.m_hasInvalidField = self.m_hasInvalidField || !self.m_inName;
+    self.m_headers.EndName();
+    self.m_inName = false;
+    self.m_inValue = true;
+  }
+  const std::string_view bytes(aData, aSize);
+  self.m_hasInvalidField = self.m_hasInvalidField || !IsValidValue(bytes);
+  self.m_headers.AppendToValue(bytes);
   return 0;
 }
 
+void
+MessageReader::EndField()
+{
+  if (m_inValue) {
+    m_headers.EndField();
+    m_inValue = false;
+  }
+}
+
 int
 MessageReader::OnHeadEnd(http_parser* aParser)
 {
@@ -257,7 +276,7 @@
 MessageReader::HeadBytes() const
 {
   std::size_t bytes = m_startText.size();
-  for (const auto& field : m_headers.fields) {
+  for (const auto& field : m_headers) {
     bytes += field.name.size() + field.value.size() + kFieldOverhead;
   }
   return bytes;
@@ -267,8 +286,8 @@
 MessageReader::EndHead()
 {
   m_hasHead = true;
-  const auto& fields = m_headers.fields;
-  if (!std::all_of(fields.begin(), fields.end(), IsValidField)) {
+  EndField();
+  if (m_hasInvalidField || m_inName) {
     return kRejectHead;
   }
   // A head that arrives in one piece has not passed the check in Feed.
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -79,6 +79,7 @@
   std::size_t HeadBytes() const;
   Framing ResponseFraming() const;
   bool HasBodilessStatus() const;
+  void EndField();
 
   IMessageSink& m_sink;
   Side m_side;
@@ -89,7 +90,9 @@
   bool m_started = false;
   bool m_hasHead = false;
   bool m_ended = false;
-  bool m_inValue = false;
+  bool m_inName = false;  //!< part of a field's name was read
+  bool m_inValue = false; //!< a field's name was read, its value may go on
+  bool m_hasInvalidField = false;
   Fault m_fault = Fault::None;
   std::exception_ptr m_error; //!< thrown by a callback of the parser
   std::string m_startText;    //!< request target or response reason
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -1,3 +1,4 @@
+#include "base/error.h"
 #include "eventloop/eventloop.h"
 #include "http/clientconnection.h"
 #include "http/httptypes.h"
@@ -67,6 +68,41 @@
   }
 }
 
+//! A field of four bytes must not take many times as much memory.
+Test(headerlist, ShortFieldsTakeNoMoreMemoryThanTheirBytes)
+{
+  constexpr std::size_t kFields = 4000;
+  std::string text = "GET / HTTP/1.1\r\n";
+  for (std::size_t i = 0; i < kFields; ++i) {
+    text += "a:\r\n";
+  }
+  Recorder recorder;
+  MessageReader reader(MessageReader::Side::Requests, recorder);
+  FeedAll(reader, text + "\r\n", 1000);
+  auto& headers = recorder.request.headers;
+  cr_assert(headers.Size() == kFields);
+  cr_assert(headers.HeldBytes() <= 2 * text.size());
+  headers.RemoveIf(
+    [](const HeaderField& aField) { return aField.value == "x"; });
+  cr_assert(headers.Size() == kFields && headers.HeldBytes() <= text.size());
+  std::string encoded;
+  AppendFields(encoded, headers);
+  cr_assert(encoded.size() == headers.EncodedBytes());
+}
+
+Test(headerlist, KeepsFieldsAsTheyWereAdded)
+{
+  HeaderList list{ { "Host", "h" }, { "X-One", "" }, { "x-one", "a:b" } };
+  cr_assert(list.Size() == 3 && list.CountFields("X-ONE") == 2);
+  cr_assert(list.Find("x-one") == "" && !list.Find("x-two"));
+  list.RemoveIf([](const HeaderField& aField) { return aField.value.empty(); });
+  cr_assert(list.Size() == 2 && list.Find("X-One") == "a:b");
+  cr_assert_throw(list.Add("a:b", ""), base::Error);
+  cr_assert_throw(list.Add("a", "b\nc:d"), base::Error);
+  list.Clear();
+  cr_assert(list.IsEmpty() && list.begin() == list.end());
+}
+
 Test(messagereader, StopsAfterOneRequest)
 {
   Recorder recorder;
--- a/src/soak/soakcaller.cpp
+++ b/src/soak/soakcaller.cpp
@@ -265,9 +265,9 @@
                             isOwnResponse,
                             m_id + " got the response to " + id);
   if (m_events > 0 && m_status == 200) {
-    const auto* type = aHead.headers.Find("Content-Type");
+    const auto type = aHead.headers.Find("Content-Type");
     m_shared.guarantees.Check(Guarantee::CompleteResponse,
-                              type != nullptr && *type == "text/event-stream",
+                              type == "text/event-stream",
                               m_id + " got a response that is no event stream");
   }
   if (standins::ResponseSaysLeaving(aHead.headers)) {
--- a/standins/platformtext.cpp
+++ b/standins/platformtext.cpp
@@ -36,21 +36,20 @@
 std::string
 ResponseAttemptId(const http::HeaderList& aHeaders)
 {
-  const auto* id = aHeaders.Find("Hemlockgauge-Attempt-Id");
-  return id == nullptr ? std::string() : *id;
+  return std::string(aHeaders.Find("Hemlockgauge-Attempt-Id").value_or(""));
 }
 
 std::string
 ResponseUpstream(const http::HeaderList& aHeaders)
 {
-  const auto* seal = aHeaders.Find("Hemlockgauge-Response-Seal");
-  return seal == nullptr ? std::string() : seal->substr(0, seal->find('/'));
+  const auto seal = aHeaders.Find("Hemlockgauge-Response-Seal").value_or("");
+  return std::string(seal.substr(0, seal.find('/')));
 }
 
 bool
 ResponseSaysLeaving(const http::HeaderList& aHeaders)
 {
-  return aHeaders.Find("Server-Leaving") != nullptr;
+  return aHeaders.Find("Server-Leaving").has_value();
 }
 
 }
--- a/standins/upstreamstandin.cpp
+++ b/standins/upstreamstandin.cpp
@@ -37,8 +37,7 @@
 std::string
 ValueOrEmpty(const http::HeaderList& aHeaders, std::string_view aName)
 {
-  const auto* value = aHeaders.Find(aName);
-  return value == nullptr ? "" : *value;
+  return std::string(aHeaders.Find(aName).value_or(""));
 }
 
 //! Returns the number of events to stream for the token counts
@@ -155,11 +154,11 @@
   run->resumedRequestId = ValueOrEmpty(headers, "Resumes");
   run->promptParts = ValueOrEmpty(headers, "Hemlockgauge-Prefix-Hash");
   run->body = std::move(aBody);
-  run->receivedCallerKey = headers.Find("Authorization") != nullptr;
+  run->receivedCallerKey = headers.Find("Authorization").has_value();
   run->receivedRouterOnlyField =
     std::any_of(kRouterOnlyFields.begin(),
                 kRouterOnlyFields.end(),
-                [&](auto aName) { return headers.Find(aName) != nullptr; });
+                [&](auto aName) { return headers.Find(aName).has_value(); });
   const auto deadline = ValueOrEmpty(headers, "Hemlockgauge-Deadline-Ms");
   run->deadlineMs = deadline.empty() ? -1 : std::stoll(deadline);
   if (ExceedsColdLimit()) {
