A head up to the configured size is accepted, whatever its lines are

What callers saw: 431 for heads inside maxHeaderBytes: 16,182 bytes of lines "a:" against a limit of 16,384.

Cause: MessageReader added four bytes for each field instead of counting what came, and did so after all fields had been built, so a refused head cost its memory first.

Change: the parser gets no more bytes than a head may have; a head that is not complete by then is too large.

Why it works: the bytes that are counted are those that the peer sent, whatever fields they make, and they are counted before they are stored.

--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -14,8 +14,6 @@
 // Results of the on_headers_complete callback of http_parser.
 constexpr int kSkipBody = 1;
 constexpr int kRejectHead = -1;
-//! The bytes of ": " and "\r\n".
-constexpr std::size_t kFieldOverhead = 4;
 
 //! Whether a character may be part of a token (RFC 9110).
 bool
@@ -125,20 +123,34 @@
     return 0;
   }
   m_started = true;
-  const bool wasInHead = !m_hasHead;
-  const auto consumed = Execute(aBytes.data(), aBytes.size());
-  if (wasInHead) {
-    m_headBytes += consumed;
+  if (m_hasHead) {
+    return Parse(aBytes);
   }
-  const auto error = HTTP_PARSER_ERRNO(&m_parser);
-  if (m_fault != Fault::None) {
+  // The parser gets no more bytes than a head may have, so that a longer one is
+  // found before its fields are stored.
+  const auto consumed = Parse(aBytes.substr(0, m_maxHeadBytes - m_headBytes));
+  m_headBytes += consumed;
+  if (m_ended || m_fault != Fault::None) {
+    return consumed;
+  }
+  if (!m_hasHead) {
+    if (m_headBytes >= m_maxHeadBytes) {
+      m_fault = Fault::HeadTooLarge;
+    }
     return consumed;
   }
+  return consumed + Feed(aBytes.substr(consumed));
+}
+
+//! Parses aBytes and sets the fault, if there is one.
+std::size_t
+MessageReader::Parse(std::string_view aBytes)
+{
+  const auto consumed = Execute(aBytes.data(), aBytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&m_parser);
   if (error != HPE_OK && error != HPE_PAUSED) {
     m_fault =
       error == HPE_HEADER_OVERFLOW ? Fault::HeadTooLarge : Fault::Syntax;
-  } else if (!m_hasHead && m_headBytes > m_maxHeadBytes) {
-    m_fault = Fault::HeadTooLarge;
   } else if (m_parser.upgrade != 0) {
     m_fault = Fault::Syntax;
   }
@@ -272,16 +284,6 @@
   return Framing::UntilClose;
 }
 
-std::size_t
-MessageReader::HeadBytes() const
-{
-  std::size_t bytes = m_startText.size();
-  for (const auto& field : m_headers) {
-    bytes += field.name.size() + field.value.size() + kFieldOverhead;
-  }
-  return bytes;
-}
-
 int
 MessageReader::EndHead()
 {
@@ -290,11 +292,6 @@
   if (m_hasInvalidField || m_inName) {
     return kRejectHead;
   }
-  // A head that arrives in one piece has not passed the check in Feed.
-  if (HeadBytes() > m_maxHeadBytes) {
-    m_fault = Fault::HeadTooLarge;
-    return kRejectHead;
-  }
   const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
   const bool keepAlive = http_should_keep_alive(&m_parser) != 0;
   if (m_side == Side::Requests) {
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -50,6 +50,8 @@
   Fault GetFault() const { return m_fault; }
   //! Bytes of the head that is being read.
   std::size_t HeadBytesHeld() const { return m_hasHead ? 0 : m_headBytes; }
+  //! Limits the bytes of a head, its blank line included. Takes effect before
+  //! the first byte of a message.
   void SetMaxHeadBytes(std::size_t aBytes) { m_maxHeadBytes = aBytes; }
 
 private:
@@ -75,8 +77,8 @@
   template<typename Call>
   int CatchInParser(const Call& aCall);
   std::size_t Execute(const char* aBytes, std::size_t aSize);
+  std::size_t Parse(std::string_view aBytes);
   int EndHead();
-  std::size_t HeadBytes() const;
   Framing ResponseFraming() const;
   bool HasBodilessStatus() const;
   void EndField();
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -103,6 +103,36 @@
   cr_assert(list.IsEmpty() && list.begin() == list.end());
 }
 
+//! The limit is one of the bytes that the peer sends, however they arrive and
+//! whatever lines they make.
+Test(messagereader, AHeadOfTheLimitIsAcceptedAndALongerOneRejected)
+{
+  constexpr std::size_t kLimit = 1000;
+  for (const std::string line :
+       { "a:\r\n", "a:\n", "a:   \r\n", "ab: c\r\n" }) {
+    std::string text = "GET /x HTTP/1.1\r\n";
+    while (text.size() + line.size() + 2 <= kLimit) {
+      text += line;
+    }
+    // The spaces before a value are part of the head, but not of the value.
+    text.insert(text.find(':') + 1, kLimit - 2 - text.size(), ' ');
+    text += "\r\n";
+    cr_assert(text.size() == kLimit);
+    for (const std::size_t step : { 1UL, 7UL, 999UL, 1000UL, 5000UL }) {
+      for (const std::size_t limit : { kLimit, kLimit - 1 }) {
+        Recorder recorder;
+        MessageReader reader(MessageReader::Side::Requests, recorder);
+        reader.SetMaxHeadBytes(limit);
+        FeedAll(reader, text, step);
+        const bool fits = limit == kLimit;
+        cr_assert(reader.HasEnded() == fits);
+        cr_assert(reader.GetFault() ==
+                  (fits ? Fault::None : Fault::HeadTooLarge));
+      }
+    }
+  }
+}
+
 Test(messagereader, StopsAfterOneRequest)
 {
   Recorder recorder;
