The buffer budget counts all that a request holds, and refuses what has no room

What callers saw: a router that ended, with all requests in it, before a crowd with large heads, long ids or answers that nobody read.

Cause: the budget counted a head's bytes on the wire while it was read and nothing afterwards; of a request in progress it counted the body alone, and nothing was refused for the rest. A connection that was told to close kept its buffers while it lingered. Read-ahead was limited only once it was exceeded.

Change: a head is counted as what it takes in memory, from its first bytes to the end of its request, with the decoded copies and the exchange itself. A head that does not fit is refused like a body: 503, not run, Retry-After. A request that could not be copied to be sent is refused before an upstream is chosen. What is larger than an ordinary head or body (4 KiB) leaves an eighth of the budget free. Ruled out: refusing at the limit whatever it is (the crowd would keep ordinary callers out); counting the body twice while it is handed over.

Why it works: every byte of a request has a share that is given back when its owner ends, and what would exceed the budget is refused before it is kept.

--- a/src/base/bufferbudget.h
+++ b/src/base/bufferbudget.h
@@ -14,7 +14,7 @@
 enum class BufferUse : std::uint8_t
 {
   CallerInput,    //!< requests that are being read
-  Request,        //!< bodies of requests in progress
+  Request,        //!< requests in progress
   UpstreamOutput, //!< requests that are being sent to upstreams
   UpstreamInput,  //!< responses that can't be passed on yet
   CallerOutput    //!< responses that callers have not read yet
@@ -29,22 +29,27 @@
   static_cast<std::size_t>(BufferUse::CallerOutput) + 1;
 
 //! Counts and limits the bytes that the connections and requests of a process
-//! buffer together. Only the greatest part, bodies, is refused for want of
-//! room; the rest is small for each connection and gets smaller when the budget
-//! is tight.
+//! buffer together. Heads, bodies and what is sent for them are refused for
+//! want of room; the rest is small for each connection and gets smaller when
+//! the budget is tight.
 class BufferBudget
 {
 public:
+  //! Heads and bodies of ordinary requests are no larger.
+  static constexpr std::size_t kOrdinaryBytes = 4096;
   //! Bodies up to this size are small.
   static constexpr std::size_t kSmallBytes = 65536;
 
   void SetLimit(std::size_t aBytes) { m_limit = aBytes; }
   //! Whether aBytes more may be buffered. Large ones leave a quarter of the
-  //! limit to small ones, so that ordinary requests are served beside them.
-  bool Fits(std::size_t aBytes) const
+  //! limit to small ones, and these an eighth to ordinary ones, so that
+  //! ordinary requests are served beside them.
+  bool Fits(std::size_t aBytes) const { return FitsMore(aBytes, aBytes); }
+  //! Whether a buffer that has grown by aMore to aBytes may be kept.
+  bool FitsMore(std::size_t aMore, std::size_t aBytes) const
   {
     const auto limit = LimitFor(aBytes);
-    return m_total <= limit && aBytes <= limit - m_total;
+    return m_total <= limit && aMore <= limit - m_total;
   }
   //! Whether aBytes are ever allowed.
   bool CanFit(std::size_t aBytes) const { return aBytes <= LimitFor(aBytes); }
@@ -70,7 +75,10 @@
   }
   std::size_t LimitFor(std::size_t aBytes) const
   {
-    return aBytes > kSmallBytes ? m_limit / 4 * 3 : m_limit;
+    if (aBytes > kSmallBytes) {
+      return m_limit / 4 * 3;
+    }
+    return aBytes > kOrdinaryBytes ? m_limit / 8 * 7 : m_limit;
   }
 
   std::size_t m_limit = std::numeric_limits<std::size_t>::max();
@@ -102,6 +110,17 @@
     m_budget->Change(m_use, m_bytes, aBytes);
     m_bytes = aBytes;
   }
+  //! Does the same if what is added fits; else returns false and changes
+  //! nothing.
+  bool TrySet(std::size_t aBytes)
+  {
+    const bool fits = m_budget == nullptr || aBytes <= m_bytes ||
+                      m_budget->FitsMore(aBytes - m_bytes, aBytes);
+    if (fits) {
+      Set(aBytes);
+    }
+    return fits;
+  }
 
 private:
   BufferBudget* m_budget;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,9 +37,6 @@
 constexpr base::Duration kIntakeLogInterval = 1000ms;
 //! A longer gap between two fast ticks is logged as a stall of the process.
 constexpr base::Duration kStallLogThreshold = 1000ms;
-//! Retry-After of a request whose body has no room: other bodies are sent on
-//! and freed within a call's time.
-constexpr base::Duration kNoRoomRetryAfter = 300ms;
 //! Part of the memory limit that connections and requests may buffer. The rest
 //! is for what the router knows of the fleet, and for the heap's overhead.
 constexpr double kBufferRatio = 0.4;
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -38,6 +38,16 @@
   std::string body;
   bool hasBody = false;
 
+  //! Memory that it takes beyond this object, in bytes.
+  std::size_t HeldBytes() const
+  {
+    return id.capacity() + method.capacity() + target.capacity() +
+           host.capacity() + apiKey.capacity() + resumedRequestId.capacity() +
+           (lastEventId ? lastEventId->capacity() : 0) +
+           work.prompt.capacity() * sizeof(fleet::PromptPart) +
+           forwardedHeaders.HeldBytes() + body.capacity();
+  }
+
   std::string_view Path() const
   {
     return std::string_view(target).substr(0, target.find('?'));
@@ -92,7 +102,7 @@
   HeadTooLarge,
   BodyTooLarge,
   SlowRequest,
-  NoRoom, //!< its body does not fit beside what the router buffers now
+  NoRoom, //!< it does not fit beside what the router buffers now
   NoSuchRoute,
   UnknownKey,
   NoConfig,      //!< no configuration has been received yet
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -36,6 +36,9 @@
 //! Retry-After of a request that this router can't serve at the moment but that
 //! another router may be able to serve.
 inline constexpr base::Duration kRetryElsewhereDelay{ 100 };
+//! Retry-After of a request for which there is no room: other requests are sent
+//! on and freed within a call's time.
+inline constexpr base::Duration kNoRoomRetryAfter{ 300 };
 
 //! Objects that every exchange uses. They outlive it.
 struct ExchangeDependencies
@@ -149,7 +152,9 @@
   void PlaceInitial();
   void Place(const fleet::PlaceRequest& aRequest);
   bool WaitForRoom(const fleet::PlaceResult& aPlace);
-  std::size_t HeldBytes() const;
+  bool CheckRoom();
+  bool HasRoomToSend() const;
+  void RefuseForRoom();
   void EndWait(WaitEnd aEnd);
   base::Duration WaitedInQueue() const;
   bool UpdateRoute();
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -32,8 +32,8 @@
 Exchange::Start(http::RequestHead&& aHead, std::string&& aBody)
 {
   const bool admitted = Decode(std::move(aHead), std::move(aBody)) &&
-                        CheckRouterState() && FindRoute() && CheckApiKey() &&
-                        CheckLastEventId() && ApplyRoute();
+                        CheckRoom() && CheckRouterState() && FindRoute() &&
+                        CheckApiKey() && CheckLastEventId() && ApplyRoute();
   if (!admitted) {
     return;
   }
@@ -57,13 +57,29 @@
   }
   m_request.hasBody = hasBody;
   m_request.body = std::move(aBody);
-  m_requestShare.Set(m_request.body.capacity());
   if (m_request.deadline) {
     m_deadlineAt = m_arrivedAt + *m_request.deadline;
   }
   return true;
 }
 
+bool
+Exchange::CheckRoom()
+{
+  if (m_requestShare.TrySet(sizeof(Exchange) + m_request.HeldBytes())) {
+    return true;
+  }
+  RefuseForRoom();
+  return false;
+}
+
+void
+Exchange::RefuseForRoom()
+{
+  m_dependencies.metrics.Count("requests_without_room_total");
+  SendLocalReply(Refusal::NoRoom, Verdict::NotRun, kNoRoomRetryAfter);
+}
+
 bool
 Exchange::CheckRouterState()
 {
--- a/src/gateway/internal/exchangeplacement.cpp
+++ b/src/gateway/internal/exchangeplacement.cpp
@@ -68,11 +68,26 @@
   Place(request);
 }
 
+//! Whether the copy of the request that is sent may be buffered until the
+//! upstream has taken it.
+bool
+Exchange::HasRoomToSend() const
+{
+  const auto body = m_request.body.size();
+  return m_dependencies.buffers.Fits(m_request.target.size() +
+                                     m_request.forwardedHeaders.EncodedBytes() +
+                                     (body <= kMaxCopiedBody ? body : 0));
+}
+
 //! Chooses the first upstream, and lets the request wait or refuses it if there
 //! is none.
 void
 Exchange::Place(const fleet::PlaceRequest& aRequest)
 {
+  if (!HasRoomToSend()) {
+    RefuseForRoom();
+    return;
+  }
   const auto place =
     m_dependencies.fleet.Place(aRequest, m_dependencies.loop.Now());
   switch (place.outcome) {
@@ -164,7 +179,7 @@
 bool
 Exchange::PlaceRetry(const fleet::FailedAttempt& aFailed)
 {
-  if (!UpdateRoute()) {
+  if (!UpdateRoute() || !HasRoomToSend()) {
     return false;
   }
   auto request = MakePlaceRequest();
@@ -279,6 +294,7 @@
   m_bytesSent = bytes.size() + body.size();
   const bool isHead = m_request.method == "HEAD";
   if (body.size() <= kMaxCopiedBody) {
+    bytes.reserve(bytes.size() + body.size());
     bytes += body;
     m_upstream->Send(std::move(bytes), isHead);
   } else {
--- a/src/gateway/internal/exchangewaiting.cpp
+++ b/src/gateway/internal/exchangewaiting.cpp
@@ -23,7 +23,7 @@
   request.entitlement = aPlace.Entitlement();
   request.priority = m_config->PriorityOf(*m_route, m_workspace);
   request.giveUpAt = *aPlace.mayWaitUntil;
-  request.bytes = HeldBytes();
+  request.bytes = m_request.HeldBytes();
   if (!m_dependencies.queue.Wait(request, *this)) {
     return false;
   }
@@ -36,14 +36,6 @@
   return true;
 }
 
-//! Bytes that callers can make the router hold for one request.
-std::size_t
-Exchange::HeldBytes() const
-{
-  return m_request.target.capacity() + m_request.body.capacity() +
-         m_request.forwardedHeaders.HeldBytes();
-}
-
 void
 Exchange::OnTurn()
 {
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -36,6 +36,12 @@
   HeaderList headers;
   bool keepAlive = true;
   std::optional<std::uint64_t> length; //!< Content-Length
+
+  //! Memory that it takes, in bytes.
+  std::size_t HeldBytes() const
+  {
+    return target.capacity() + headers.HeldBytes();
+  }
 };
 
 struct ResponseHead
@@ -55,7 +61,7 @@
   Syntax,
   HeadTooLarge,
   BodyTooLarge,
-  NoRoom, //!< its body does not fit beside what is buffered now
+  NoRoom, //!< it does not fit beside what is buffered now
   Timeout //!< the message did not arrive in time
 };
 inline constexpr auto kFaultNames = base::MakeEnumNames<Fault>("none",
--- a/src/http/messagereader.cpp
+++ b/src/http/messagereader.cpp
@@ -89,6 +89,12 @@
   m_inName = false;
   m_inValue = false;
   m_hasInvalidField = false;
+  ReleaseHead();
+}
+
+void
+MessageReader::ReleaseHead()
+{
   std::string().swap(m_startText);
   m_headers.Clear();
 }
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -48,8 +48,13 @@
   bool HasEnded() const { return m_ended; }
   bool HasHead() const { return m_hasHead; }
   Fault GetFault() const { return m_fault; }
-  //! Bytes of the head that is being read.
-  std::size_t HeadBytesHeld() const { return m_hasHead ? 0 : m_headBytes; }
+  //! Memory that the head that is being read takes, in bytes.
+  std::size_t HeldBytes() const
+  {
+    return m_startText.capacity() + m_headers.HeldBytes();
+  }
+  //! Frees that memory. The message can't be read on.
+  void ReleaseHead();
   //! Limits the bytes of a head, its blank line included. Takes effect before
   //! the first byte of a message.
   void SetMaxHeadBytes(std::size_t aBytes) { m_maxHeadBytes = aBytes; }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -73,6 +73,7 @@
   , m_events(aEvents)
   , m_since(aLoop.Now())
   , m_budget(aBudget)
+  , m_headShare(aBudget, base::BufferUse::CallerInput)
   , m_inputShare(aBudget, base::BufferUse::CallerInput)
   , m_outputShare(aBudget, base::BufferUse::CallerOutput)
 {
@@ -93,6 +94,13 @@
   UpdateWatchedEvents();
 }
 
+//! Whether what was read of the head may be kept.
+bool
+ServerConnection::HasRoomForHead()
+{
+  return m_headShare.TrySet(m_reader.HeldBytes() + m_head.HeldBytes());
+}
+
 //! Whether a body may grow to aBytes. Sets the fault that rejects its request
 //! if not.
 bool
@@ -112,8 +120,7 @@
 void
 ServerConnection::CountBuffers()
 {
-  m_inputShare.Set(m_inBuffer.capacity() + m_body.capacity() +
-                   m_reader.HeadBytesHeld());
+  m_inputShare.Set(m_inBuffer.capacity() + m_body.capacity());
   m_outputShare.Set(m_outBuffer.capacity());
 }
 
@@ -126,15 +133,20 @@
          m_closeAfter;
 }
 
+std::size_t
+ServerConnection::MaxReadAhead() const
+{
+  const bool isTight = m_budget != nullptr && m_budget->IsTight();
+  return isTight ? kTightReadAhead : kMaxReadAhead;
+}
+
 void
 ServerConnection::UpdateWatchedEvents()
 {
   if (m_state == State::Closed || (!m_isRegistered && ClosesWithFlush())) {
     return;
   }
-  const bool isTight = m_budget != nullptr && m_budget->IsTight();
-  const auto readAhead = isTight ? kTightReadAhead : kMaxReadAhead;
-  std::uint32_t events = m_inBuffer.size() < readAhead ? EPOLLIN : 0U;
+  std::uint32_t events = m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : 0U;
   events |= UnsentBytes() > 0 ? EPOLLOUT : 0U;
   if (!m_isRegistered) {
     m_isRegistered = true;
@@ -168,7 +180,16 @@
 ServerConnection::Read()
 {
   std::array<char, kReadBytes> buffer;
-  const auto received = m_stream.recv(buffer.data(), buffer.size());
+  auto size = buffer.size();
+  if (m_state == State::Answering) {
+    const auto readAhead = MaxReadAhead();
+    if (m_inBuffer.size() >= readAhead) {
+      UpdateWatchedEvents(); // the budget has become tight since the last one
+      return;
+    }
+    size = std::min(size, readAhead - m_inBuffer.size());
+  }
+  const auto received = m_stream.recv(buffer.data(), size);
   if (received > 0) {
     HandleBytes({ buffer.data(), static_cast<std::size_t>(received) });
     return;
@@ -230,7 +251,9 @@
     }
     const auto consumed = m_reader.Feed(m_inBuffer);
     m_inBuffer.erase(0, consumed);
-    if (m_bodyTooLarge) {
+    if (m_reader.GetFault() == Fault::None && !HasRoomForHead()) {
+      RejectRequest(Fault::NoRoom);
+    } else if (m_bodyTooLarge) {
       RejectRequest(Fault::BodyTooLarge);
     } else if (m_bodyHasNoRoom) {
       RejectRequest(Fault::NoRoom);
@@ -242,7 +265,11 @@
       m_answerBegun = false;
       m_answerEnded = false;
       m_keepAlive = m_head.keepAlive;
+      // From here on the receiver counts the request.
+      m_headShare.Set(0);
+      m_inputShare.Set(m_inBuffer.capacity());
       m_events.OnRequest(*this, std::move(m_head), std::move(m_body));
+      m_head = RequestHead();
       m_body = std::string();
     }
   }
@@ -258,8 +285,11 @@
   m_answerBegun = false;
   m_answerEnded = false;
   m_closeAfter = true;
-  m_inBuffer.clear();
+  std::string().swap(m_inBuffer);
   std::string().swap(m_body);
+  m_head = RequestHead();
+  m_reader.ReleaseHead();
+  m_headShare.Set(0);
   m_events.OnBadRequest(*this, aFault);
 }
 
@@ -395,7 +425,7 @@
   m_stream.close_writer();
   m_state = State::Lingering;
   m_since = m_loop.Now();
-  m_inBuffer.clear();
+  std::string().swap(m_inBuffer);
 }
 
 void
@@ -407,6 +437,7 @@
   m_loop.RemoveBeforeClose(m_stream.get_handle());
   m_stream.close();
   m_state = State::Closed;
+  m_headShare.Set(0);
   m_inputShare.Set(0);
   m_outputShare.Set(0);
 }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -131,7 +131,9 @@
   void HandlePeerGone();
   void UpdateWatchedEvents();
   void CountBuffers();
+  bool HasRoomForHead();
   bool HasRoomForBody(std::size_t aBytes);
+  std::size_t MaxReadAhead() const;
   bool ClosesWithFlush() const;
 
   eventloop::EventLoop& m_loop;
@@ -147,6 +149,7 @@
   std::string m_inBuffer; //!< received but not yet parsed
   std::string m_outBuffer;
   base::BufferBudget* m_budget;
+  base::BufferShare m_headShare;
   base::BufferShare m_inputShare;
   base::BufferShare m_outputShare;
   std::size_t m_sentBytes = 0;
--- a/src/soak/tests/crowdfixture.h
+++ b/src/soak/tests/crowdfixture.h
@@ -162,11 +162,25 @@
   void ExpectSound()
   {
     ExpectWithinLimits();
+    ExpectRefusalsToComeBack();
     crowd.clear();
     ExpectServes();
     ExpectWithinLimits();
   }
 
+  //! Each refusal for want of room or of an upstream says when to come back.
+  void ExpectRefusalsToComeBack() const
+  {
+    for (const auto& caller : crowd) {
+      const auto& head = caller->FirstBytes();
+      const bool isWhole = head.find("\r\n\r\n") != std::string::npos;
+      if (isWhole && head.starts_with("HTTP/1.1 503")) {
+        cr_assert(
+          head.find("Retry-After: ") != std::string::npos, "%s", head.c_str());
+      }
+    }
+  }
+
   //! A refusal asks the caller to come back, so an ordinary request may be sent
   //! again.
   void ExpectServes()
