--- a/src/http/httptypes.cpp
+++ b/src/http/httptypes.cpp
@@ -1,5 +1,6 @@
 #include "http/httptypes.h"
 
+#include <algorithm>
 #include <charconv>
 #include <strings.h>
 
@@ -43,18 +44,23 @@
 
 bool
 ListContains(std::string_view aList, std::string_view aWord)
+{
+  bool contains = false;
+  ForEachListItem(aList, [&](std::string_view aItem) {
+    contains = contains || EqualsIgnoreCase(aItem, aWord);
+  });
+  return contains;
+}
+
+void
+ForEachListItem(std::string_view aList,
+                const std::function<void(std::string_view)>& aCall)
 {
   while (!aList.empty()) {
-    const auto comma = aList.find(',');
-    if (EqualsIgnoreCase(Trim(aList.substr(0, comma)), aWord)) {
-      return true;
-    }
-    if (comma == std::string_view::npos) {
-      return false;
-    }
-    aList.remove_prefix(comma + 1);
+    const auto comma = std::min(aList.find(','), aList.size());
+    aCall(Trim(aList.substr(0, comma)));
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
   }
-  return false;
 }
 
 void
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -4,6 +4,7 @@
 #include "http/headerlist.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,12 @@
 bool
 ListContains(std::string_view aList, std::string_view aWord);
 
+//! Calls aCall with each item of a comma-separated list, without the blanks
+//! around it.
+void
+ForEachListItem(std::string_view aList,
+                const std::function<void(std::string_view)>& aCall);
+
 //! How the end of a message body is determined (RFC 9112).
 enum class Framing : std::uint8_t
 {
