What is known of prompt parts is bounded by the host's memory

What callers saw: a router that ended long after the requests that filled it: 58 MB (limit 22) after four crowds of 400 requests whose prompts name as many parts as fit into a head.

Cause: PrefixMap kept an entry of some 120 bytes for each part and upstream that a request named, until enough tokens had entered the engines. Parts of no tokens never expire.

Change: the entries are limited to a twentieth of the host's memory (limit of memory_limit_mb); the longest unused quarter makes room. Ruled out: refusing such prompts (legal); 16 parts as for suspects (sessions have more); a constant (hosts have 88 to 512 MB, fleets many prefixes).

Why it works: nothing that callers name is kept without a limit, and what is used stays, as an entry's age is that of its last use.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -26,6 +26,7 @@
 Fleet::Reconfigure(const FleetSettings& aSettings)
 {
   m_settings.coldLimit = aSettings.coldLimit;
+  m_prefixes.SetMaxHolders(aSettings.maxPrefixHolders);
   m_settings.regionOfZone = aSettings.regionOfZone;
   m_settings.usesStatedLoads = aSettings.usesStatedLoads;
   m_settings.spreadsRetries = aSettings.spreadsRetries;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -56,6 +56,8 @@
   double retrySlack = 20;
   Duration retryWindow{ 10000 };
   ColdLimit coldLimit{};
+  //! See PrefixMap::SetMaxHolders.
+  std::size_t maxPrefixHolders = kDefaultMaxPrefixHolders;
   bool usesStatedLoads = false; //!< for placement, see StatedLoads
   bool spreadsRetries = false;  //!< of refused requests, see ReturnSchedule
   //! Regions by availability zone. A zone without an entry is in no region.
--- a/src/fleet/fleetconstants.h
+++ b/src/fleet/fleetconstants.h
@@ -410,4 +410,7 @@
 //! Records that fit into one packet.
 inline constexpr std::size_t kMaxStreamRecordsPerDatagram = 48;
 
+//! Limit of the entries of PrefixMap if the memory of the host is not known.
+inline constexpr std::size_t kDefaultMaxPrefixHolders = 32768;
+
 }
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -159,10 +159,15 @@
 //! state the parts, so their number has to be bounded.
 inline constexpr std::size_t kMaxSharedParts = 16;
 
+//! Maximum number of parts of one prompt that placement considers: the first
+//! ones and the last. Each part is sought at each candidate.
+inline constexpr std::size_t kMaxPlacedParts = 256;
+
 //! The work that a request needs at an upstream.
 struct Work
 {
-  std::vector<PromptPart> prompt; //!< in order; the last part is not shared
+  //! In order, at most kMaxPlacedParts; the last part is not shared.
+  std::vector<PromptPart> prompt;
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; //!< upper limit of generated tokens
 
--- a/src/fleet/internal/prefixmap.cpp
+++ b/src/fleet/internal/prefixmap.cpp
@@ -21,16 +21,54 @@
 std::pair<PrefixMap::Holder&, bool>
 PrefixMap::Touch(std::uint64_t aPart, UpstreamId aUpstream)
 {
+  EvictIfFull();
   auto& holders = m_holders[aPart];
   const auto found = FindHolder(holders, aUpstream);
   if (found != holders.end()) {
     found->lastUse = m_enteredTokens;
+    found->lastTouch = ++m_touches;
     return { *found, false };
   }
-  holders.push_back({ aUpstream, m_enteredTokens, m_enteredTokens });
+  m_size++;
+  holders.push_back(
+    { aUpstream, m_enteredTokens, m_enteredTokens, ++m_touches });
   return { holders.back(), true };
 }
 
+//! Evicts a quarter of the entries at a time, as all have to be compared.
+void
+PrefixMap::EvictIfFull()
+{
+  if (m_size < m_maxHolders) {
+    return;
+  }
+  std::vector<std::uint64_t> touches;
+  touches.reserve(m_size);
+  for (const auto& [part, holders] : m_holders) {
+    for (const auto& holder : holders) {
+      touches.push_back(holder.lastTouch);
+    }
+  }
+  const auto kept = touches.begin() +
+                    static_cast<std::ptrdiff_t>(m_size - m_maxHolders * 3 / 4);
+  std::nth_element(touches.begin(), kept, touches.end());
+  EraseHolders(
+    [&](const Holder& aHolder) { return aHolder.lastTouch < *kept; });
+}
+
+template<typename Predicate>
+void
+PrefixMap::EraseHolders(const Predicate& aShouldErase)
+{
+  m_size = 0;
+  for (auto& [part, holders] : m_holders) {
+    std::erase_if(holders, aShouldErase);
+    m_size += holders.size();
+  }
+  std::erase_if(m_holders,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
 void
 PrefixMap::RecordUse(std::uint64_t aPart, UpstreamId aUpstream)
 {
@@ -94,22 +132,7 @@
 PrefixMap::Forget()
 {
   m_forgottenAt = m_enteredTokens;
-  for (auto& [part, holders] : m_holders) {
-    std::erase_if(holders,
-                  [&](const Holder& aHolder) { return IsExpired(aHolder); });
-  }
-  std::erase_if(m_holders,
-                [](const auto& aEntry) { return aEntry.second.empty(); });
-}
-
-std::size_t
-PrefixMap::Size() const
-{
-  std::size_t size = 0;
-  for (const auto& [part, holders] : m_holders) {
-    size += holders.size();
-  }
-  return size;
+  EraseHolders([&](const Holder& aHolder) { return IsExpired(aHolder); });
 }
 
 }
--- a/src/fleet/prefixmap.h
+++ b/src/fleet/prefixmap.h
@@ -15,6 +15,9 @@
 //! used parts when new ones need the space, so age is counted in tokens that
 //! entered the KV cache of an average engine since, and nothing expires while
 //! no tokens enter it.
+//!
+//! Callers choose the parts, so that the number of entries is limited, too: the
+//! longest unused ones make room.
 class PrefixMap
 {
 public:
@@ -25,11 +28,14 @@
     double lastUse = 0; //!< value of m_enteredTokens at the last use
     double lastReported =
       0; //!< the same, at the last use that all routers know
+    std::uint64_t lastTouch = 0; //!< order of the last uses
   };
 
   //! Sets how many tokens enter an engine's KV cache until it has evicted a
   //! part that was not used meanwhile.
   void SetRetainedTokens(double aTokens) { m_retainedTokens = aTokens; }
+  //! Limits the pairs of a part and an upstream. Each takes some 120 bytes.
+  void SetMaxHolders(std::size_t aHolders) { m_maxHolders = aHolders; }
   //! Records that a request used aPart at aUpstream, cached or not, as another
   //! router reported.
   void RecordUse(std::uint64_t aPart, UpstreamId aUpstream);
@@ -49,7 +55,7 @@
   //! entries. Expired entries are never used, whether dropped or not.
   void ForgetIfDue();
   //! The number of pairs of a part and an upstream, expired ones included.
-  std::size_t Size() const;
+  std::size_t Size() const { return m_size; }
 
 private:
   //! A fraction of the time until an unused entry expires: of that order are
@@ -67,10 +73,16 @@
   }
   //! Returns the holder, and whether it is new.
   std::pair<Holder&, bool> Touch(std::uint64_t aPart, UpstreamId aUpstream);
+  void EvictIfFull();
+  template<typename Predicate>
+  void EraseHolders(const Predicate& aShouldErase);
 
   double m_retainedTokens = kDefaultPromptCacheTokens;
   //! Tokens that have entered the KV cache of an average engine.
   double m_enteredTokens = 0;
+  std::size_t m_maxHolders = kDefaultMaxPrefixHolders;
+  std::size_t m_size = 0; //!< of all lists in m_holders
+  std::uint64_t m_touches = 0;
   double m_forgottenAt = 0; //!< value of m_enteredTokens at the last Forget
   std::unordered_map<std::uint64_t, std::vector<Holder>> m_holders;
 };
--- a/src/fleet/tests/placementtests.cpp
+++ b/src/fleet/tests/placementtests.cpp
@@ -203,6 +203,26 @@
   cr_assert(map.Size() == 0);
 }
 
+//! Callers name any parts, also of no tokens, so that none of them expires.
+Test(prefixmap, EntriesAreLimitedAndTheLongestUnusedMakeRoom)
+{
+  constexpr std::size_t kMaxHolders = 1000;
+  constexpr UpstreamId kUpstream{ 9 };
+  PrefixMap map;
+  map.SetMaxHolders(kMaxHolders);
+  Work used;
+  used.prompt = { { 1, 100 }, { 2, 200 } };
+  for (std::uint64_t part = 10; part < 20000; ++part) {
+    map.RecordOwnUse(1, kUpstream);
+    map.RecordUse(part, kUpstream);
+    cr_assert(map.Size() <= kMaxHolders);
+    cr_assert(map.HeldTokens(used, kUpstream) == 100);
+  }
+  Work last;
+  last.prompt = { { 19999, 7 }, { 2, 200 } };
+  cr_assert(map.HeldTokens(last, kUpstream) == 7);
+}
+
 //! In a large fleet thousands of requests a second use a few prefixes. All
 //! routers were told of each use.
 Test(prefixmap, AUseIsReportedAgainOnlyAfterAFractionOfTheLifetime)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,10 @@
 //! Part of the memory limit that connections and requests may buffer. The rest
 //! is for what the router knows of the fleet, and for the heap's overhead.
 constexpr double kBufferRatio = 0.4;
+//! Part of the memory limit for what is known of prompts in KV caches, and the
+//! memory that one entry takes.
+constexpr std::size_t kPrefixDivisor = 20;
+constexpr std::size_t kPrefixHolderBytes = 120;
 //! Maximum number of caller connections: half of the file descriptors, as the
 //! rest is needed for upstreams. Callers keep idle connections for seconds, so
 //! a caller that sends many times its usual load would otherwise take them all.
@@ -63,6 +67,8 @@
   settings.retrySlack = aSettings.retrySlack;
   settings.retryWindow = aSettings.retryWindow;
   settings.coldLimit = aSettings.coldLimit;
+  settings.maxPrefixHolders =
+    aSettings.memoryLimit / kPrefixDivisor / kPrefixHolderBytes;
   settings.usesStatedLoads = aSettings.usesStatedLoads == Switch::On;
   settings.spreadsRetries = aSettings.spreadsRetries == Switch::On;
   settings.regionOfZone = aSettings.regionOfZone;
