An answer's head and unfinished event count, and have no room without a limit

Cause: what was read of an answer's head was not counted at all, nor the head while it was held for a caller; an unfinished event was counted, but nothing was refused for it. A head was copied and kept once more after it was sent.

Change: each connection to an upstream counts the head that it reads, and an exchange the head and its encoded copy. An attempt whose answer is larger than ordinary (4 KiB) and does not fit fails like one with a bad answer; ordinary answers are always taken, as their request has run. The fields are freed once they are encoded. Ruled out: a lower limit for heads (it refuses some in calm); waiting with a part of an answer read (answers would wait for each other).

Why it works: a head or an event is held only while the budget has room for it, whichever connection or exchange holds it.

--- a/src/base/bufferbudget.h
+++ b/src/base/bufferbudget.h
@@ -121,6 +121,16 @@
     }
     return fits;
   }
+  //! Like TrySet, but refuses only what is larger than ordinary: what an
+  //! upstream has answered must not be lost for a few bytes.
+  bool TrySetAnswer(std::size_t aBytes)
+  {
+    if (aBytes > BufferBudget::kOrdinaryBytes) {
+      return TrySet(aBytes);
+    }
+    Set(aBytes);
+    return true;
+  }
 
 private:
   BufferBudget* m_budget;
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -90,6 +90,12 @@
   std::optional<std::string> malformedLoad;
   http::HeaderList forwardedHeaders; //!< forwarded unchanged
 
+  //! Memory that it takes beyond this object, in bytes.
+  std::size_t HeldBytes() const
+  {
+    return reason.capacity() + requestId.capacity() +
+           forwardedHeaders.HeldBytes();
+  }
   //! Whether the request ran nowhere and may be sent to another upstream.
   bool IsRefusal() const { return notRun || misdirected; }
   bool IsSuccess() const { return status >= 200 && status < 300; }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -103,6 +103,10 @@
     return HeadAction::Reject;
   }
   m_response = std::move(response);
+  if (!m_responseShare.TrySetAnswer(ResponseBytes())) {
+    m_dependencies.metrics.Count("responses_without_room_total");
+    return HeadAction::Reject;
+  }
   if (m_response.keepAlive > base::Duration{}) {
     aConnection.keepAlive = m_response.keepAlive;
   }
@@ -218,7 +222,7 @@
       m_bufferedBody.size() + aBytes.size() <= kMaxBufferedBody &&
       m_dependencies.buffers.Fits(aBytes.size())) {
     m_bufferedBody += aBytes;
-    CountResponseBuffers();
+    m_responseShare.Set(ResponseBytes());
     return;
   }
   if (m_headSent && m_isBuffering) {
@@ -227,16 +231,27 @@
   SendHead();
   m_caller->Write(m_bufferedBody);
   WriteToCaller(aBytes);
-  m_bufferedBody.clear();
+  std::string().swap(m_bufferedBody);
   m_isBuffering = false;
-  CountResponseBuffers();
+  m_responseShare.Set(ResponseBytes());
 }
 
-void
-Exchange::CountResponseBuffers()
+//! Memory of what is held back of the response. A head counts twice, as it is
+//! encoded for the caller.
+std::size_t
+Exchange::ResponseBytes() const
+{
+  return 2 * m_response.HeldBytes() + m_bufferedBody.capacity() +
+         m_streamFilter.PendingBytes();
+}
+
+//! Encodes the head of the response and frees its fields.
+std::string
+Exchange::TakeEncodedHead()
 {
-  m_responseShare.Set(m_bufferedBody.capacity() +
-                      m_streamFilter.PendingBytes());
+  auto head = m_dependencies.callers.EncodeHead(m_response);
+  m_response.forwardedHeaders.Clear();
+  return head;
 }
 
 void
@@ -265,8 +280,8 @@
     return;
   }
   m_headSent = true;
-  m_caller->BeginAnswer(m_dependencies.callers.EncodeHead(m_response),
-                        Framing::Chunked);
+  m_caller->BeginAnswer(TakeEncodedHead(), Framing::Chunked);
+  m_responseShare.Set(ResponseBytes());
 }
 
 void
@@ -356,9 +371,8 @@
 {
   if (!m_headSent) {
     m_headSent = true;
-    m_caller->BeginAnswer(m_dependencies.callers.EncodeHead(m_response),
-                          Framing::Length,
-                          m_bufferedBody.size());
+    m_caller->BeginAnswer(
+      TakeEncodedHead(), Framing::Length, m_bufferedBody.size());
     m_caller->Write(m_bufferedBody);
   }
   m_caller->EndAnswer();
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -197,7 +197,8 @@
               const std::string& aWhy,
               base::TimePoint aFirstByteAt);
   void DiscardUpstream();
-  void CountResponseBuffers();
+  std::size_t ResponseBytes() const;
+  std::string TakeEncodedHead();
   bool IsConnecting() const;
   base::Duration TimeLeft(base::TimePoint aNow) const;
   base::Duration TimeSinceArrival() const;
--- a/src/gateway/internal/exchangestream.cpp
+++ b/src/gateway/internal/exchangestream.cpp
@@ -196,10 +196,15 @@
   }
   std::string out;
   const bool isSound = m_streamFilter.Consume(aBytes, out);
-  CountResponseBuffers();
+  const bool hasRoom = m_responseShare.TrySetAnswer(ResponseBytes());
   if (!out.empty()) {
     PassOnEvents(out);
   }
+  if (isSound && !hasRoom) {
+    m_dependencies.metrics.Count("responses_without_room_total");
+    BreakAttempt("no room for the rest of an event");
+    return;
+  }
   if (!isSound) {
     LogSpoiledStream();
     BreakAttempt(
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -62,6 +62,7 @@
   , m_events(&aEvents)
   , m_since(aLoop.Now())
   , m_outputShare(aBudget, base::BufferUse::UpstreamOutput)
+  , m_headShare(aBudget, base::BufferUse::UpstreamInput)
 {
   Connect();
 }
@@ -103,6 +104,7 @@
   }
   m_stream.close();
   m_outputShare.Set(0);
+  m_headShare.Set(0);
   m_rest = {};
   m_state = State::Closed;
 }
@@ -253,7 +255,8 @@
       return; // the event receiver closed it
     }
     m_skippedBytes += m_isSkipping ? consumed : 0;
-    if (m_isRejected || m_reader.GetFault() != Fault::None ||
+    const bool hasRoom = m_headShare.TrySetAnswer(m_reader.HeldBytes());
+    if (m_isRejected || !hasRoom || m_reader.GetFault() != Fault::None ||
         m_skippedBytes > kMaxSkippedBytes) {
       Fail(ClientFailure::BadAnswer);
       return;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -166,6 +166,7 @@
   std::string m_outBuffer;
   std::string_view m_rest; //!< to send after m_outBuffer
   base::BufferShare m_outputShare;
+  base::BufferShare m_headShare;
   std::size_t m_sentBytes = 0;
   std::uint32_t m_watchedEvents = 0;
   bool m_registered = false;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -314,6 +314,7 @@
     AppendField(m_outBuffer, "Connection", "close");
   }
   m_outBuffer += "\r\n";
+  CountBuffers();
   ScheduleFlush();
 }
 
