Pipelined requests take turns with other connections

What callers saw: nothing yet; found while looking for the class. A caller that sent 64 KB of small requests for no route had all of them answered within one iteration of the loop, some 1,100 requests, before any other connection.

Cause: the next request was parsed as soon as the last answer was flushed, by a task that is run at the end of the iteration, which schedules the next one, and the iteration goes on until no task is left.

Change: a request that was read behind another is parsed in the loop's next iteration, when the socket is polled writable. A connection with such a request is not idle, so a stop or a full table does not close it. Ruled out: ending an iteration after one round of deferred tasks (deletions rely on it).

Evidence: PipelinedRequestsTakeTurnsWithOtherConnections failed before, passes after (one run each); the loop's work per iteration is now one request for each connection, as for requests that are not pipelined.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -147,7 +147,9 @@
     return;
   }
   std::uint32_t events = m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : 0U;
-  events |= UnsentBytes() > 0 ? EPOLLOUT : 0U;
+  // The next iteration parses a pipelined request, so that one connection's
+  // requests do not hold up the others.
+  events |= UnsentBytes() > 0 || HasPipelinedRequest() ? EPOLLOUT : 0U;
   if (!m_isRegistered) {
     m_isRegistered = true;
     m_loop.Add(m_stream.get_handle(), *this, events);
@@ -163,6 +165,11 @@
   if ((aEvents & EPOLLOUT) != 0) {
     Flush();
   }
+  if (HasPipelinedRequest()) {
+    Parse();
+    CountBuffers();
+    UpdateWatchedEvents();
+  }
   if (m_state != State::Closed && (aEvents & ~EPOLLOUT) != 0) {
     Read();
   }
@@ -403,7 +410,6 @@
   m_state = State::Idle;
   m_since = m_loop.Now();
   m_reader.Next();
-  Parse();
 }
 
 void
@@ -460,7 +466,7 @@
 void
 ServerConnection::CloseIfIdle()
 {
-  if (m_state == State::Idle) {
+  if (IsIdle()) {
     Close();
     m_events.OnClosed(*this);
   }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -79,7 +79,10 @@
   //! Whether the peer has already disconnected. A loop that lags behind may
   //! read a request whose caller has given up.
   bool HasPeerGone() const;
-  bool IsIdle() const { return m_state == State::Idle; }
+  bool IsIdle() const
+  {
+    return m_state == State::Idle && m_inBuffer.empty();
+  }
   //! When the current state (idle, reading or answering) began.
   base::TimePoint StateSince() const { return m_since; }
   std::size_t UnsentBytes() const { return m_outBuffer.size() - m_sentBytes; }
@@ -131,6 +134,11 @@
   void HandlePeerGone();
   void UpdateWatchedEvents();
   void CountBuffers();
+  //! Whether a request or its begin was read behind the last one.
+  bool HasPipelinedRequest() const
+  {
+    return m_state == State::Idle && !m_inBuffer.empty();
+  }
   bool HasRoomForHead();
   bool HasRoomForBody(std::size_t aBytes);
   std::size_t MaxReadAhead() const;
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -6,6 +6,9 @@
 #include "http/messagereader.h"
 #include "http/serverconnection.h"
 
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -411,6 +414,30 @@
   cr_assert(server.targets[1] == "/second");
 }
 
+//! All requests that a connection has sent at once must not be answered before
+//! anything else.
+Test(connections, PipelinedRequestsTakeTurnsWithOtherConnections)
+{
+  constexpr std::size_t kRequests = 100;
+  eventloop::EventLoop loop;
+  EchoServer server(loop, 20960);
+  ACE_SOCK_Connector connector;
+  ACE_SOCK_Stream client;
+  cr_assert(connector.connect(client, ACE_INET_Addr(20960, "127.0.0.1")) == 0);
+  std::string text;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    text += "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  client.send_n(text.data(), text.size());
+  std::size_t answered = 0;
+  RunUntil(loop, [&] {
+    cr_assert(server.targets.size() <= answered + 1);
+    answered = server.targets.size();
+    return answered == kRequests;
+  });
+  client.close();
+}
+
 //! A connection closed without an answer is retried at once by its caller; one
 //! that waits in the listen backlog is not.
 Test(connections, ConnectionsWaitWhileTheListenerIsPaused)
@@ -518,7 +545,7 @@
 Test(connections, AnIncompleteHeadIsRefusedAfterTheTimeout)
 {
   eventloop::EventLoop loop;
-  EchoServer server(loop, 21006);
+  EchoServer server(loop, 20950);
   server.limits.headTimeout = base::Duration(50);
   loop.SchedulePeriodic(base::Duration(10), [&] {
     for (const auto& connection : server.connections) {
@@ -526,7 +553,7 @@
     }
   });
   Caller caller;
-  ClientConnection client(loop, { "127.0.0.1", 21006 }, caller);
+  ClientConnection client(loop, { "127.0.0.1", 20950 }, caller);
   client.Send("GET /slow HTTP/1.1\r\nHost:");
   RunUntil(loop, [&] { return caller.statuses.size() == 1; });
   cr_assert(caller.statuses[0] == 400);
