An answer that its caller does not read is given up

What callers saw: nothing yet; found while looking for the class. A connection whose answer had ended had no time limit: only the kernel's (TCP_USER_TIMEOUT, 5 s) closed it, where it is set and kept.

Cause: the time limits covered idle, reading and lingering connections, and the deadline a request in progress; an answer that had ended before its caller took it had neither. 1,900 of these would have kept all others out.

Change: it is closed when its caller has taken nothing for the idle timeout. Ruled out: a limit from the answer's end (slow callers that read are served).

Evidence: AnAnswerThatIsNotReadIsGivenUp failed before, passes after (one run each); it gives the time itself and does not wait for the kernel's limit.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -378,6 +378,7 @@
       m_stream.send(m_outBuffer.data() + m_sentBytes, UnsentBytes());
     if (sent > 0) {
       m_sentBytes += static_cast<std::size_t>(sent);
+      m_sentAt = m_loop.Now();
       continue;
     }
     if (errno == EWOULDBLOCK || errno == EINTR) {
@@ -489,6 +490,10 @@
     m_events.OnClosed(*this);
   } else if (m_state == State::Reading && age > ReadTimeout()) {
     RejectRequest(Fault::Timeout);
+  } else if (m_state == State::Answering && m_answerEnded &&
+             aNow - std::max(m_since, m_sentAt) > m_limits.idleTimeout) {
+    Close();
+    m_events.OnClosed(*this);
   }
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -152,6 +152,7 @@
   MessageReader m_reader{ MessageReader::Side::Requests, m_sink };
   State m_state = State::Idle;
   base::TimePoint m_since{}; //!< when m_state began
+  base::TimePoint m_sentAt{}; //!< when the peer last took bytes
   RequestHead m_head;
   std::string m_body;
   std::string m_inBuffer; //!< received but not yet parsed
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -414,6 +414,32 @@
   cr_assert(server.targets[1] == "/second");
 }
 
+//! A caller that never reads the rest of its answer must not keep its
+//! connection for good.
+Test(connections, AnAnswerThatIsNotReadIsGivenUp)
+{
+  eventloop::EventLoop loop;
+  EchoServer server(loop, 20970);
+  server.limits.maxBodyBytes = std::size_t{ 32 } << 20U;
+  ACE_SOCK_Connector connector;
+  ACE_SOCK_Stream client;
+  cr_assert(connector.connect(client, ACE_INET_Addr(20970, "127.0.0.1")) == 0);
+  const std::string text = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n";
+  client.send_n(text.data(), text.size());
+  RunUntil(loop, [&] { return server.targets.size() == 1; });
+  auto& connection = *server.connections.front();
+  connection.BeginAnswer("HTTP/1.1 200 OK\r\n", Framing::Chunked);
+  connection.Write(std::string(server.limits.maxBodyBytes, 'b'));
+  connection.EndAnswer();
+  loop.RunOnce();
+  cr_assert(connection.UnsentBytes() > 0);
+  connection.EnforceTimeouts(loop.Now() + server.limits.idleTimeout / 2);
+  cr_assert(server.closed == 0);
+  connection.EnforceTimeouts(loop.Now() + 2 * server.limits.idleTimeout);
+  cr_assert(server.closed == 1);
+  client.close();
+}
+
 //! All requests that a connection has sent at once must not be answered before
 //! anything else.
 Test(connections, PipelinedRequestsTakeTurnsWithOtherConnections)
