Silent connections do not keep the load balancer's probes out

What callers saw: nothing yet; found while looking for the class. 64 open connections that send nothing took all places of the probe server for 15 s, and two missed probes take a router out of rotation; each could also send a body of 4 MiB, which was read and kept (256 MiB together).

Cause: at the limit a new connection was closed, whoever came first; the probe server used the callers' default limits.

Change: the longest idle connection makes room; heads up to 8 KiB and bodies up to 4 KiB. Ruled out: a shorter time limit (probes reuse connections).

Evidence: SilentConnectionsDoNotKeepProbesOut failed before, passes after.

--- a/src/gateway/internal/probeserver.cpp
+++ b/src/gateway/internal/probeserver.cpp
@@ -6,6 +6,8 @@
 
 //! Only the load balancer and operators connect to this server.
 constexpr std::size_t kMaxConnections = 64;
+//! Probes and requests for pages are small and have no bodies.
+constexpr base::CallerLimits kLimits{ 8192, 4096 };
 
 }
 
@@ -13,9 +15,12 @@
                          const base::Address& aListen,
                          Handler aHandler)
   : m_handler(std::move(aHandler))
+  , m_limits(kLimits)
   , m_connections(aLoop, m_limits, *this)
   , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
-    if (m_connections.Size() >= kMaxConnections) {
+    const bool isFull = m_connections.Size() >= kMaxConnections &&
+                        m_connections.CloseLongestIdle(1) == 0;
+    if (isFull) {
       ACE_SOCK_Stream refused(aStream);
       refused.close();
       return;
