Log values are cut, and lines of refused heads count for the log's limit

What callers saw: nothing yet; found while looking for the class. Ids, values and error texts as long as a head (16 KB) went into log lines; each refused head had a warning of its own, which pushed out other lines (1,000 a second); the pending text was moved to the front after each 4 KB that were written.

Cause: values that callers choose had no limit in the log, and bad requests did not use the budget of logged requests.

Change: a value is cut after 512 bytes; bad requests use the budget; the sink erases what it wrote once.

Evidence: LogLineCutsLongValues failed before, passes after (one run each). The moved bytes were read in the code, not measured.

--- a/src/base/boundedsink.cpp
+++ b/src/base/boundedsink.cpp
@@ -44,19 +44,22 @@
                              m_unreportedDrops);
     m_unreportedDrops = 0;
   }
-  while (!m_pending.empty()) {
+  std::size_t written = 0;
+  while (written < m_pending.size()) {
     pollfd ready{ m_descriptor, POLLOUT, 0 };
     if (poll(&ready, 1, aTimeoutMs) <= 0 || (ready.revents & POLLOUT) == 0) {
-      return;
+      break;
     }
     // A pipe that polls as writable accepts PIPE_BUF bytes without blocking.
-    const auto size = std::min<std::size_t>(m_pending.size(), PIPE_BUF);
-    const auto written = write(m_descriptor, m_pending.data(), size);
-    if (written <= 0) {
-      return;
+    const auto size =
+      std::min<std::size_t>(m_pending.size() - written, PIPE_BUF);
+    const auto result = write(m_descriptor, m_pending.data() + written, size);
+    if (result <= 0) {
+      break;
     }
-    m_pending.erase(0, static_cast<std::size_t>(written));
+    written += static_cast<std::size_t>(result);
   }
+  m_pending.erase(0, written);
 }
 
 }
--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+//! Longer values are cut: callers choose some of them.
+constexpr std::size_t kMaxValueBytes = 512;
+constexpr const char* kCutMark = "...";
+
 bool
 IsControl(char aChar)
 {
@@ -35,17 +39,21 @@
   m_text += ' ';
   m_text += aKey;
   m_text += '=';
+  const bool isCut = aValue.size() > kMaxValueBytes;
+  aValue = aValue.substr(0, kMaxValueBytes);
   const bool plain = !aValue.empty() &&
                      aValue.find_first_of(" \"=") == std::string_view::npos &&
                      std::none_of(aValue.begin(), aValue.end(), IsControl);
   if (plain) {
     m_text += aValue;
+    m_text += isCut ? kCutMark : "";
     return *this;
   }
   m_text += '"';
   for (const char c : aValue) {
     m_text += IsControl(c) ? ' ' : (c == '"' ? '\'' : c);
   }
+  m_text += isCut ? kCutMark : "";
   m_text += '"';
   return *this;
 }
--- a/src/base/tests/basetests.cpp
+++ b/src/base/tests/basetests.cpp
@@ -55,6 +55,18 @@
 }
 
 //! Guards against a line that bytes of an upstream break or hide.
+//! Callers choose ids as long as a head.
+Test(base, LogLineCutsLongValues)
+{
+  const std::string id(16000, 'i');
+  const auto line = LogLine("refuse").Add("request", id).Add("why", "x y");
+  cr_assert(line.Text().size() < 1000);
+  cr_assert(line.Text().starts_with("event=refuse request=iiii"));
+  cr_assert(line.Text().ends_with("... why=\"x y\""));
+  const std::string blanks(16000, ' ');
+  cr_assert(LogLine("refuse").Add("request", blanks).Text().size() < 1000);
+}
+
 Test(base, LogLineHoldsNoControlCharacters)
 {
   const std::string bytes("a\x1b[2Jb\0c\x7f", 9);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -256,7 +256,9 @@
 {
   aConnection.context = nullptr;
   m_metrics.Count("bad_requests_total");
-  LogLine("bad-request").Add("why", http::kFaultNames.NameOf(aFault)).Warn();
+  if (m_logBudget.Take(m_loop.Now())) {
+    LogLine("bad-request").Add("why", http::kFaultNames.NameOf(aFault)).Warn();
+  }
   LocalReply reply{ RefusalForFault(aFault), Verdict::NotRun, {}, "" };
   if (aFault == http::Fault::NoRoom) {
     m_metrics.Count("requests_without_room_total");
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -152,6 +152,7 @@
   void PlaceInitial();
   void Place(const fleet::PlaceRequest& aRequest);
   bool WaitForRoom(const fleet::PlaceResult& aPlace);
+  void LogBadRequest(const char* aWhy) const;
   bool CheckRoom();
   bool HasRoomToSend() const;
   void RefuseForRoom();
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -51,7 +51,7 @@
   try {
     m_request = m_dependencies.callers.Decode(std::move(aHead));
   } catch (const base::Error& error) {
-    LogLine("bad-request").Add("why", error.what()).Warn();
+    LogBadRequest(error.what());
     SendLocalReply(Refusal::BadRequest, Verdict::NotRun);
     return false;
   }
@@ -63,6 +63,14 @@
   return true;
 }
 
+void
+Exchange::LogBadRequest(const char* aWhy) const
+{
+  if (m_isLogged) {
+    LogLine("bad-request").Add("why", aWhy).Warn();
+  }
+}
+
 bool
 Exchange::CheckRoom()
 {
@@ -146,7 +154,7 @@
   }
   const auto id = http::ParseEventNumber(*m_request.lastEventId);
   if (!id) {
-    LogLine("bad-request").Add("why", "last event id is no number").Warn();
+    LogBadRequest("last event id is no number");
     SendLocalReply(Refusal::BadRequest, Verdict::NotRun);
     return false;
   }
