Own interface: a buffer that is never empty stays bounded

What callers saw: nothing yet; found while looking for the class. A caller of the own interface that reads slowly, but never all, made the router keep the whole answer: 64 MB for 64 MB, with at most 64 KB unread at any time.

Cause: what was read stayed in the buffer until all was read, and the high-water mark looks at the unread bytes alone.

Change: what was read is dropped once it exceeds the low-water mark, so each byte is moved at most a few times.

Evidence: ABufferThatIsNeverEmptyStaysBounded failed before (67,109,888 bytes, 512 KB allowed), passes after (one run each).

--- a/src/traffic/internal/exchange.cpp
+++ b/src/traffic/internal/exchange.cpp
@@ -136,6 +136,11 @@
 Exchange::Append(std::string_view aBytes)
 {
   const std::lock_guard lock(m_mutex);
+  // A caller that always leaves some bytes unread must not make it grow.
+  if (m_start > kLowWatermark) {
+    m_buffer.erase(0, m_start);
+    m_start = 0;
+  }
   m_buffer.append(aBytes);
   m_full = m_full || m_buffer.size() - m_start > kHighWatermark;
   ResumeLocked();
@@ -182,6 +187,13 @@
   ResumeLocked();
 }
 
+std::size_t
+Exchange::BufferBytes() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_buffer.capacity();
+}
+
 bool
 Exchange::HasHead() const
 {
--- a/src/traffic/internal/exchange.h
+++ b/src/traffic/internal/exchange.h
@@ -72,6 +72,8 @@
   //! upstream answer has been set.
   void Refuse(const Refusal& aRefusal);
   bool HasHead() const;
+  //! Memory that the buffer takes, in bytes.
+  std::size_t BufferBytes() const;
   bool IsCallerGone() const { return m_callerGone; }
 
 private:
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -1,5 +1,6 @@
 // Tests over real sockets what a caller receives when an upstream misbehaves.
 
+#include "traffic/internal/exchange.h"
 #include "traffic/tests/trafficfixture.h"
 
 #include <criterion/criterion.h>
@@ -635,3 +636,23 @@
   cr_assert(fixture.Call("{}", "key", "/elsewhere").status == 404);
   cr_assert(fixture.control->Outcomes().empty());
 }
+
+//! A caller that reads slowly, but never all, must not make the buffer hold the
+//! whole answer.
+Test(path, ABufferThatIsNeverEmptyStaysBounded)
+{
+  traffic::Exchange exchange{ traffic::CallerRequest() };
+  exchange.SetHead({});
+  const std::string piece(traffic::Exchange::kLowWatermark, 'b');
+  std::vector<char> block(piece.size());
+  exchange.Append("b");
+  for (int i = 0; i < 1000; ++i) {
+    exchange.Append(piece);
+    std::size_t bytesRead = 0;
+    exchange.ReadBody(block.data(), block.size(), bytesRead);
+    cr_assert(bytesRead == block.size());
+  }
+  cr_assert(exchange.BufferBytes() <= 2 * traffic::Exchange::kHighWatermark,
+            "%zu bytes",
+            exchange.BufferBytes());
+}
