Own interface: bodies and answers share a budget

The own interface read bodies of up to max_body_bytes each from up to max_connections callers: 4 GiB at the defaults.

Cause: each body and answer had a limit, all together none.

Change: max_buffered_mb (default 64) limits what all connections buffer; a body that does not fit is refused as it arrives: 503, not run, no-room, Retry-After. Answers count; above half of the budget an upstream is read no further while its caller has anything unread. A body of the greatest allowed size fits, as the settings require. libmicrohttpd keeps 32 KiB for each connection beside that, heads included: 128 MiB at 4,096 connections. Ruled out: the gateway's BufferBudget, which is for one thread.

Evidence: BodiesThatDoNotFitTogetherAreRefusedAsNotRun passes (one run); it was not run on the code before, which has no such setting.

--- a/src/document/settingsparser.cpp
+++ b/src/document/settingsparser.cpp
@@ -35,6 +35,13 @@
     aReader.NumberOr("max_connections", 16, 65536, 4096);
   aSettings.maxBodyBytes =
     aReader.NumberOr("max_body_bytes", 1024, 64 << 20, 1 << 20);
+  aSettings.maxBufferedBytes =
+    std::size_t{ aReader.NumberOr("max_buffered_mb", 1, 65536, 64) } << 20U;
+  if (aSettings.maxBufferedBytes < aSettings.maxBodyBytes) {
+    aReader.Fail(ErrorCode::BadValue,
+                 "max_buffered_mb",
+                 "expected at least max_body_bytes");
+  }
   aSettings.callerTimeout =
     ReadMillis(aReader, "caller_timeout_ms", aSettings.callerTimeout);
   aSettings.drainNotice =
--- /dev/null
+++ b/src/traffic/bodybudget.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace hemlockgauge::traffic {
+
+//! Counts and limits the bytes of requests and answers that all connections
+//! buffer together. Thread-safe.
+class BodyBudget
+{
+public:
+  explicit BodyBudget(std::size_t aLimit)
+    : m_limit(aLimit)
+  {
+  }
+
+  //! Counts aBytes more; returns false and counts nothing if they don't fit.
+  bool TryAdd(std::size_t aBytes)
+  {
+    if (m_total.fetch_add(aBytes) + aBytes <= m_limit) {
+      return true;
+    }
+    m_total -= aBytes;
+    return false;
+  }
+  void Add(std::size_t aBytes) { m_total += aBytes; }
+  void Remove(std::size_t aBytes) { m_total -= aBytes; }
+  //! Whether more than half of the limit is used.
+  bool IsTight() const { return m_total > m_limit / 2; }
+  std::size_t Total() const { return m_total; }
+
+private:
+  std::size_t m_limit;
+  std::atomic<std::size_t> m_total{ 0 };
+};
+
+//! The bytes that one owner buffers. Gives them back when it is destroyed.
+//! Without a budget nothing is counted.
+class BodyShare
+{
+public:
+  BodyShare() = default;
+  explicit BodyShare(std::shared_ptr<BodyBudget> aBudget)
+    : m_budget(std::move(aBudget))
+  {
+  }
+  ~BodyShare() { Set(0); }
+  BodyShare(BodyShare&& aOther) noexcept
+    : m_budget(std::move(aOther.m_budget))
+    , m_bytes(std::exchange(aOther.m_bytes, 0))
+  {
+  }
+  BodyShare& operator=(BodyShare&& aOther) noexcept
+  {
+    if (this != &aOther) {
+      Set(0);
+      m_budget = std::move(aOther.m_budget);
+      m_bytes = std::exchange(aOther.m_bytes, 0);
+    }
+    return *this;
+  }
+
+  //! Returns false and changes nothing if what is added does not fit.
+  bool TrySet(std::size_t aBytes)
+  {
+    const bool fits =
+      !m_budget || aBytes <= m_bytes || m_budget->TryAdd(aBytes - m_bytes);
+    if (!fits) {
+      return false;
+    }
+    if (m_budget && aBytes < m_bytes) {
+      m_budget->Remove(m_bytes - aBytes);
+    }
+    m_bytes = aBytes;
+    return true;
+  }
+  void Set(std::size_t aBytes)
+  {
+    if (m_budget) {
+      m_budget->Add(aBytes);
+      m_budget->Remove(m_bytes);
+    }
+    m_bytes = aBytes;
+  }
+  bool IsTight() const { return m_budget && m_budget->IsTight(); }
+  const std::shared_ptr<BodyBudget>& Budget() const { return m_budget; }
+
+private:
+  std::shared_ptr<BodyBudget> m_budget;
+  std::size_t m_bytes = 0;
+};
+
+}
--- a/src/traffic/internal/callerserver.cpp
+++ b/src/traffic/internal/callerserver.cpp
@@ -23,6 +23,7 @@
   std::string callerDeadline;
   std::shared_ptr<Exchange> exchange;
   bool tooLarge = false;
+  bool hasNoRoom = false;
   bool submitted = false;
   bool answered = false;
 };
@@ -35,6 +36,9 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr int kPayloadTooLarge = 413;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kServiceUnavailable = 503;
+//! Bodies are sent on and freed within a call's time.
+constexpr base::Duration kNoRoomRetryAfter{ 1000 };
 
 std::string
 RequestHeader(MHD_Connection* aConnection, const char* aName)
@@ -168,11 +172,13 @@
 CallerServer::CallerServer(const document::RouterSettings& aSettings,
                            IExchangeSink& aSink,
                            IControl& aControl,
-                           metrics::Metrics& aMetrics)
+                           metrics::Metrics& aMetrics,
+                           std::shared_ptr<BodyBudget> aBudget)
   : m_settings(aSettings)
   , m_sink(aSink)
   , m_control(aControl)
   , m_metrics(aMetrics)
+  , m_budget(std::move(aBudget))
 {
   const auto callers = SocketAddress(aSettings.listen);
   const auto operators = SocketAddress(aSettings.adminListen);
@@ -307,6 +313,7 @@
   auto context = std::make_unique<RequestContext>();
   context->request.method = aMethod;
   context->request.path = aUrl;
+  context->request.bodyShare = BodyShare(m_budget);
   context->request.contentType = RequestHeader(aConnection, "Content-Type");
   context->request.idempotencyKey =
     RequestHeader(aConnection, "Idempotency-Key");
@@ -325,11 +332,19 @@
                       const char* aBody,
                       std::size_t* aBodySize)
 {
-  if (aContext.request.body.size() + *aBodySize > m_settings.maxBodyBytes) {
+  auto& request = aContext.request;
+  const auto bytes = request.body.size() + *aBodySize;
+  if (bytes > m_settings.maxBodyBytes) {
     aContext.tooLarge = true;
-    aContext.request.body.clear();
-  } else if (!aContext.tooLarge) {
-    aContext.request.body.append(aBody, *aBodySize);
+  } else if (!request.bodyShare.TrySet(bytes)) {
+    aContext.hasNoRoom = true;
+  }
+  if (aContext.tooLarge || aContext.hasNoRoom) {
+    std::string().swap(request.body);
+    request.bodyShare.Set(0);
+  } else {
+    request.body.append(aBody, *aBodySize);
+    request.bodyShare.Set(request.body.capacity());
   }
   *aBodySize = 0;
   return MHD_YES;
@@ -383,6 +398,10 @@
   if (aContext.tooLarge) {
     refusal =
       Refusal{ kPayloadTooLarge, "body-too-large", base::Verdict::NotRun, {} };
+  } else if (aContext.hasNoRoom) {
+    refusal = Refusal{
+      kServiceUnavailable, "no-room", base::Verdict::NotRun, kNoRoomRetryAfter
+    };
   } else if (method != "POST" && method != "GET" && method != "PUT") {
     refusal = Refusal{
       kMethodNotAllowed, "method-not-allowed", base::Verdict::NotRun, {}
--- a/src/traffic/internal/callerserver.h
+++ b/src/traffic/internal/callerserver.h
@@ -44,7 +44,8 @@
   CallerServer(const document::RouterSettings& aSettings,
                IExchangeSink& aSink,
                IControl& aControl,
-               metrics::Metrics& aMetrics);
+               metrics::Metrics& aMetrics,
+               std::shared_ptr<BodyBudget> aBudget);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -87,6 +88,7 @@
   IExchangeSink& m_sink;
   IControl& m_control;
   metrics::Metrics& m_metrics;
+  std::shared_ptr<BodyBudget> m_budget;
   MHD_Daemon* m_callers = nullptr;
   MHD_Daemon* m_operators = nullptr;
   std::atomic<bool> m_listening{ true };
--- a/src/traffic/internal/exchange.cpp
+++ b/src/traffic/internal/exchange.cpp
@@ -13,6 +13,7 @@
 
 Exchange::Exchange(CallerRequest aRequest)
   : m_request(std::move(aRequest))
+  , m_bufferShare(m_request.bodyShare.Budget())
 {
 }
 
@@ -142,7 +143,9 @@
     m_start = 0;
   }
   m_buffer.append(aBytes);
-  m_full = m_full || m_buffer.size() - m_start > kHighWatermark;
+  m_bufferShare.Set(m_buffer.capacity());
+  const auto watermark = m_bufferShare.IsTight() ? 0 : kHighWatermark;
+  m_full = m_full || m_buffer.size() - m_start > watermark;
   ResumeLocked();
   return !m_full;
 }
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -84,8 +84,12 @@
       m_metrics,
       [this](const decision::AttemptEnded& aEnded) { AttemptEnded(aEnded); }));
   }
-  m_server =
-    std::make_unique<CallerServer>(m_settings, *this, aControl, m_metrics);
+  m_server = std::make_unique<CallerServer>(
+    m_settings,
+    *this,
+    aControl,
+    m_metrics,
+    std::make_shared<BodyBudget>(m_settings.maxBufferedBytes));
   m_sweeper = std::thread([this] { RunSweeper(); });
 }
 
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -637,6 +637,50 @@
   cr_assert(fixture.control->Outcomes().empty());
 }
 
+//! Bodies have a limit each; together they must not fill the memory.
+Test(path, BodiesThatDoNotFitTogetherAreRefusedAsNotRun)
+{
+  constexpr int kCallers = 12;
+  constexpr std::size_t kBodyBytes = 1 << 20;
+  document::RouterSettings settings;
+  settings.maxBufferedBytes = 4 * kBodyBytes;
+  std::atomic<int> runs{ 0 };
+  TrafficFixture fixture(
+    20400,
+    "plain",
+    [&](const HttpRequest& aRequest) {
+      runs++;
+      std::this_thread::sleep_for(300ms);
+      HttpResponse response;
+      response.headers["X-Request-Id"] = aRequest.headers.at("x-request-id");
+      response.body = "done";
+      return response;
+    },
+    false,
+    kLongStallLimitMs,
+    settings);
+  std::vector<CallerAnswer> answers(kCallers);
+  std::vector<std::thread> callers;
+  for (auto& answer : answers) {
+    callers.emplace_back(
+      [&] { answer = fixture.Call(std::string(kBodyBytes, 'b')); });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  int served = 0;
+  for (const auto& answer : answers) {
+    served += answer.status == 200 ? 1 : 0;
+    const bool isRefused = answer.status == 503 &&
+                           answer.HasHeader("X-Verdict: not-run") &&
+                           answer.HasHeader("Retry-After: ");
+    cr_assert(answer.status == 200 || isRefused, "%ld", answer.status);
+  }
+  cr_assert(served > 0 && served < kCallers, "%d served", served);
+  cr_assert(runs == served);
+  cr_assert(fixture.Call().status == 200);
+}
+
 //! A caller that reads slowly, but never all, must not make the buffer hold the
 //! whole answer.
 Test(path, ABufferThatIsNeverEmptyStaysBounded)
--- a/src/traffic/tests/trafficfixture.h
+++ b/src/traffic/tests/trafficfixture.h
@@ -141,7 +141,8 @@
                  const std::string& aKind,
                  Handler aHandler,
                  bool aRepeatable = false,
-                 int aStallLimitMs = kLongStallLimitMs)
+                 int aStallLimitMs = kLongStallLimitMs,
+                 const document::RouterSettings& aSettings = SmallBodies())
     : m_port(aPort)
   {
     const base::Address upstream{ "127.0.0.1",
@@ -150,13 +151,11 @@
       m_upstream =
         std::make_unique<standins::HttpServer>(upstream, std::move(aHandler));
     }
-    document::RouterSettings settings;
+    auto settings = aSettings;
     settings.id = "r1";
     settings.listen = { "127.0.0.1", aPort };
     settings.adminListen = { "127.0.0.1",
                              static_cast<std::uint16_t>(aPort + 1) };
-    settings.maxBodyBytes = 4096;
-    settings.callerTimeout = base::Duration(700);
     traffic = MakeTraffic(settings, 1, metrics);
     control = std::make_unique<ControlMock>(*traffic, upstream);
     traffic->Start(*control);
@@ -171,6 +170,14 @@
                              document::ParseDocument("s", text)) });
   }
 
+  static document::RouterSettings SmallBodies()
+  {
+    document::RouterSettings settings;
+    settings.maxBodyBytes = 4096;
+    settings.callerTimeout = base::Duration(700);
+    return settings;
+  }
+
   ~TrafficFixture()
   {
     traffic->Stop();
--- a/src/traffic/traffictypes.h
+++ b/src/traffic/traffictypes.h
@@ -3,6 +3,7 @@
 #include "base/basetypes.h"
 #include "base/verdict.h"
 #include "document/documenttypes.h"
+#include "traffic/bodybudget.h"
 
 #include <memory>
 #include <optional>
@@ -24,6 +25,7 @@
   std::string idempotencyKey; //!< forwarded unchanged
   std::string bearerKey;      //!< never logged; wiped after authentication
   std::string body;           //!< never logged
+  BodyShare bodyShare;        //!< of body
   std::shared_ptr<const document::ServiceDocument> service;
   const document::Workspace* workspace = nullptr;
   bool repeatable = false;
