Soak: callers that send odd requests beside its own

Cause: the soak's callers sent usual requests, read at once or late, and never stopped within a request, so it could not show what such callers cost.

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -31,6 +31,10 @@
             false,
             "send responses without an end and large bodies, and let callers "
             "read slowly");
+DEFINE_bool(odd_callers,
+            false,
+            "let a crowd of further callers send odd requests within the size "
+            "limits, stall in them, and read late or not at all");
 DEFINE_bool(spoiled,
             false,
             "let upstreams send streams and responses that are spoiled or cut, "
@@ -66,6 +70,7 @@
       settings.versionFaults = FLAGS_version_faults;
       settings.hasCrashingPart = FLAGS_crashing_part;
       settings.hasEndlessResponses = FLAGS_endless;
+      settings.hasOddCallers = FLAGS_odd_callers;
       settings.hasSpoiledResponses = FLAGS_spoiled;
       settings.memoryLimit = std::size_t{ FLAGS_memory_limit_mb } << 20U;
       settings.length = std::chrono::seconds(FLAGS_seconds);
--- a/src/soak/soakplan.h
+++ b/src/soak/soakplan.h
@@ -98,6 +98,8 @@
   //! Whether some responses have no end, some requests have large bodies and
   //! some callers read slowly.
   bool hasEndlessResponses = false;
+  //! Whether callers beside the others send odd requests.
+  bool hasOddCallers = false;
   //! Whether upstreams spoil some answers, and at times one of them all its
   //! answers, and the store holds odd entries. The other faults then end
   //! after the first third of the length, so that what is served beside the
--- a/src/soak/soakreport.cpp
+++ b/src/soak/soakreport.cpp
@@ -83,6 +83,9 @@
                         m_shared.otherStreams.requests,
                         m_crashChecks.RunCount(CrashCause::PromptPart));
   }
+  if (m_settings.hasOddCallers) {
+    text += fmt::format("odd callers {}\n", m_oddCallers.Count());
+  }
   if (m_settings.hasSpoiledResponses) {
     text += m_spoilChecks.Summary();
   }
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -66,6 +66,7 @@
   , m_shared{ m_loop, m_guarantees, m_signalChecks, m_spoilChecks }
   , m_crashingCaller(m_shared, CrashCause::Request)
   , m_crashingPartCaller(m_shared, CrashCause::PromptPart)
+  , m_oddCallers(m_shared, aSettings.seed)
 {
   m_storeProxy =
     std::make_unique<ChaosProxy>(m_loop, LocalAddress(11), LocalAddress(10));
@@ -106,11 +107,15 @@
 SoakRun::WriteSettings(std::uint32_t aRouter)
 {
   const auto ip = RouterIp(aRouter);
+  const auto memoryLine =
+    m_settings.memoryLimit == 0
+      ? std::string()
+      : fmt::format("memory_limit_mb = {}\n", m_settings.memoryLimit >> 20U);
   std::ofstream file(fmt::format("{}/r{}.ini", m_directory, aRouter));
   file << fmt::format("[gateway]\nid = r{0}\navailability_zone = z{1}\n"
                       "callers_listen = {2}:{3}\nprobe_listen = {2}:{4}\n"
                       "control_listen = {2}:{5}\npeer_listen = {2}:{6}\n"
-                      "stop_grace_ms = {7}\n[store]\naddress = {8}\n"
+                      "stop_grace_ms = {7}\n{12}[store]\naddress = {8}\n"
                       "revocation_bound_ms = {9}\n[retries]\nslack = 50\n"
                       "[peers]\nseeds = {10}:{5},{11}:{5}\n",
                       aRouter,
@@ -124,7 +129,8 @@
                       LocalAddress(11).Text(),
                       kRevocationBound.count(),
                       RouterIp(0),
-                      RouterIp(1));
+                      RouterIp(1),
+                      memoryLine);
 }
 
 void
@@ -296,7 +302,7 @@
 void
 SoakRun::OnRun(const Upstream& aUpstream, const standins::UpstreamRun& aRun)
 {
-  if (aRun.ended) {
+  if (aRun.ended || OddCallers::Sent(aRun.requestId)) {
     return;
   }
   if (const auto cause = CrashingCaller::CauseOf(aRun.target)) {
@@ -766,6 +772,7 @@
   if (m_settings.hasCrashingPart) {
     m_crashingPartCaller.Tick(now);
   }
+  TickOddCallers(now);
   m_storeProxy->Tick(now);
   for (const auto& upstream : m_upstreams) {
     upstream->proxy->Tick(now);
@@ -775,6 +782,19 @@
   }
 }
 
+//! Odd callers leave with the faults, so that recovery can be judged.
+void
+SoakRun::TickOddCallers(base::TimePoint aNow)
+{
+  if (!m_settings.hasOddCallers) {
+    return;
+  }
+  if (aNow - m_shared.startedAt >= m_settings.length) {
+    m_oddCallers.Stop();
+  }
+  m_oddCallers.Tick(aNow);
+}
+
 void
 SoakRun::RunUntil(base::TimePoint aUntil)
 {
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -5,6 +5,7 @@
 #include "soak/crashchecker.h"
 #include "soak/crashingcaller.h"
 #include "soak/guarantees.h"
+#include "soak/oddcallers.h"
 #include "soak/routerprocess.h"
 #include "soak/signalchecker.h"
 #include "soak/soakcaller.h"
@@ -105,6 +106,7 @@
   void HandleCrashes(base::TimePoint aNow);
   void HandleCrash(std::size_t aUpstream, base::TimePoint aNow);
   void OnRun(const Upstream& aUpstream, const standins::UpstreamRun& aRun);
+  void TickOddCallers(base::TimePoint aNow);
   void RunUntil(base::TimePoint aUntil);
   void CheckGracefulStop();
   void CheckStreamsGoOn();
@@ -132,6 +134,7 @@
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   CrashingCaller m_crashingCaller;
   CrashingCaller m_crashingPartCaller;
+  OddCallers m_oddCallers;
   CrashChecker m_crashChecks{ m_guarantees };
   //! Writes since the store's last copy; repeated after a restore.
   std::vector<std::function<void()>> m_writesSinceCopy;
