--- a/src/http/headerlist.h
+++ b/src/http/headerlist.h
@@ -55,8 +55,12 @@
   HeaderList() = default;
   HeaderList(std::initializer_list<HeaderField> aFields);
 
-  Iterator begin() const { return Iterator(m_text); }
-  Iterator end() const
+  // Range-based for needs these names.
+  Iterator begin() const // NOLINT(readability-identifier-naming)
+  {
+    return Iterator(m_text);
+  }
+  Iterator end() const // NOLINT(readability-identifier-naming)
   {
     return Iterator(std::string_view(m_text).substr(m_text.size()));
   }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -258,11 +258,11 @@
     }
     const auto consumed = m_reader.Feed(m_inBuffer);
     m_inBuffer.erase(0, consumed);
-    if (m_reader.GetFault() == Fault::None && !HasRoomForHead()) {
-      RejectRequest(Fault::NoRoom);
-    } else if (m_bodyTooLarge) {
+    const bool headHasNoRoom =
+      m_reader.GetFault() == Fault::None && !HasRoomForHead();
+    if (m_bodyTooLarge) {
       RejectRequest(Fault::BodyTooLarge);
-    } else if (m_bodyHasNoRoom) {
+    } else if (headHasNoRoom || m_bodyHasNoRoom) {
       RejectRequest(Fault::NoRoom);
     } else if (m_reader.GetFault() != Fault::None) {
       RejectRequest(m_reader.GetFault());
@@ -483,17 +483,17 @@
 ServerConnection::EnforceTimeouts(base::TimePoint aNow)
 {
   const auto age = aNow - m_since;
-  if (m_state == State::Idle && age > m_limits.idleTimeout) {
-    CloseIfIdle();
-  } else if (m_state == State::Lingering && age > kLingerTimeout) {
+  const bool hasLingered = m_state == State::Lingering && age > kLingerTimeout;
+  const bool isAnswerUnread =
+    m_state == State::Answering && m_answerEnded &&
+    aNow - std::max(m_since, m_sentAt) > m_limits.idleTimeout;
+  if (hasLingered || isAnswerUnread) {
     Close();
     m_events.OnClosed(*this);
+  } else if (m_state == State::Idle && age > m_limits.idleTimeout) {
+    CloseIfIdle();
   } else if (m_state == State::Reading && age > ReadTimeout()) {
     RejectRequest(Fault::Timeout);
-  } else if (m_state == State::Answering && m_answerEnded &&
-             aNow - std::max(m_since, m_sentAt) > m_limits.idleTimeout) {
-    Close();
-    m_events.OnClosed(*this);
   }
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -79,10 +79,7 @@
   //! Whether the peer has already disconnected. A loop that lags behind may
   //! read a request whose caller has given up.
   bool HasPeerGone() const;
-  bool IsIdle() const
-  {
-    return m_state == State::Idle && m_inBuffer.empty();
-  }
+  bool IsIdle() const { return m_state == State::Idle && m_inBuffer.empty(); }
   //! When the current state (idle, reading or answering) began.
   base::TimePoint StateSince() const { return m_since; }
   std::size_t UnsentBytes() const { return m_outBuffer.size() - m_sentBytes; }
@@ -151,7 +148,7 @@
   Sink m_sink{ *this };
   MessageReader m_reader{ MessageReader::Side::Requests, m_sink };
   State m_state = State::Idle;
-  base::TimePoint m_since{}; //!< when m_state began
+  base::TimePoint m_since{};  //!< when m_state began
   base::TimePoint m_sentAt{}; //!< when the peer last took bytes
   RequestHead m_head;
   std::string m_body;
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -661,6 +661,7 @@
     settings);
   std::vector<CallerAnswer> answers(kCallers);
   std::vector<std::thread> callers;
+  callers.reserve(answers.size());
   for (auto& answer : answers) {
     callers.emplace_back(
       [&] { answer = fixture.Call(std::string(kBodyBytes, 'b')); });
