A reset is noticed behind a full read-ahead

Since the read-ahead is limited when it is read, a connection that was reset while its read-ahead was full was neither read nor closed: epoll reports a reset whether it is asked for or not, so the loop turned without a pause until the request's deadline.

Change: such a reset ends the connection, as a failed read does.

Evidence: AResetIsNoticedBehindAFullReadAhead failed before (not noticed within 20 s), passes after (one run each).

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -170,9 +170,19 @@
     CountBuffers();
     UpdateWatchedEvents();
   }
-  if (m_state != State::Closed && (aEvents & ~EPOLLOUT) != 0) {
-    Read();
+  if (m_state == State::Closed || (aEvents & ~EPOLLOUT) == 0) {
+    return;
+  }
+  if (m_state == State::Answering && m_inBuffer.size() >= MaxReadAhead()) {
+    // epoll reports a reset also if nothing is to be read.
+    if ((aEvents & (EPOLLHUP | EPOLLERR)) != 0) {
+      HandlePeerGone();
+      return;
+    }
+    UpdateWatchedEvents(); // the budget has become tight since the last one
+    return;
   }
+  Read();
 }
 
 void
@@ -189,11 +199,7 @@
   std::array<char, kReadBytes> buffer;
   auto size = buffer.size();
   if (m_state == State::Answering) {
-    const auto readAhead = MaxReadAhead();
-    if (m_inBuffer.size() >= readAhead) {
-      UpdateWatchedEvents(); // the budget has become tight since the last one
-      return;
-    }
+    const auto readAhead = std::max(MaxReadAhead(), m_inBuffer.size() + 1);
     size = std::min(size, readAhead - m_inBuffer.size());
   }
   const auto received = m_stream.recv(buffer.data(), size);
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -414,6 +414,30 @@
   cr_assert(server.targets[1] == "/second");
 }
 
+//! A reset must be noticed also while nothing more is read from the caller;
+//! otherwise the loop gets its event again and again.
+Test(connections, AResetIsNoticedBehindAFullReadAhead)
+{
+  eventloop::EventLoop loop;
+  EchoServer server(loop, 20980);
+  ACE_SOCK_Connector connector;
+  ACE_SOCK_Stream client;
+  cr_assert(connector.connect(client, ACE_INET_Addr(20980, "127.0.0.1")) == 0);
+  const std::string text =
+    "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(100000, 'x');
+  client.send_n(text.data(), text.size());
+  RunUntil(loop, [&] { return server.targets.size() == 1; });
+  loop.SchedulePeriodic(std::chrono::milliseconds(1), [] {});
+  for (int i = 0; i < 20; ++i) {
+    loop.RunOnce();
+  }
+  cr_assert(server.gone == 0);
+  linger resets{ 1, 0 };
+  client.set_option(SOL_SOCKET, SO_LINGER, &resets, sizeof(resets));
+  client.close();
+  RunUntil(loop, [&] { return server.gone == 1; });
+}
+
 //! A caller that never reads the rest of its answer must not keep its
 //! connection for good.
 Test(connections, AnAnswerThatIsNotReadIsGivenUp)
