A request that was read is not refused for its own size again

Cause: the request was given from its connection's share to its exchange's as if it were new, so a large body that had been admitted could be refused once it was read, when smaller requests had come meanwhile.

Change: what was read keeps its room; only what decoding adds must fit.

--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -47,6 +47,8 @@
 bool
 Exchange::Decode(http::RequestHead&& aHead, std::string&& aBody)
 {
+  m_bytesRead = aHead.HeldBytes() + aBody.capacity();
+  m_requestShare.Set(m_bytesRead);
   const bool hasBody = aHead.length.has_value() || !aBody.empty();
   try {
     m_request = m_dependencies.callers.Decode(std::move(aHead));
@@ -71,14 +73,19 @@
   }
 }
 
+//! Checks whether there is room for what the decoded request takes beyond what
+//! was read.
 bool
 Exchange::CheckRoom()
 {
-  if (m_requestShare.TrySet(sizeof(Exchange) + m_request.HeldBytes())) {
-    return true;
+  const auto bytes = sizeof(Exchange) + m_request.HeldBytes();
+  const auto added = bytes - std::min(bytes, m_bytesRead);
+  if (!m_dependencies.buffers.Fits(added)) {
+    RefuseForRoom();
+    return false;
   }
-  RefuseForRoom();
-  return false;
+  m_requestShare.Set(bytes);
+  return true;
 }
 
 void
