Wording: odd requests are stand-ins' text, a caller that parses nothing is raw

Names of the platform's fields had come into src/soak; they stand in platform/ and standins/ alone, so the odd requests move to standins/, in small functions and with one name for their ids. CrowdConnection is RawCaller, as RawUpstream; m_requestBytesRead is told from m_bytesReceived of the answer. Comments say what a limit or a share is for. BodyBudget::Total was not used.

The crowd and the bounds are the same.

--- a/src/base/bufferbudget.h
+++ b/src/base/bufferbudget.h
@@ -121,8 +121,8 @@
     }
     return fits;
   }
-  //! Like TrySet, but refuses only what is larger than ordinary: what an
-  //! upstream has answered must not be lost for a few bytes.
+  //! Like TrySet, but refuses only what is larger than kOrdinaryBytes: the
+  //! request has run, and its answer must not be lost for a few bytes.
   bool TrySetAnswer(std::size_t aBytes)
   {
     if (aBytes > BufferBudget::kOrdinaryBytes) {
--- a/src/fleet/prefixmap.h
+++ b/src/fleet/prefixmap.h
@@ -28,7 +28,9 @@
     double lastUse = 0; //!< value of m_enteredTokens at the last use
     double lastReported =
       0; //!< the same, at the last use that all routers know
-    std::uint64_t lastTouch = 0; //!< order of the last uses
+    //! Number of the last use among all uses: those of equal lastUse differ in
+    //! it.
+    std::uint64_t lastTouch = 0;
   };
 
   //! Sets how many tokens enter an engine's KV cache until it has evicted a
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,17 +40,18 @@
 //! Part of the memory limit that connections and requests may buffer. The rest
 //! is for what the router knows of the fleet, and for the heap's overhead.
 constexpr double kBufferRatio = 0.4;
-//! Part of the memory limit for what is known of prompts in KV caches, and the
-//! memory that one entry takes.
+//! What is known of prompts in KV caches may take a twentieth of the memory
+//! limit.
 constexpr std::size_t kPrefixDivisor = 20;
+//! Memory of one entry of fleet::PrefixMap.
 constexpr std::size_t kPrefixHolderBytes = 120;
 //! Maximum number of caller connections, also with more descriptors. Callers
 //! keep idle connections for seconds, so a caller that sends many times its
 //! usual load would otherwise take them all.
 constexpr std::size_t kMaxCallerConnections = 1900;
-//! Descriptors that are not for sockets, and those of listeners, the store,
-//! probes and other routers.
+//! Descriptors of a host that sockets can't use.
 constexpr std::size_t kFileDescriptors = 200;
+//! Descriptors of listeners, probes, the store and other routers.
 constexpr std::size_t kOwnDescriptors = 100;
 //! With more caller connections than this, each response closes its connection.
 constexpr std::size_t kMaxKeepAliveConnections = 500;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -245,8 +245,9 @@
   EventStreamFilter m_streamFilter;
   std::string
     m_bufferedBody; //!< of a response that is buffered until it is complete
-  //! Bytes of the request as read, for which there was room.
-  std::size_t m_bytesRead = 0;
+  //! Memory that the request took when it was read; the budget had room for
+  //! it.
+  std::size_t m_requestBytesRead = 0;
   base::BufferShare m_requestShare;
   base::BufferShare m_responseShare;
   bool m_endedByClose = false; //!< nothing but a close ended the response
--- a/src/gateway/internal/exchangefilters.cpp
+++ b/src/gateway/internal/exchangefilters.cpp
@@ -47,8 +47,8 @@
 bool
 Exchange::Decode(http::RequestHead&& aHead, std::string&& aBody)
 {
-  m_bytesRead = aHead.HeldBytes() + aBody.capacity();
-  m_requestShare.Set(m_bytesRead);
+  m_requestBytesRead = aHead.HeldBytes() + aBody.capacity();
+  m_requestShare.Set(m_requestBytesRead);
   const bool hasBody = aHead.length.has_value() || !aBody.empty();
   try {
     m_request = m_dependencies.callers.Decode(std::move(aHead));
@@ -79,7 +79,7 @@
 Exchange::CheckRoom()
 {
   const auto bytes = sizeof(Exchange) + m_request.HeldBytes();
-  const auto added = bytes - std::min(bytes, m_bytesRead);
+  const auto added = bytes - std::min(bytes, m_requestBytesRead);
   if (!m_dependencies.buffers.Fits(added)) {
     RefuseForRoom();
     return false;
--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -97,8 +97,8 @@
   bool m_started = false;
   bool m_hasHead = false;
   bool m_ended = false;
-  bool m_inName = false;  //!< part of a field's name was read
-  bool m_inValue = false; //!< a field's name was read, its value may go on
+  bool m_inName = false;  //!< the last bytes were of a field's name
+  bool m_inValue = false; //!< the last bytes were of a field's value
   bool m_hasInvalidField = false;
   Fault m_fault = Fault::None;
   std::exception_ptr m_error; //!< thrown by a callback of the parser
--- a/src/soak/oddcallers.cpp
+++ b/src/soak/oddcallers.cpp
@@ -1,7 +1,7 @@
 #include "soak/oddcallers.h"
 
-#include "soak/oddrequest.h"
 #include "soak/soakcaller.h"
+#include "standins/oddrequest.h"
 
 #include <array>
 
@@ -34,7 +34,7 @@
 bool
 OddCallers::Sent(const std::string& aRequestId)
 {
-  return aRequestId.starts_with("odd-");
+  return aRequestId.starts_with(standins::kOddRequestId);
 }
 
 void
@@ -64,8 +64,9 @@
 void
 OddCallers::Add(base::TimePoint aNow)
 {
-  const auto kind = static_cast<OddRequest>(m_random() % kOddRequestCount);
-  OddRequestSettings settings;
+  const auto kind =
+    static_cast<standins::OddRequest>(m_random() % standins::kOddRequestCount);
+  standins::OddRequestSettings settings;
   settings.path = kPaths.at(m_random() % kPaths.size());
   settings.key = m_shared.key;
   const auto& routers = m_shared.routers;
@@ -73,12 +74,12 @@
   const auto reading = m_random() % 3 == 0 ? Reading::Off : Reading::On;
   const auto stay =
     static_cast<std::int64_t>(kMinStayMs + m_random() % kStaySpreadMs);
-  m_callers.push_back(
-    { std::make_unique<CrowdConnection>(m_shared.loop,
-                                        router,
-                                        OddRequestText(kind, settings, m_count),
-                                        reading),
-      aNow + base::Duration(stay) });
+  m_callers.push_back({ std::make_unique<RawCaller>(
+                          m_shared.loop,
+                          router,
+                          standins::OddRequestText(kind, settings, m_count),
+                          reading),
+                        aNow + base::Duration(stay) });
   m_count++;
 }
 
--- a/src/soak/oddcallers.h
+++ b/src/soak/oddcallers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/basetypes.h"
-#include "soak/crowdconnection.h"
+#include "soak/rawcaller.h"
 
 #include <cstdint>
 #include <memory>
@@ -34,7 +34,7 @@
 private:
   struct Caller
   {
-    std::unique_ptr<CrowdConnection> connection;
+    std::unique_ptr<RawCaller> connection;
     base::TimePoint leavesAt{};
   };
 
--- a/src/soak/crowdconnection.cpp
+++ b/src/soak/rawcaller.cpp
@@ -1,4 +1,4 @@
-#include "soak/crowdconnection.h"
+#include "soak/rawcaller.h"
 
 #include "eventloop/eventloop.h"
 
@@ -21,10 +21,10 @@
 
 }
 
-CrowdConnection::CrowdConnection(eventloop::EventLoop& aLoop,
-                                 const base::Address& aRouter,
-                                 std::string aText,
-                                 Reading aReading)
+RawCaller::RawCaller(eventloop::EventLoop& aLoop,
+                     const base::Address& aRouter,
+                     std::string aText,
+                     Reading aReading)
   : m_loop(aLoop)
   , m_text(std::move(aText))
   , m_reading(aReading)
@@ -41,13 +41,13 @@
   m_loop.Add(m_stream.get_handle(), *this, EPOLLOUT);
 }
 
-CrowdConnection::~CrowdConnection()
+RawCaller::~RawCaller()
 {
   Close();
 }
 
 void
-CrowdConnection::Close()
+RawCaller::Close()
 {
   if (m_isOpen) {
     m_isOpen = false;
@@ -57,7 +57,7 @@
 }
 
 void
-CrowdConnection::OnIo(std::uint32_t aEvents)
+RawCaller::OnIo(std::uint32_t aEvents)
 {
   if ((aEvents & EPOLLOUT) != 0) {
     Send();
@@ -69,7 +69,7 @@
 }
 
 void
-CrowdConnection::Send()
+RawCaller::Send()
 {
   while (m_sent < m_text.size()) {
     const auto sent =
@@ -86,7 +86,7 @@
 }
 
 void
-CrowdConnection::Receive()
+RawCaller::Receive()
 {
   std::array<char, kReadBytes> buffer;
   const auto received = m_stream.recv(buffer.data(), buffer.size());
@@ -100,7 +100,7 @@
 }
 
 void
-CrowdConnection::UpdateWatchedEvents()
+RawCaller::UpdateWatchedEvents()
 {
   if (!m_isOpen) {
     return;
--- a/src/soak/crowdconnection.h
+++ b/src/soak/rawcaller.h
@@ -24,16 +24,16 @@
 
 //! A caller that sends given bytes and keeps its connection open until the
 //! router closes it. It parses nothing.
-class CrowdConnection : public eventloop::IIoHandler
+class RawCaller : public eventloop::IIoHandler
 {
 public:
-  CrowdConnection(eventloop::EventLoop& aLoop,
-                  const base::Address& aRouter,
-                  std::string aText,
-                  Reading aReading = Reading::On);
-  ~CrowdConnection() override;
-  CrowdConnection(const CrowdConnection&) = delete;
-  CrowdConnection& operator=(const CrowdConnection&) = delete;
+  RawCaller(eventloop::EventLoop& aLoop,
+            const base::Address& aRouter,
+            std::string aText,
+            Reading aReading = Reading::On);
+  ~RawCaller() override;
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
 
   //! Whether all bytes were sent, or the router closed the connection before.
   bool HasSent() const { return !m_isOpen || m_sent == m_text.size(); }
--- a/src/soak/tests/crowdfixture.h
+++ b/src/soak/tests/crowdfixture.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "platform/tests/platformfixture.h"
-#include "soak/crowdconnection.h"
-#include "soak/oddrequest.h"
+#include "soak/rawcaller.h"
 #include "soak/routerprocess.h"
+#include "standins/oddrequest.h"
 
 #include <cstddef>
 #include <cstdlib>
@@ -16,9 +16,9 @@
 
 namespace hemlockgauge::soak {
 
-//! Memory of a quarter of the smallest host's, 88 MB, for a crowd of about a
-//! quarter of the connections that a router accepts, 1,900.
+//! A quarter of the memory of the smallest host.
 inline constexpr std::size_t kCrowdMemoryMb = 22;
+//! Fewer than a quarter of the connections that a router accepts.
 inline constexpr std::size_t kCrowdSize = 400;
 //! Descriptors of the router itself: listeners, the store, peers, standard
 //! streams.
@@ -126,9 +126,9 @@
     return call->completed && call->head.status == 200;
   }
 
-  OddRequestSettings Odd(const std::string& aPath = "/safe/x") const
+  standins::OddRequestSettings Odd(const std::string& aPath = "/safe/x") const
   {
-    OddRequestSettings settings;
+    standins::OddRequestSettings settings;
     settings.path = aPath;
     settings.key = "key-1";
     return settings;
@@ -136,18 +136,19 @@
 
   void AddCaller(std::string aText, Reading aReading = Reading::On)
   {
-    crowd.push_back(std::make_unique<CrowdConnection>(
+    crowd.push_back(std::make_unique<RawCaller>(
       loop, AddressAt(0), std::move(aText), aReading));
   }
 
   //! Sends one odd request from each of kCrowdSize callers, which then keep
   //! their connections, and waits until the router has taken or refused all.
-  void SendCrowd(OddRequest aKind,
-                 const OddRequestSettings& aSettings,
+  void SendCrowd(standins::OddRequest aKind,
+                 const standins::OddRequestSettings& aSettings,
                  Reading aReading = Reading::On)
   {
     for (std::size_t i = 0; i < kCrowdSize; ++i) {
-      AddCaller(OddRequestText(aKind, aSettings, m_numbers++), aReading);
+      AddCaller(standins::OddRequestText(aKind, aSettings, m_numbers++),
+                aReading);
       loop.RunOnce();
     }
     RunUntil([&] {
@@ -210,7 +211,7 @@
 #endif
   }
 
-  std::vector<std::unique_ptr<CrowdConnection>> crowd;
+  std::vector<std::unique_ptr<RawCaller>> crowd;
   //! Further lines of the section [gateway]; must be set before StartProcess.
   std::string gatewayLines;
   std::size_t maxDescriptors = 2 * kCrowdSize + kOwnDescriptors;
--- a/src/soak/tests/crowdtests.cpp
+++ b/src/soak/tests/crowdtests.cpp
@@ -1,10 +1,13 @@
 #include "soak/tests/crowdfixture.h"
+#include "standins/platformtext.h"
 
 //! Crowds of callers, and upstreams, that stay within the size limits but cost
 //! a router more than usual ones. No process may end or hang, or use more
 //! memory or descriptors than its host has.
 using namespace hemlockgauge;
 using namespace hemlockgauge::soak;
+using standins::OddRequest;
+using standins::OddRequestText;
 using standins::UpstreamFault;
 
 namespace {
@@ -14,7 +17,9 @@
 ForCrowd(UpstreamFault aFault)
 {
   return [aFault](const standins::UpstreamRun& aRun) {
-    return aRun.requestId.starts_with("odd") ? aFault : UpstreamFault::None;
+    return aRun.requestId.starts_with(standins::kOddRequestId)
+             ? aFault
+             : UpstreamFault::None;
   };
 }
 
@@ -156,11 +161,14 @@
     .SetFaultSelector(ForCrowd(UpstreamFault::StalledEvent));
   fixture.StartProcess();
   for (std::size_t i = 0; i < kCrowdSize; ++i) {
-    platformadapter::TestRequest request;
-    request.path = "/stream/x";
-    request.id = fmt::format("odd-{}", i);
-    request.extra = "Hemlockgauge-Token-Count: 3,3\r\n";
-    fixture.AddCaller(request.Text());
+    standins::CallText call;
+    call.path = "/stream/x";
+    call.id = fmt::format("{}{}", standins::kOddRequestId, i);
+    call.key = "key-1";
+    call.promptTokens = 3;
+    call.outputTokens = 3;
+    call.promptParts = "aa:3";
+    fixture.AddCaller(standins::EncodeCall(call));
     fixture.loop.RunOnce();
   }
   fixture.RunFor(1000);
--- a/src/traffic/bodybudget.h
+++ b/src/traffic/bodybudget.h
@@ -7,8 +7,8 @@
 
 namespace hemlockgauge::traffic {
 
-//! Counts and limits the bytes of requests and answers that all connections
-//! buffer together. Thread-safe.
+//! Counts and limits the bytes of bodies, of requests and answers, that all
+//! connections buffer together. Unlike base::BufferBudget it is thread-safe.
 class BodyBudget
 {
 public:
@@ -30,7 +30,6 @@
   void Remove(std::size_t aBytes) { m_total -= aBytes; }
   //! Whether more than half of the limit is used.
   bool IsTight() const { return m_total > m_limit / 2; }
-  std::size_t Total() const { return m_total; }
 
 private:
   std::size_t m_limit;
--- a/src/soak/oddrequest.h
+++ b/standins/oddrequest.h
@@ -5,8 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
-namespace hemlockgauge::soak {
+namespace hemlockgauge::standins {
 
 //! Requests within the size limits that cost a router more than usual ones of
 //! the same size.
@@ -45,6 +46,9 @@
 inline constexpr std::size_t kOddRequestCount =
   static_cast<std::size_t>(OddRequest::Silent) + 1;
 
+//! The ids of odd requests begin with this.
+inline constexpr std::string_view kOddRequestId = "odd-";
+
 //! What odd requests have in common.
 struct OddRequestSettings
 {
@@ -55,7 +59,8 @@
   std::size_t maxHeadBytes = 16384; //!< limit of the router
 };
 
-//! The bytes to send. aNumber: differs between requests.
+//! The bytes that a caller sends. aNumber differs between requests and makes
+//! their ids.
 std::string
 OddRequestText(OddRequest aKind,
                const OddRequestSettings& aSettings,
--- a/standins/upstreamstandin.h
+++ b/standins/upstreamstandin.h
@@ -129,7 +129,8 @@
   std::uint32_t slots = 8;
   bool isEngine = false;
   base::Duration workTime{ 5 }; //!< to the first byte, and per event
-  //! Routers add fields to the heads of their callers.
+  //! More than routers accept, as they add fields to the heads of their
+  //! callers.
   std::size_t maxHeadBytes = 65536;
   //! While cold, the upstream crashes if it receives more requests than this
   //! within one second; 0: no limit.
