--- a/src/soak/routerprocess.cpp
+++ b/src/soak/childprocess.cpp
@@ -1,4 +1,4 @@
-#include "soak/routerprocess.h"
+#include "soak/childprocess.h"
 
 #include "base/error.h"
 
@@ -17,16 +17,16 @@
 
 namespace hemlockgauge::soak {
 
-RouterProcess::RouterProcess(std::string aProgram,
-                             const std::string& aSettingsFile,
-                             std::string aLogFile)
+ChildProcess::ChildProcess(std::string aProgram,
+                           std::vector<std::string> aArguments,
+                           std::string aLogFile)
   : m_program(std::move(aProgram))
-  , m_settingsFile("--settings=" + aSettingsFile)
+  , m_arguments(std::move(aArguments))
   , m_logFile(std::move(aLogFile))
 {
 }
 
-RouterProcess::~RouterProcess()
+ChildProcess::~ChildProcess()
 {
   if (IsRunning()) {
     kill(m_pid, SIGCONT);
@@ -36,7 +36,7 @@
 }
 
 void
-RouterProcess::Start()
+ChildProcess::Start()
 {
   posix_spawn_file_actions_t fileActions;
   posix_spawn_file_actions_init(&fileActions);
@@ -46,18 +46,26 @@
   // An inherited listener would stay open in the router after its upstream has
   // crashed, so all descriptors above stderr are closed.
   posix_spawn_file_actions_addclosefrom_np(&fileActions, STDERR_FILENO + 1);
-  char* arguments[] = { m_program.data(), m_settingsFile.data(), nullptr };
-  const int spawnError = posix_spawn(
-    &m_pid, m_program.c_str(), &fileActions, nullptr, arguments, environ);
+  std::vector<char*> arguments{ m_program.data() };
+  for (auto& argument : m_arguments) {
+    arguments.push_back(argument.data());
+  }
+  arguments.push_back(nullptr);
+  const int spawnError = posix_spawn(&m_pid,
+                                     m_program.c_str(),
+                                     &fileActions,
+                                     nullptr,
+                                     arguments.data(),
+                                     environ);
   posix_spawn_file_actions_destroy(&fileActions);
   if (spawnError != 0) {
     throw base::Error(base::ErrorCode::Unreachable,
-                      m_program + ": the router program can't be started");
+                      m_program + ": the program can't be started");
   }
 }
 
 void
-RouterProcess::Signal(int aSignal)
+ChildProcess::Signal(int aSignal)
 {
   if (IsRunning()) {
     kill(m_pid, aSignal);
@@ -65,7 +73,7 @@
 }
 
 std::size_t
-RouterProcess::ResidentBytes() const
+ChildProcess::ResidentBytes() const
 {
   std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
   std::size_t total = 0;
@@ -75,7 +83,7 @@
 }
 
 std::size_t
-RouterProcess::PeakResidentBytes() const
+ChildProcess::PeakResidentBytes() const
 {
   constexpr std::string_view kField = "VmHWM:";
   constexpr std::size_t kKilobyte = 1024;
@@ -89,7 +97,7 @@
 }
 
 std::size_t
-RouterProcess::OpenDescriptors() const
+ChildProcess::OpenDescriptors() const
 {
   std::error_code error;
   const std::filesystem::directory_iterator descriptors(
@@ -99,7 +107,7 @@
 }
 
 bool
-RouterProcess::HasEnded(int& aExitStatus)
+ChildProcess::HasEnded(int& aExitStatus)
 {
   int status = 0;
   if (!IsRunning() || waitpid(m_pid, &status, WNOHANG) != m_pid) {
--- a/src/soak/routerprocess.h
+++ b/src/soak/childprocess.h
@@ -3,20 +3,21 @@
 #include <cstddef>
 #include <string>
 #include <sys/types.h>
+#include <vector>
 
 namespace hemlockgauge::soak {
 
-//! A router in a child process. Signals are sent only to the process that this
-//! object started, by its process id.
-class RouterProcess
+//! A router or a stand-in in a child process. Signals are sent only to the
+//! process that this object started, by its process id.
+class ChildProcess
 {
 public:
-  RouterProcess(std::string aProgram,
-                const std::string& aSettingsFile,
-                std::string aLogFile);
-  ~RouterProcess();
-  RouterProcess(const RouterProcess&) = delete;
-  RouterProcess& operator=(const RouterProcess&) = delete;
+  ChildProcess(std::string aProgram,
+               std::vector<std::string> aArguments,
+               std::string aLogFile);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Start();
   void Signal(int aSignal);
@@ -34,7 +35,7 @@
 
 private:
   std::string m_program;
-  std::string m_settingsFile;
+  std::vector<std::string> m_arguments;
   std::string m_logFile;
   pid_t m_pid = 0;
 };
--- a/src/soak/soakrun.cpp
+++ b/src/soak/soakrun.cpp
@@ -82,9 +82,9 @@
   for (std::uint32_t i = 0; i < aSettings.routers; ++i) {
     WriteSettings(i);
     Router router;
-    router.process = std::make_unique<RouterProcess>(
+    router.process = std::make_unique<ChildProcess>(
       aRouterProgram,
-      fmt::format("{}/r{}.ini", m_directory, i),
+      std::vector{ fmt::format("--settings={}/r{}.ini", m_directory, i) },
       fmt::format("{}/r{}.log", m_directory, i));
     m_routers.push_back(std::move(router));
     m_shared.routers.push_back({ RouterIp(i), m_port });
--- a/src/soak/soakrun.h
+++ b/src/soak/soakrun.h
@@ -2,11 +2,11 @@
 
 #include "eventloop/eventloop.h"
 #include "soak/chaosproxy.h"
+#include "soak/childprocess.h"
 #include "soak/crashchecker.h"
 #include "soak/crashingcaller.h"
 #include "soak/guarantees.h"
 #include "soak/oddcallers.h"
-#include "soak/routerprocess.h"
 #include "soak/signalchecker.h"
 #include "soak/soakcaller.h"
 #include "soak/soakplan.h"
@@ -66,7 +66,7 @@
 
   struct Router
   {
-    std::unique_ptr<RouterProcess> process;
+    std::unique_ptr<ChildProcess> process;
     base::TimePoint startAt{}; //!< time of the next start; 0 if none is due
     bool stopping = false;
     bool toldToEnd = false;     //!< got a signal that ends it
--- a/src/soak/tests/crowdfixture.h
+++ b/src/soak/tests/crowdfixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "platform/tests/platformfixture.h"
+#include "soak/childprocess.h"
 #include "soak/rawcaller.h"
-#include "soak/routerprocess.h"
 #include "standins/oddrequest.h"
 
 #include <cstddef>
@@ -24,9 +24,18 @@
 //! streams.
 inline constexpr std::size_t kOwnDescriptors = 32;
 
+//! What some tests change in the configuration.
+struct CrowdConfig
+{
+  int headTimeoutMs = 3000;
+  int idleTimeoutMs = 15000;
+  int routeTimeoutMs = 3000;
+  int furtherRoutes = 0; //!< beside those that the tests use
+};
+
 //! The router of the running test. A failed assertion leaves the test without
 //! calling destructors; EndRouterProcess ends the process all the same.
-inline std::optional<RouterProcess> process;
+inline std::optional<ChildProcess> process;
 
 inline void
 EndRouterProcess()
@@ -47,15 +56,20 @@
 
   //! The limits that the users' pages name, and services with room for the
   //! whole crowd.
-  void PutCrowdConfig(int aIdleTimeoutMs = 15000)
+  void PutCrowdConfig(const CrowdConfig& aConfig = {})
   {
-    auto text = ConfigText(2, R"("key-1")", "", 3000);
+    auto text = ConfigText(2,
+                           R"("key-1")",
+                           FurtherRoutes(aConfig.furtherRoutes),
+                           aConfig.routeTimeoutMs);
     Replace(text, R"("maxHeaderBytes":4096)", R"("maxHeaderBytes":16384)");
     Replace(text, R"("maxBodyBytes":2000)", R"("maxBodyBytes":4194304)");
-    Replace(text, R"("headerTimeoutMs":300)", R"("headerTimeoutMs":3000)");
+    Replace(text,
+            R"("headerTimeoutMs":300)",
+            fmt::format(R"("headerTimeoutMs":{})", aConfig.headTimeoutMs));
     Replace(text,
             R"("idleTimeoutMs":5000)",
-            fmt::format(R"("idleTimeoutMs":{})", aIdleTimeoutMs));
+            fmt::format(R"("idleTimeoutMs":{})", aConfig.idleTimeoutMs));
     Replace(text, R"("maxConns":90)", R"("maxConns":2000)");
     Replace(text, R"("slots":8)", R"("slots":1000)");
     store.Put("op/config", text);
@@ -104,8 +118,9 @@
       kCrowdMemoryMb,
       gatewayLines,
       AddressAt(10).Text());
-    process.emplace(
-      program, settings.string(), (directory / "router.log").string());
+    process.emplace(program,
+                    std::vector{ "--settings=" + settings.string() },
+                    (directory / "router.log").string());
     process->Start();
     RunUntil([&] { return ServesOne("/safe/x"); });
   }
@@ -217,6 +232,20 @@
   std::size_t maxDescriptors = 2 * kCrowdSize + kOwnDescriptors;
 
 private:
+  static std::string FurtherRoutes(int aCount)
+  {
+    std::string routes;
+    for (int i = 0; i < aCount; ++i) {
+      routes += fmt::format(
+        R"(,{{"name":"further-{0}","host":"h.example","prefix":"/further-{0}/",)"
+        R"("type":"safe","timeoutMs":3000,"targetLatencyMs":500,"priority":1,)"
+        R"("service":"plain","maxAttempts":2,"public":false,"sticky":false,)"
+        R"("resumable":false,"targetGapMs":300}})",
+        i);
+    }
+    return routes;
+  }
+
   static void Replace(std::string& aText,
                       std::string_view aFrom,
                       std::string_view aTo)
--- a/src/soak/tests/crowdtests.cpp
+++ b/src/soak/tests/crowdtests.cpp
@@ -198,7 +198,7 @@
 Test(crowd, CallersThatNeverReadDoNotKeepConnections)
 {
   CrowdFixture fixture(26920);
-  fixture.PutCrowdConfig(500);
+  fixture.PutCrowdConfig({ .idleTimeoutMs = 500 });
   fixture.AddRoomyUpstream("i-1", 20).SetFaultSelector(
     ForCrowd(UpstreamFault::LargeBody));
   fixture.StartProcess();
@@ -207,3 +207,89 @@
     [&] { return process->OpenDescriptors() <= kOwnDescriptors; });
   fixture.ExpectSound();
 }
+
+//! Each slash of a target may end the prefix of its route. Looking all of them
+//! up must not take time that grows with the square of their number.
+Test(crowd, TargetsOfSlashesHoldUpNobody)
+{
+  CrowdFixture fixture(27000);
+  fixture.PutCrowdConfig({ .furtherRoutes = 60 });
+  fixture.AddRoomyUpstream("i-1", 20);
+  fixture.StartProcess();
+  fixture.SendCrowd(OddRequest::SlashTarget, fixture.Odd());
+  fixture.ExpectSound();
+}
+
+//! Memory that one kind of request leaves behind must serve the next kind.
+Test(crowd, CrowdsOfAllKindsInTurnFillNoMemory)
+{
+  CrowdFixture fixture(27040);
+  fixture.AddRoomyUpstream("i-1", 20);
+  fixture.AddRoomyUpstream("i-2", 21, true);
+  fixture.StartProcess();
+  for (std::size_t kind = 0; kind < standins::kOddRequestCount; ++kind) {
+    fixture.SendCrowd(static_cast<OddRequest>(kind), fixture.Odd());
+    fixture.crowd.clear();
+  }
+  fixture.ExpectSound();
+}
+
+//! Callers that leave must not keep connections, room and slots until their
+//! requests' deadline, also if the router has stopped reading from them.
+Test(crowd, CallersThatLeaveBehindPipelinedRequestsKeepNoConnections)
+{
+  constexpr int kLongMs = 600000;
+  CrowdFixture fixture(27080);
+  fixture.PutCrowdConfig({ .routeTimeoutMs = kLongMs });
+  fixture.AddRoomyUpstream("i-1", 20).SetFaultSelector(
+    ForCrowd(UpstreamFault::Mute));
+  fixture.StartProcess();
+  auto settings = fixture.Odd();
+  settings.deadlineMs = kLongMs;
+  fixture.SendCrowd(OddRequest::PipelinedReadAhead, settings);
+  fixture.crowd.clear();
+  fixture.RunUntil(
+    [&] { return process->OpenDescriptors() <= kOwnDescriptors; });
+  fixture.ExpectSound();
+}
+
+//! Callers that never finish their requests must not take all connections: an
+//! ordinary request is served while they stay.
+Test(crowd, UnfinishedRequestsKeepNobodyOut)
+{
+  constexpr int kLongMs = 600000;
+  CrowdFixture fixture(27120);
+  fixture.PutCrowdConfig(
+    { .headTimeoutMs = kLongMs, .idleTimeoutMs = kLongMs });
+  fixture.gatewayLines = "max_descriptors = 600\n";
+  fixture.maxDescriptors = 600 - 200;
+  fixture.AddRoomyUpstream("i-1", 20);
+  fixture.StartProcess();
+  fixture.SendCrowd(OddRequest::UnfinishedHead, fixture.Odd());
+  fixture.SendCrowd(OddRequest::UnfinishedBody, fixture.Odd());
+  fixture.ExpectServes();
+  fixture.ExpectSound();
+}
+
+//! The requests of this crowd are small. What was read behind them must not
+//! take the room of others.
+Test(crowd, WhatIsReadBehindRequestsTakesNoRoomFromOthers)
+{
+  constexpr int kLongMs = 600000;
+  CrowdFixture fixture(27480);
+  fixture.PutCrowdConfig({ .routeTimeoutMs = kLongMs });
+  fixture.AddRoomyUpstream("i-1", 20).SetFaultSelector(
+    ForCrowd(UpstreamFault::Mute));
+  fixture.AddRoomyUpstream("i-2", 21).SetFaultSelector(
+    ForCrowd(UpstreamFault::Mute));
+  fixture.StartProcess();
+  auto settings = fixture.Odd();
+  settings.deadlineMs = kLongMs;
+  fixture.SendCrowd(OddRequest::PipelinedReadAhead, settings);
+  for (const auto& caller : fixture.crowd) {
+    const auto& answer = caller->FirstBytes();
+    cr_assert(answer.empty(), "%s", answer.c_str());
+  }
+  fixture.ExpectServes();
+  fixture.ExpectSound();
+}
--- a/standins/oddrequest.cpp
+++ b/standins/oddrequest.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::string_view kCrLf = "\r\n";
 constexpr std::string_view kLf = "\n";
+//! Not allowed in a target unless it is escaped, but accepted.
+constexpr char kEscapedByte = '\x80';
 constexpr std::size_t kUnfinishedBodyBytes = 1000;
 constexpr std::size_t kUnfinishedChunks = 2000;
 constexpr std::size_t kPipelinedBytes = 65536;
@@ -138,6 +140,12 @@
     case OddRequest::LongTarget:
       parts.path += std::string(room, 't');
       return OpenHead(aSettings, parts).append(kCrLf);
+    case OddRequest::RawTarget:
+      parts.path += '?' + std::string(room - 1, kEscapedByte);
+      return OpenHead(aSettings, parts).append(kCrLf);
+    case OddRequest::SlashTarget:
+      parts.path = "/none" + std::string(room, '/');
+      return Repeat(OpenHead(aSettings, parts).append(kCrLf), kPipelinedBytes);
     case OddRequest::UnfinishedHead:
       Fill(head, "a:\r\n", limit);
       return head;
--- a/standins/oddrequest.h
+++ b/standins/oddrequest.h
@@ -21,6 +21,8 @@
   PromptParts,        //!< as many prompt parts as fit, new ones in each request
   LongId,             //!< an id as long as the head may be
   LongTarget,         //!< the same of the target
+  RawTarget,          //!< the same, of bytes that get longer when escaped
+  SlashTarget,        //!< targets of slashes, for no route, several at once
   UnfinishedHead,     //!< ShortFields without the blank line
   UnfinishedBody,     //!< ShortFieldsByLf without the body that they announce
   UnfinishedChunks,   //!< a body of chunks of one byte without its end
@@ -37,6 +39,8 @@
                                   "prompt-parts",
                                   "long-id",
                                   "long-target",
+                                  "raw-target",
+                                  "slash-target",
                                   "unfinished-head",
                                   "unfinished-body",
                                   "unfinished-chunks",
