The slashes of a path are sought no further than the longest prefix

Callers saw no answer for 20 s and more while 400 connections sent four targets of 16 KB of slashes each: each slash may end the prefix of a route, and for each the whole path before it was hashed, 130 MB a request, and again for each try.

Cause: the lookup's work grew with the square of a path's slashes. It shows with more than 20 routes only: below, the library compares instead of hashing.

Change: a path is cut at the length of the longest prefix before the lookup. No longer one can match, so the chosen route is the same.

--- a/src/fleet/routetable.cpp
+++ b/src/fleet/routetable.cpp
@@ -28,6 +28,7 @@
   m_routes.reserve(m_config->routes.size());
   for (const auto& route : m_config->routes) {
     m_routes[HostKey(route.host) + route.prefix] = &route;
+    m_longestPrefix = std::max(m_longestPrefix, route.prefix.size());
   }
 }
 
@@ -38,6 +39,8 @@
   if (key.empty()) {
     return nullptr;
   }
+  // Callers choose how many slashes a path has, and each is looked up.
+  aPath = aPath.substr(0, m_longestPrefix);
   const auto hostSize = key.size();
   key += aPath;
   for (auto slash = aPath.rfind('/'); slash != std::string_view::npos;) {
--- a/src/fleet/routetable.h
+++ b/src/fleet/routetable.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleettypes.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,8 +10,8 @@
 namespace hemlockgauge::fleet {
 
 //! Finds the route of a request: the one of its host with the longest matching
-//! path prefix. The lookup time grows with the depth of the path, not with the
-//! number of routes.
+//! path prefix. The lookup time grows with the depth of the longest prefix, not
+//! with that of the path or with the number of routes.
 class RouteTable
 {
 public:
@@ -24,6 +25,7 @@
 private:
   ConfigPtr m_config;
   std::unordered_map<std::string, const Route*> m_routes;
+  std::size_t m_longestPrefix = 0; //!< bytes
 };
 
 //! Chooses a service of aRoute by weight. The same aKey always gets the same
