A caller that closes behind unread bytes is noticed at once

Callers saw slots and room taken by others that had left: 400 callers sent 64 KB of requests each to a slow upstream and closed. Their connections and requests stayed until the deadline, 600 s in the test.

Cause: the end of a connection was noticed by reading it, and a connection whose read-ahead is full is not read. HasPeerGone peeked at one byte, which unread bytes answer.

Change: epoll reports the peer's end (EPOLLRDHUP) in all states, and HasPeerGone asks for it with poll. An end seen by reading was handled in the same way, so nothing changes for callers that close only their sending side.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -1,9 +1,9 @@
 #include "http/serverconnection.h"
 
+#include "base/peerclosed.h"
 #include "eventloop/eventloop.h"
 
 #include <sys/epoll.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -146,7 +146,9 @@
   if (m_state == State::Closed || (!m_isRegistered && ClosesWithFlush())) {
     return;
   }
-  std::uint32_t events = m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : 0U;
+  // A peer that closes is noticed also while nothing is read from it.
+  std::uint32_t events = EPOLLRDHUP;
+  events |= m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : 0U;
   // The next iteration parses a pipelined request, so that one connection's
   // requests do not hold up the others.
   events |= UnsentBytes() > 0 || HasPipelinedRequest() ? EPOLLOUT : 0U;
@@ -174,8 +176,7 @@
     return;
   }
   if (m_state == State::Answering && m_inBuffer.size() >= MaxReadAhead()) {
-    // epoll reports a reset also if nothing is to be read.
-    if ((aEvents & (EPOLLHUP | EPOLLERR)) != 0) {
+    if ((aEvents & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
       HandlePeerGone();
       return;
     }
@@ -216,11 +217,7 @@
 bool
 ServerConnection::HasPeerGone() const
 {
-  char byte = 0;
-  const auto received =
-    recv(m_stream.get_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 ||
-         (received == -1 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return base::HasPeerClosed(m_stream.get_handle());
 }
 
 void
