What is read behind a request does not take the room of others

Callers got 503 for want of room while the budget was full of bytes that no request needed yet: 400 callers sent 64 KB of small requests each.

Cause: a connection at rest read 16 KB at a time also while the budget was tight; what did not belong to the first request stayed as read-ahead, which is counted but never refused: 400 x 16 KB and more of 8.8 MB.

Change: while the budget is tight, all reads are as small as the read-ahead may be, 4 KB. Half of the budget, 4 KB a connection and the requests themselves fit: at 1,900 connections and 88 MB 17.6 + 7.8 + 4 of 35 MB, by calculation.

Ruled out: no read-ahead at all while it is tight: the bytes behind a request arrive with it, and pushing them back is not possible.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -140,6 +140,16 @@
   return isTight ? kTightReadAhead : kMaxReadAhead;
 }
 
+//! Bytes to read at a time; at least one. The request that is being read may
+//! end in them, so that the rest is read ahead.
+std::size_t
+ServerConnection::MaxReadBytes() const
+{
+  const auto maxAhead = MaxReadAhead();
+  const auto ahead = m_state == State::Answering ? m_inBuffer.size() : 0;
+  return maxAhead > ahead ? maxAhead - ahead : 1;
+}
+
 void
 ServerConnection::UpdateWatchedEvents()
 {
@@ -198,12 +208,8 @@
 ServerConnection::Read()
 {
   std::array<char, kReadBytes> buffer;
-  auto size = buffer.size();
-  if (m_state == State::Answering) {
-    const auto readAhead = std::max(MaxReadAhead(), m_inBuffer.size() + 1);
-    size = std::min(size, readAhead - m_inBuffer.size());
-  }
-  const auto received = m_stream.recv(buffer.data(), size);
+  const auto received =
+    m_stream.recv(buffer.data(), std::min(buffer.size(), MaxReadBytes()));
   if (received > 0) {
     HandleBytes({ buffer.data(), static_cast<std::size_t>(received) });
     return;
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -139,6 +139,7 @@
   bool HasRoomForHead();
   bool HasRoomForBody(std::size_t aBytes);
   std::size_t MaxReadAhead() const;
+  std::size_t MaxReadBytes() const;
   bool ClosesWithFlush() const;
 
   eventloop::EventLoop& m_loop;
