Callers that stall in their requests make way when all connections are taken

Cause: at the maximum only idle connections were closed, one that waits for the rest of its request never. A second fault stood beside it: a connection that had just been accepted counted as the longest idle one, and was closed before its request was read, if all others were busy.

Change: at the maximum, a connection is closed for another one if it is idle after an answer, or its peer lets a request wait for 500 ms, the first one included. What has come meanwhile is read first, for a process that was paused. An unfinished request is refused as one that timed out (408, not run). At the probes' own maximum there is no patience, as before; unfinished heads make way there, too.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,8 +55,11 @@
 constexpr std::size_t kOwnDescriptors = 100;
 //! With more caller connections than this, each response closes its connection.
 constexpr std::size_t kMaxKeepAliveConnections = 500;
-//! Number of idle connections closed at a time when the maximum is reached.
-constexpr std::size_t kIdleCloseBatch = 100;
+//! Number of connections closed at a time when the maximum is reached.
+constexpr std::size_t kCloseBatch = 100;
+//! At the maximum, a caller that lets its request wait longer than this makes
+//! way for others. Lost packets are sent again within this time.
+constexpr base::Duration kPatienceAtMaximum = 500ms;
 
 fleet::FleetSettings
 MakeFleetSettings(const GatewaySettings& aSettings, std::uint64_t aIncarnation)
@@ -221,13 +224,14 @@
 }
 
 //! Pauses the listener while the maximum of connections is reached and none of
-//! them is idle. New connections then wait in the backlog: callers whose
+//! them can be closed. New connections then wait in the backlog: callers whose
 //! connection is closed without an answer reconnect at once.
 void
 Gateway::UpdateListenerPause()
 {
-  const bool full = m_connections.Size() >= m_maxCallers &&
-                    m_connections.CloseLongestIdle(kIdleCloseBatch) == 0;
+  const bool full =
+    m_connections.Size() >= m_maxCallers &&
+    m_connections.MakeRoom(kCloseBatch, kPatienceAtMaximum) == 0;
   m_listener->Pause(full);
 }
 
--- a/src/gateway/internal/probeserver.cpp
+++ b/src/gateway/internal/probeserver.cpp
@@ -19,7 +19,7 @@
   , m_connections(aLoop, m_limits, *this)
   , m_listener(aLoop, aListen, [this](const ACE_SOCK_Stream& aStream) {
     const bool isFull = m_connections.Size() >= kMaxConnections &&
-                        m_connections.CloseLongestIdle(1) == 0;
+                        m_connections.MakeRoom(1, base::Duration{}) == 0;
     if (isFull) {
       ACE_SOCK_Stream refused(aStream);
       refused.close();
--- a/src/http/connectionset.cpp
+++ b/src/http/connectionset.cpp
@@ -64,22 +64,24 @@
 }
 
 std::size_t
-ConnectionSet::CloseLongestIdle(std::size_t aMaxCount)
+ConnectionSet::MakeRoom(std::size_t aMaxCount, base::Duration aPatience)
 {
-  auto idle = All();
-  std::erase_if(idle,
-                [](const auto* aConnection) { return !aConnection->IsIdle(); });
-  const auto count = std::min(aMaxCount, idle.size());
-  std::partial_sort(idle.begin(),
-                    idle.begin() + static_cast<std::ptrdiff_t>(count),
-                    idle.end(),
+  auto found = All();
+  std::erase_if(found, [&](const auto* aConnection) {
+    return !aConnection->IsDispensable(aPatience);
+  });
+  const auto count = std::min(aMaxCount, found.size());
+  const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(found.begin(),
+                    end,
+                    found.end(),
                     [](const auto* aFirst, const auto* aSecond) {
-                      return aFirst->StateSince() < aSecond->StateSince();
+                      return aFirst->LastActive() < aSecond->LastActive();
                     });
-  for (std::size_t i = 0; i < count; ++i) {
-    idle[i]->CloseIfIdle();
-  }
-  return count;
+  return static_cast<std::size_t>(
+    std::count_if(found.begin(), end, [&](auto* aConnection) {
+      return aConnection->CloseIfDispensable(aPatience);
+    }));
 }
 
 void
--- a/src/http/connectionset.h
+++ b/src/http/connectionset.h
@@ -41,9 +41,10 @@
   void CloseIdle();
   //! Closes all connections, aborting requests in progress.
   void AbortAll();
-  //! Closes up to aMaxCount idle connections, the longest idle first. Returns
-  //! how many it closed.
-  std::size_t CloseLongestIdle(std::size_t aMaxCount);
+  //! Closes up to aMaxCount dispensable connections, those first whose peers
+  //! have been silent for longest. Returns how many it closed. aPatience: see
+  //! ServerConnection::IsDispensable.
+  std::size_t MakeRoom(std::size_t aMaxCount, base::Duration aPatience);
   std::size_t Size() const { return m_connections.size(); }
 
 private:
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -243,6 +243,7 @@
   if (m_state == State::Lingering) {
     return;
   }
+  m_receivedAt = m_loop.Now();
   m_inBuffer.append(aBytes);
   if (m_state == State::Idle || m_state == State::Reading) {
     Parse();
@@ -413,6 +414,7 @@
 void
 ServerConnection::FinishAnswer()
 {
+  m_hasAnswered = true;
   if (m_closeAfter) {
     EndConnection();
     return;
@@ -482,6 +484,32 @@
   }
 }
 
+bool
+ServerConnection::IsDispensable(base::Duration aPatience) const
+{
+  const bool isIdleAfterAnswer = IsIdle() && m_hasAnswered;
+  const bool awaitsBytes = IsIdle() || m_state == State::Reading;
+  return isIdleAfterAnswer ||
+         (awaitsBytes && m_loop.Now() - LastActive() >= aPatience);
+}
+
+bool
+ServerConnection::CloseIfDispensable(base::Duration aPatience)
+{
+  if (!IsDispensable(aPatience)) {
+    return false;
+  }
+  Read(); // a process that was paused has not read what came meanwhile
+  if (!IsDispensable(aPatience)) {
+    return m_state == State::Closed;
+  }
+  if (m_state == State::Reading) {
+    RejectRequest(Fault::Timeout);
+  }
+  Abort();
+  return true;
+}
+
 base::Duration
 ServerConnection::ReadTimeout() const
 {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -9,6 +9,7 @@
 
 #include <ace/SOCK_Stream.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -75,13 +76,19 @@
   void CloseAfterAnswer() { m_closeAfter = true; }
   //! Closes now if no request is being read or answered.
   void CloseIfIdle();
+  //! Whether it may be closed to make room for another one: it is idle after an
+  //! answer, or its peer lets a request wait for aPatience or longer.
+  bool IsDispensable(base::Duration aPatience) const;
+  //! When the peer last sent something, or the current state began.
+  base::TimePoint LastActive() const { return std::max(m_since, m_receivedAt); }
+  //! Closes it if it is dispensable; refuses the request that is being read.
+  //! Returns whether it was closed.
+  bool CloseIfDispensable(base::Duration aPatience);
 
   //! Whether the peer has already disconnected. A loop that lags behind may
   //! read a request whose caller has given up.
   bool HasPeerGone() const;
   bool IsIdle() const { return m_state == State::Idle && m_inBuffer.empty(); }
-  //! When the current state (idle, reading or answering) began.
-  base::TimePoint StateSince() const { return m_since; }
   std::size_t UnsentBytes() const { return m_outBuffer.size() - m_sentBytes; }
   //! Enforces the timeouts. Must be called a few times a second.
   void EnforceTimeouts(base::TimePoint aNow);
@@ -149,8 +156,9 @@
   Sink m_sink{ *this };
   MessageReader m_reader{ MessageReader::Side::Requests, m_sink };
   State m_state = State::Idle;
-  base::TimePoint m_since{};  //!< when m_state began
-  base::TimePoint m_sentAt{}; //!< when the peer last took bytes
+  base::TimePoint m_since{};      //!< when m_state began
+  base::TimePoint m_sentAt{};     //!< when the peer last took bytes
+  base::TimePoint m_receivedAt{}; //!< when the peer last sent bytes
   RequestHead m_head;
   std::string m_body;
   std::string m_inBuffer; //!< received but not yet parsed
@@ -167,6 +175,7 @@
   bool m_bodyHasNoRoom = false;
   bool m_answerBegun = false;
   bool m_answerEnded = false;
+  bool m_hasAnswered = false; //!< at least one request
   bool m_keepAlive = true;
   bool m_closeAfter = false;
   bool m_flushScheduled = false;
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -610,6 +610,31 @@
   cr_assert(server.faults.at(0) == Fault::Timeout);
 }
 
+//! A connection that has just been opened looks idle, but its request is on the
+//! way.
+Test(connections, OnlyUsedOrSilentConnectionsMakeRoomForOthers)
+{
+  constexpr base::Duration kPatience(600000);
+  eventloop::EventLoop loop;
+  EchoServer server(loop, 20990);
+  Caller caller;
+  ClientConnection used(loop, { "127.0.0.1", 20990 }, caller);
+  used.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(loop, [&] { return caller.statuses.size() == 1; });
+  RunUntil(loop, [&] { return server.connections[0]->IsIdle(); });
+  ClientConnection unfinished(loop, { "127.0.0.1", 20990 }, caller);
+  unfinished.Send("GET /x HTTP/1.1\r\nHost:");
+  RunUntil(loop, [&] { return server.connections.size() == 2; });
+  auto& fresh = *server.connections[1];
+  cr_assert(!fresh.CloseIfDispensable(kPatience));
+  RunUntil(loop, [&] { return !fresh.IsIdle(); });
+  cr_assert(!fresh.CloseIfDispensable(kPatience));
+  cr_assert(server.connections[0]->CloseIfDispensable(kPatience));
+  cr_assert(fresh.CloseIfDispensable({}));
+  cr_assert(server.faults.at(0) == Fault::Timeout);
+  cr_assert(server.closed == 2);
+}
+
 Test(connections, ABodyOverTheLimitIsRefusedBeforeItIsRead)
 {
   eventloop::EventLoop loop;
--- a/src/soak/tests/crowdfixture.h
+++ b/src/soak/tests/crowdfixture.h
@@ -138,6 +138,12 @@
     while (!call->IsOver() && loop.Now() < limit) {
       loop.RunOnce();
     }
+    m_lastResult = fmt::format("{}, status {}, Retry-After '{}'",
+                               call->completed ? "answered"
+                               : call->failed  ? "connection closed"
+                                               : "no answer",
+                               call->head.status,
+                               call->Field("Retry-After"));
     return call->completed && call->head.status == 200;
   }
 
@@ -207,7 +213,8 @@
     for (int i = 0; i < kTries && !isServed; ++i) {
       isServed = ServesOne("/safe/x");
     }
-    cr_assert(isServed, "no ordinary request is served");
+    cr_assert(
+      isServed, "no ordinary request is served: %s", m_lastResult.c_str());
   }
 
   void ExpectWithinLimits()
@@ -257,6 +264,7 @@
   }
 
   std::uint64_t m_ordinary = 0;
+  std::string m_lastResult; //!< of an ordinary request
   std::uint64_t m_numbers = 0;
 };
 
