Own interface: callers that leave behind pipelined requests are noticed

Callers got 503 (deadline-unreachable) while requests of others that had left were queued, one after the other: 400 callers sent 64 KB of requests each and closed; 41,000 requests were worked through.

Change: it asks for the state of the socket, as the gateway does.

Evidence: owncrowd::PipelinedRequestsFillNoMemory failed before (2 of 2 runs, no ordinary request served in 20 s) and passes now (2 of 2, 5.0 s); traffic 43 of 43.

--- a/src/traffic/internal/exchange.cpp
+++ b/src/traffic/internal/exchange.cpp
@@ -1,10 +1,10 @@
 #include "traffic/internal/exchange.h"
 
+#include "base/peerclosed.h"
+
 #include <microhttpd.h>
-#include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <cstring>
 
 #include <fmt/format.h>
@@ -93,10 +93,7 @@
   if (info == nullptr) {
     return false;
   }
-  char byte = 0;
-  const auto got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool gone =
-    got == 0 || (got == -1 && errno != EAGAIN && errno != EWOULDBLOCK);
+  const bool gone = base::HasPeerClosed(info->connect_fd);
   if (gone) {
     m_callerGone = true;
     m_failed = true;
