Own interface: targets and fields of requests count for their budget

A process took 61 MB where its settings allow 44: 400 requests whose queries are of bytes that are escaped again, 30 KB each, waited for an upstream.

Cause: only bodies were counted. A query is kept escaped, three bytes for one, beside what libmicrohttpd keeps of it.

Change: a request counts all that it holds from the end of its head, and is refused without room: 503, not run, Retry-After. BodyBudget and BodyShare are MemoryBudget and MemoryShare, as they count more than bodies.

--- a/src/traffic/internal/callerserver.cpp
+++ b/src/traffic/internal/callerserver.cpp
@@ -173,7 +173,7 @@
                            IExchangeSink& aSink,
                            IControl& aControl,
                            metrics::Metrics& aMetrics,
-                           std::shared_ptr<BodyBudget> aBudget)
+                           std::shared_ptr<MemoryBudget> aBudget)
   : m_settings(aSettings)
   , m_sink(aSink)
   , m_control(aControl)
@@ -313,7 +313,7 @@
   auto context = std::make_unique<RequestContext>();
   context->request.method = aMethod;
   context->request.path = aUrl;
-  context->request.bodyShare = BodyShare(m_budget);
+  context->request.memoryShare = MemoryShare(m_budget);
   context->request.contentType = RequestHeader(aConnection, "Content-Type");
   context->request.idempotencyKey =
     RequestHeader(aConnection, "Idempotency-Key");
@@ -324,9 +324,22 @@
   }
   MHD_get_connection_values(
     aConnection, MHD_GET_ARGUMENT_KIND, &AppendQuery, &context->request.query);
+  CheckRoom(*context);
   return context.release();
 }
 
+//! Frees what was read of a request if there is no room for it.
+void
+CallerServer::CheckRoom(RequestContext& aContext)
+{
+  auto& request = aContext.request;
+  aContext.hasNoRoom = !request.memoryShare.TrySet(request.HeldBytes());
+  if (aContext.hasNoRoom) {
+    std::string().swap(request.path);
+    std::string().swap(request.query);
+  }
+}
+
 int
 CallerServer::Receive(RequestContext& aContext,
                       const char* aBody,
@@ -334,18 +347,18 @@
 {
   auto& request = aContext.request;
   const auto bytes = request.body.size() + *aBodySize;
+  const auto otherBytes = request.HeldBytes() - request.body.capacity();
   if (bytes > m_settings.maxBodyBytes) {
     aContext.tooLarge = true;
-  } else if (!request.bodyShare.TrySet(bytes)) {
+  } else if (!request.memoryShare.TrySet(otherBytes + bytes)) {
     aContext.hasNoRoom = true;
   }
   if (aContext.tooLarge || aContext.hasNoRoom) {
     std::string().swap(request.body);
-    request.bodyShare.Set(0);
   } else {
     request.body.append(aBody, *aBodySize);
-    request.bodyShare.Set(request.body.capacity());
   }
+  request.memoryShare.Set(request.HeldBytes());
   *aBodySize = 0;
   return MHD_YES;
 }
--- a/src/traffic/internal/callerserver.h
+++ b/src/traffic/internal/callerserver.h
@@ -45,7 +45,7 @@
                IExchangeSink& aSink,
                IControl& aControl,
                metrics::Metrics& aMetrics,
-               std::shared_ptr<BodyBudget> aBudget);
+               std::shared_ptr<MemoryBudget> aBudget);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -77,6 +77,7 @@
   RequestContext* BeginRequest(MHD_Connection* aConnection,
                                const char* aUrl,
                                const char* aMethod);
+  static void CheckRoom(RequestContext& aContext);
   int Receive(RequestContext& aContext,
               const char* aBody,
               std::size_t* aBodySize);
@@ -88,7 +89,7 @@
   IExchangeSink& m_sink;
   IControl& m_control;
   metrics::Metrics& m_metrics;
-  std::shared_ptr<BodyBudget> m_budget;
+  std::shared_ptr<MemoryBudget> m_budget;
   MHD_Daemon* m_callers = nullptr;
   MHD_Daemon* m_operators = nullptr;
   std::atomic<bool> m_listening{ true };
--- a/src/traffic/internal/exchange.cpp
+++ b/src/traffic/internal/exchange.cpp
@@ -13,7 +13,7 @@
 
 Exchange::Exchange(CallerRequest aRequest)
   : m_request(std::move(aRequest))
-  , m_bufferShare(m_request.bodyShare.Budget())
+  , m_bufferShare(m_request.memoryShare.Budget())
 {
 }
 
--- a/src/traffic/internal/exchange.h
+++ b/src/traffic/internal/exchange.h
@@ -90,7 +90,7 @@
   std::atomic<bool> m_callerGone{ false };
   AnswerHead m_head;
   std::string m_buffer;
-  BodyShare m_bufferShare;
+  MemoryShare m_bufferShare;
   std::size_t m_start = 0;
   std::function<void()> m_onDrained;
 };
--- a/src/traffic/internal/trafficplane.cpp
+++ b/src/traffic/internal/trafficplane.cpp
@@ -89,7 +89,7 @@
     *this,
     aControl,
     m_metrics,
-    std::make_shared<BodyBudget>(m_settings.maxBufferedBytes));
+    std::make_shared<MemoryBudget>(m_settings.maxBufferedBytes));
   m_sweeper = std::thread([this] { RunSweeper(); });
 }
 
--- a/src/traffic/bodybudget.h
+++ b/src/traffic/memorybudget.h
@@ -7,12 +7,12 @@
 
 namespace hemlockgauge::traffic {
 
-//! Counts and limits the bytes of bodies, of requests and answers, that all
-//! connections buffer together. Unlike base::BufferBudget it is thread-safe.
-class BodyBudget
+//! Counts and limits the bytes that all requests and their answers hold
+//! together. Unlike base::BufferBudget it is thread-safe.
+class MemoryBudget
 {
 public:
-  explicit BodyBudget(std::size_t aLimit)
+  explicit MemoryBudget(std::size_t aLimit)
     : m_limit(aLimit)
   {
   }
@@ -36,23 +36,23 @@
   std::atomic<std::size_t> m_total{ 0 };
 };
 
-//! The bytes that one owner buffers. Gives them back when it is destroyed.
+//! The bytes that one owner holds. Gives them back when it is destroyed.
 //! Without a budget nothing is counted.
-class BodyShare
+class MemoryShare
 {
 public:
-  BodyShare() = default;
-  explicit BodyShare(std::shared_ptr<BodyBudget> aBudget)
+  MemoryShare() = default;
+  explicit MemoryShare(std::shared_ptr<MemoryBudget> aBudget)
     : m_budget(std::move(aBudget))
   {
   }
-  ~BodyShare() { Set(0); }
-  BodyShare(BodyShare&& aOther) noexcept
+  ~MemoryShare() { Set(0); }
+  MemoryShare(MemoryShare&& aOther) noexcept
     : m_budget(std::move(aOther.m_budget))
     , m_bytes(std::exchange(aOther.m_bytes, 0))
   {
   }
-  BodyShare& operator=(BodyShare&& aOther) noexcept
+  MemoryShare& operator=(MemoryShare&& aOther) noexcept
   {
     if (this != &aOther) {
       Set(0);
@@ -85,10 +85,10 @@
     m_bytes = aBytes;
   }
   bool IsTight() const { return m_budget && m_budget->IsTight(); }
-  const std::shared_ptr<BodyBudget>& Budget() const { return m_budget; }
+  const std::shared_ptr<MemoryBudget>& Budget() const { return m_budget; }
 
 private:
-  std::shared_ptr<BodyBudget> m_budget;
+  std::shared_ptr<MemoryBudget> m_budget;
   std::size_t m_bytes = 0;
 };
 
--- a/src/traffic/traffictypes.h
+++ b/src/traffic/traffictypes.h
@@ -3,7 +3,7 @@
 #include "base/basetypes.h"
 #include "base/verdict.h"
 #include "document/documenttypes.h"
-#include "traffic/bodybudget.h"
+#include "traffic/memorybudget.h"
 
 #include <memory>
 #include <optional>
@@ -25,12 +25,19 @@
   std::string idempotencyKey; //!< forwarded unchanged
   std::string bearerKey;      //!< never logged; wiped after authentication
   std::string body;           //!< never logged
-  BodyShare bodyShare;        //!< of body
+  MemoryShare memoryShare;    //!< of HeldBytes
   std::shared_ptr<const document::ServiceDocument> service;
   const document::Workspace* workspace = nullptr;
   bool repeatable = false;
   base::TimePoint receivedAt{};
   base::TimePoint deadline{};
+
+  //! Memory of what the caller sent, in bytes.
+  std::size_t HeldBytes() const
+  {
+    return path.capacity() + query.capacity() + contentType.capacity() +
+           idempotencyKey.capacity() + bearerKey.capacity() + body.capacity();
+  }
 };
 
 //! An error response that the router generates.
