Own interface: callers that do not read their answers lose their connections

Connections stayed taken for good: 40 callers asked for answers of 16 MB and read nothing; after 20 s all were still open, one of each caller and one of its upstream.

Cause: only a caller's request had a timeout, its answer none.

Change: libmicrohttpd closes a connection without progress after caller_timeout_ms, in whole seconds. It counts no time while a connection is suspended, that is while an answer or a part of it is awaited.

--- a/src/traffic/internal/callerserver.cpp
+++ b/src/traffic/internal/callerserver.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstring>
 
 namespace hemlockgauge::traffic {
@@ -48,6 +49,14 @@
   return value == nullptr ? std::string() : std::string(value);
 }
 
+//! aDuration in seconds, rounded up.
+unsigned
+WholeSeconds(base::Duration aDuration)
+{
+  return static_cast<unsigned>(
+    std::chrono::ceil<std::chrono::seconds>(aDuration).count());
+}
+
 int
 SocketOf(MHD_Connection* aConnection)
 {
@@ -182,6 +191,8 @@
 {
   const auto callers = SocketAddress(aSettings.listen);
   const auto operators = SocketAddress(aSettings.adminListen);
+  // The timeout closes connections whose callers do not read their answers. One
+  // whose answer is awaited is suspended and has none.
   constexpr unsigned kFlags =
     MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   m_callers = MHD_start_daemon(kFlags,
@@ -198,6 +209,8 @@
                                static_cast<unsigned>(aSettings.maxConnections),
                                MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                                kConnectionMemoryBytes,
+                               MHD_OPTION_CONNECTION_TIMEOUT,
+                               WholeSeconds(aSettings.callerTimeout),
                                MHD_OPTION_NOTIFY_COMPLETED,
                                &CompletedCallback,
                                this,
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -701,3 +701,34 @@
             "%zu bytes",
             exchange.BufferBytes());
 }
+
+//! The timeout of callers that do not read their answers must not end those
+//! that wait for their upstream, before the answer or within it.
+Test(path, AnAnswerMayPauseForLongerThanTheCallerTimeout)
+{
+  constexpr auto kPause = 2500ms;
+  auto settings = TrafficFixture::SmallBodies();
+  settings.callerTimeout = base::Duration(1000);
+  TrafficFixture fixture(
+    21580,
+    "plain",
+    [&](const HttpRequest& aRequest) {
+      std::this_thread::sleep_for(kPause);
+      HttpResponse response;
+      response.headers["X-Request-Id"] = aRequest.headers.at("x-request-id");
+      response.body = "first ";
+      response.stream = [kPause, part = 0]() mutable -> Chunk {
+        part++;
+        std::this_thread::sleep_for(kPause);
+        return { part == 1 ? "second" : "", false };
+      };
+      return response;
+    },
+    false,
+    kLongStallLimitMs,
+    settings);
+  const auto answer = fixture.Call();
+  cr_assert(answer.result == CURLE_OK);
+  cr_assert(answer.status == 200);
+  cr_assert(answer.body == "first second", "%s", answer.body.c_str());
+}
