Own interface: an answer goes on when its caller was faster than the pause

Callers' answers stopped for good while the memory budget was tight, those of ordinary callers as well: the upstream was never read on, and no timeout of the transfer ran, as it counted as paused. Shown by the sanitized run of owncrowd:: CallersThatNeverReadDoNotKeepConnections, whose callers kept 20 of 40 connections: none of these had unsent bytes, while the sockets of their upstream held 2.7 MB each.

Cause: a full buffer asks for a pause that begins with the next bytes of the upstream. If the caller takes all that is buffered before, the order to go on finds no pause, and the pause that follows is never ended. With 256 KB before a pause this was rare; while the budget is tight each piece asks for one.

Change: the order to go on also takes back a pause that has not begun. If the buffer has filled again meanwhile, the next piece asks again.

--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -364,6 +364,8 @@
 void
 Transfer::Unpause()
 {
+  // The caller may have taken everything before the pause began.
+  m_pauseRequested = false;
   if (m_paused && m_handle != nullptr) {
     m_paused = false;
     m_lastProgressAt = base::MonotonicNow();
--- a/src/traffic/tests/pathtests.cpp
+++ b/src/traffic/tests/pathtests.cpp
@@ -732,3 +732,35 @@
   cr_assert(answer.status == 200);
   cr_assert(answer.body == "first second", "%s", answer.body.c_str());
 }
+
+//! A caller may take what is buffered between the decision to pause the
+//! upstream and the pause.
+Test(path, AnAnswerGoesOnWhileTheBudgetIsTight)
+{
+  constexpr std::size_t kPartBytes = 16384;
+  constexpr std::size_t kParts = 300;
+  auto settings = TrafficFixture::SmallBodies();
+  settings.maxBufferedBytes = kPartBytes;
+  TrafficFixture fixture(
+    21600,
+    "plain",
+    [&](const HttpRequest& aRequest) {
+      HttpResponse response;
+      response.headers["X-Request-Id"] = aRequest.headers.at("x-request-id");
+      response.stream = [left = kParts]() mutable -> Chunk {
+        if (left == 0) {
+          return {};
+        }
+        left--;
+        std::this_thread::sleep_for(2ms);
+        return { std::string(kPartBytes, 'b'), false };
+      };
+      return response;
+    },
+    false,
+    kLongStallLimitMs,
+    settings);
+  const auto answer = fixture.Call();
+  cr_assert(answer.result == CURLE_OK, "%d", answer.result);
+  cr_assert(answer.body.size() == kParts * kPartBytes);
+}
