--- a/src/soak/tests/owncrowdfixture.h
+++ b/src/soak/tests/owncrowdfixture.h
@@ -196,7 +196,7 @@
 
   std::string Write(const std::string& aName, const std::string& aText) const
   {
-    const auto file = (m_directory / aName).string();
+    auto file = (m_directory / aName).string();
     std::ofstream(file) << aText;
     return file;
   }
