--- a/src/base/tests/basetests.cpp
+++ b/src/base/tests/basetests.cpp
@@ -4,13 +4,18 @@
 #include "base/hostfield.h"
 #include "base/logline.h"
 #include "base/logratelimiter.h"
+#include "base/peerclosed.h"
 #include "base/verdict.h"
 
 #include <criterion/criterion.h>
 #include <fcntl.h>
 #include <spdlog/spdlog.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <string_view>
+
 using namespace hemlockgauge::base;
 
 Test(base, AddressRequiresIpAndPort)
@@ -135,3 +140,19 @@
   cr_assert(budget.TakeRefusedCount() == 10000U - static_cast<unsigned>(taken));
   cr_assert(budget.TakeRefusedCount() == 0);
 }
+
+//! Unread bytes must not hide that the peer has closed, nor look like it.
+Test(peerclosed, ACloseIsSeenWithAndWithoutUnreadBytes)
+{
+  for (const std::string_view unread : { "", "bytes" }) {
+    std::array<int, 2> sockets{};
+    cr_assert(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
+    cr_assert(!HasPeerClosed(sockets[0]));
+    const auto sent = write(sockets[1], unread.data(), unread.size());
+    cr_assert(sent == static_cast<ssize_t>(unread.size()));
+    cr_assert(!HasPeerClosed(sockets[0]));
+    close(sockets[1]);
+    cr_assert(HasPeerClosed(sockets[0]));
+    close(sockets[0]);
+  }
+}
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -156,9 +156,9 @@
   if (m_state == State::Closed || (!m_isRegistered && ClosesWithFlush())) {
     return;
   }
-  // A peer that closes is noticed also while nothing is read from it.
-  std::uint32_t events = EPOLLRDHUP;
-  events |= m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : 0U;
+  // While nothing is read, the peer's close has to be watched for instead.
+  std::uint32_t events =
+    m_inBuffer.size() < MaxReadAhead() ? EPOLLIN : EPOLLRDHUP;
   // The next iteration parses a pipelined request, so that one connection's
   // requests do not hold up the others.
   events |= UnsentBytes() > 0 || HasPipelinedRequest() ? EPOLLOUT : 0U;
