--- a/src/base/peerclosed.cpp
+++ b/src/base/peerclosed.cpp
@@ -15,7 +15,7 @@
   if (received <= 0) {
     return received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
-  // The end of the connection is behind unread bytes.
+  // Unread bytes hide whether the connection has ended.
   pollfd state{ aSocket, POLLRDHUP, 0 };
   return poll(&state, 1, 0) > 0 &&
          (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/src/document/documenttypes.h
+++ b/src/document/documenttypes.h
@@ -71,7 +71,7 @@
   std::uint32_t trafficThreads = 2;
   std::uint32_t maxConnections = 4096;
   std::uint32_t maxBodyBytes = 1 << 20;
-  //! Bytes of bodies and answers that all connections may buffer together.
+  //! Bytes that all requests and their answers may hold together.
   std::size_t maxBufferedBytes = std::size_t{ 64 } << 20U;
   base::Duration callerTimeout{ 10000 };
   base::Duration drainNotice{ 1000 };
--- a/src/http/eventendfinder.cpp
+++ b/src/http/eventendfinder.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-//! The end of an event may begin with so many bytes that are searched already.
+//! Bytes of the end of an event that may come before the rest of it.
 constexpr std::size_t kMaxSplitEnd = 2;
 
 }
--- a/src/soak/tests/owncrowdfixture.h
+++ b/src/soak/tests/owncrowdfixture.h
@@ -24,7 +24,7 @@
 namespace hemlockgauge::soak {
 
 //! Half of the memory of the smallest host: 16 MB for libmicrohttpd at the most
-//! connections, 8 MB for what requests hold, and the process itself.
+//! connections, 8 MB for what requests hold, 20 MB for the process itself.
 inline constexpr std::size_t kOwnCrowdMemoryMb = 44;
 inline constexpr std::size_t kOwnMaxConnections = 500;
 inline constexpr std::size_t kOwnCrowdSize = 400;
@@ -35,7 +35,7 @@
 inline constexpr std::size_t kOwnRouterDescriptors = 64;
 //! Callers whose large answers run at a time.
 inline constexpr std::size_t kOwnSmallCrowdSize = 40;
-//! More than the sockets of a connection buffer.
+//! Together more than the socket buffers of a connection hold.
 inline constexpr std::size_t kLargeAnswerParts = 256;
 inline constexpr std::size_t kLargeAnswerPartBytes = 65536;
 
--- a/src/traffic/internal/transfer.cpp
+++ b/src/traffic/internal/transfer.cpp
@@ -364,7 +364,8 @@
 void
 Transfer::Unpause()
 {
-  // The caller may have taken everything before the pause began.
+  // A pause that was requested begins with the next bytes only. The caller may
+  // have taken what is buffered before.
   m_pauseRequested = false;
   if (m_paused && m_handle != nullptr) {
     m_paused = false;
